--- /dev/null
+++ b/counter/doc.go
@@ -0,0 +1,2 @@
+// Package counter counts events by kebab-case name and shows them through expvar.
+package counter
--- /dev/null
+++ b/decoder/decoder.go
@@ -0,0 +1,72 @@
+package decoder
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Problem is one fault of a file.
+type Problem struct {
+	File   string
+	Line   int
+	Key    string
+	Detail string
+}
+
+// Error returns the problem as "file:line: key: detail".
+func (p Problem) Error() string {
+	where := p.File
+	if p.Line > 0 {
+		where = fmt.Sprintf("%s:%d", p.File, p.Line)
+	}
+	if p.Key == "" {
+		return where + ": " + p.Detail
+	}
+	return fmt.Sprintf("%s: %s: %s", where, p.Key, p.Detail)
+}
+
+// File decodes the TOML file into v, a pointer to a wire struct.
+func File(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read %q: %w", path, err)
+	}
+	return Bytes(path, data, v)
+}
+
+// Bytes decodes TOML into v, a pointer to a wire struct; name stands for the file in errors.
+func Bytes(name string, data []byte, v any) error {
+	d := toml.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return unknownKeys(name, strict)
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		return problem(name, wrong, wrong.Error())
+	}
+	if err != nil {
+		return Problem{File: name, Detail: err.Error()}
+	}
+	return nil
+}
+
+func unknownKeys(name string, strict *toml.StrictMissingError) error {
+	problems := make([]error, 0, len(strict.Errors))
+	for i := range strict.Errors {
+		problems = append(problems, problem(name, &strict.Errors[i], "unknown key"))
+	}
+	return errors.Join(problems...)
+}
+
+func problem(name string, e *toml.DecodeError, detail string) Problem {
+	line, _ := e.Position()
+	return Problem{File: name, Line: line, Key: strings.Join(e.Key(), "."), Detail: detail}
+}
--- /dev/null
+++ b/lister/doc.go
@@ -0,0 +1,2 @@
+// Package lister reads the platform's host list.
+package lister
--- /dev/null
+++ b/lister/lister.go
@@ -0,0 +1,81 @@
+package lister
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// HostKind tells what runs on a host.
+type HostKind string
+
+// The kinds of host.
+const (
+	KindEntry  HostKind = "entry"
+	KindEngine HostKind = "engine"
+	KindPlain  HostKind = "plain"
+)
+
+// Host is one line of the host list.
+type Host struct {
+	ID          dotterelpulley.HostID
+	Kind        HostKind
+	Service     dotterelpulley.ServiceID
+	Address     dotterelpulley.Address
+	PeerAddress dotterelpulley.Address
+	Zone        dotterelpulley.ZoneID
+	Generation  dotterelpulley.Generation
+	State       dotterelpulley.EndpointState
+}
+
+// List is the host list at a revision.
+type List struct {
+	Revision int64
+	Hosts    []Host
+}
+
+// Endpoint returns the host as an endpoint of its service.
+func (h Host) Endpoint() dotterelpulley.Endpoint {
+	return dotterelpulley.Endpoint{
+		ID:         dotterelpulley.EndpointID(h.ID),
+		Service:    h.Service,
+		Address:    h.Address,
+		Zone:       h.Zone,
+		Generation: h.Generation,
+		State:      h.State,
+	}
+}
+
+const defaultTimeout = 2 * time.Second
+
+// Client speaks to the host list; set Address before the first call.
+type Client struct {
+	Address dotterelpulley.Address
+
+	http fasthttp.Client
+}
+
+// Fetch returns the host list as it is now.
+func (c *Client) Fetch() (List, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + string(c.Address) + "/v1/hosts")
+	if err := c.http.DoTimeout(req, resp, defaultTimeout); err != nil {
+		return List{}, fmt.Errorf("fetch host list: %w", err)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return List{}, fmt.Errorf("fetch host list: status %d", resp.StatusCode())
+	}
+	var w wireList
+	if err := json.Unmarshal(resp.Body(), &w); err != nil {
+		return List{}, fmt.Errorf("decode host list: %w", err)
+	}
+	return w.fromWire(), nil
+}
--- /dev/null
+++ b/organisation.go
@@ -0,0 +1,4 @@
+package dotterelpulley
+
+// OrganisationID names an organisation whose callers send requests.
+type OrganisationID string
