Add the records of the streams, the follower, and dotterelctl

Every reader folds the configuration and moves streams by the same rules: base revisions, fences and deadlines are judged by the log's order and time. dotterelctl checks, publishes, and watches by the same fold.

--- /dev/null
+++ b/follower/folds.go
@@ -0,0 +1,40 @@
+package follower
+
+import "github.com/dotterelpulley/dotterelpulley/recorder"
+
+type configurationFold struct {
+	state recorder.ConfigurationState
+}
+
+func (f *configurationFold) apply(at recorder.Place, env recorder.Envelope) recorder.Verdict {
+	return f.state.Apply(at, env)
+}
+
+func (f *configurationFold) adopt(at recorder.Place, body recorder.Body) bool {
+	s, ok := body.(recorder.ConfigurationSnapshot)
+	if !ok || at.Offset != s.Through+1 {
+		return false
+	}
+	if s.State.Configuration.Revision < f.state.Configuration.Revision {
+		return false
+	}
+	f.state = s.State
+	return true
+}
+
+type movesFold struct {
+	state recorder.MovesState
+}
+
+func (f *movesFold) apply(at recorder.Place, env recorder.Envelope) recorder.Verdict {
+	return f.state.Apply(at, env)
+}
+
+func (f *movesFold) adopt(at recorder.Place, body recorder.Body) bool {
+	s, ok := body.(recorder.MovesSnapshot)
+	if !ok || at.Offset != s.Through+1 || s.State.Lease.Newest < f.state.Lease.Newest {
+		return false
+	}
+	f.state = s.State
+	return true
+}
--- /dev/null
+++ b/mover/settings.go
@@ -0,0 +1,114 @@
+package mover
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/decoder"
+)
+
+// Settings are what a mover process learns from its file.
+type Settings struct {
+	Host     dotterelpulley.HostID
+	Zone     dotterelpulley.ZoneID
+	Log      dotterelpulley.Address
+	HostList dotterelpulley.Address
+	// Operators is where health, counters and status are served.
+	Operators dotterelpulley.Address
+	// Lease is how long the active mover may go without the log.
+	Lease time.Duration
+	// OrderTimeout bounds one order to an endpoint.
+	OrderTimeout time.Duration
+	// LoadsAtOnce bounds the endpoints that load at the same time.
+	LoadsAtOnce int
+	// LoadTime is the first estimate of how long an endpoint takes to load a version.
+	LoadTime time.Duration
+	// Retention is how long the log keeps a record.
+	Retention time.Duration
+}
+
+// The defaults of the settings.
+const (
+	DefaultLease        = 5 * time.Second
+	DefaultOrderTimeout = time.Second
+	DefaultLoadsAtOnce  = 4
+	DefaultLoadTime     = 30 * time.Second
+	DefaultRetention    = 24 * time.Hour
+)
+
+type wireSettings struct {
+	Host         string `toml:"host"`
+	Zone         string `toml:"zone"`
+	Log          string `toml:"log-address"`
+	HostList     string `toml:"host-list-address"`
+	Operators    string `toml:"operator-address"`
+	Lease        string `toml:"lease"`
+	OrderTimeout string `toml:"order-timeout"`
+	LoadsAtOnce  *int   `toml:"loads-at-once"`
+	LoadTime     string `toml:"load-time"`
+	Retention    string `toml:"log-retention"`
+}
+
+// ParseSettings decodes and checks a mover's settings file; name stands for it in errors.
+func ParseSettings(name string, data []byte) (Settings, error) {
+	var w wireSettings
+	if err := decoder.Bytes(name, data, &w); err != nil {
+		return Settings{}, err
+	}
+	c := settingsCheck{lines: decoder.Index(name, data)}
+	s := Settings{
+		Host:         dotterelpulley.HostID(w.Host),
+		Zone:         dotterelpulley.ZoneID(w.Zone),
+		Log:          c.address("log-address", w.Log),
+		HostList:     c.address("host-list-address", w.HostList),
+		Operators:    c.address("operator-address", w.Operators),
+		Lease:        c.duration("lease", w.Lease, DefaultLease),
+		OrderTimeout: c.duration("order-timeout", w.OrderTimeout, DefaultOrderTimeout),
+		LoadsAtOnce:  DefaultLoadsAtOnce,
+		LoadTime:     c.duration("load-time", w.LoadTime, DefaultLoadTime),
+		Retention:    c.duration("log-retention", w.Retention, DefaultRetention),
+	}
+	if w.LoadsAtOnce != nil {
+		s.LoadsAtOnce = *w.LoadsAtOnce
+	}
+	if s.Host == "" {
+		c.add("host", "must not be empty")
+	}
+	if s.LoadsAtOnce < 1 {
+		c.add("loads-at-once", fmt.Sprintf("%d is below 1", s.LoadsAtOnce))
+	}
+	if s.OrderTimeout >= s.Lease/2 {
+		c.add("order-timeout", fmt.Sprintf("%s is not below half of the lease, %s", s.OrderTimeout, s.Lease))
+	}
+	return s, errors.Join(c.problems...)
+}
+
+type settingsCheck struct {
+	lines    decoder.Lines
+	problems []error
+}
+
+func (c *settingsCheck) add(key, detail string) {
+	c.problems = append(c.problems, c.lines.Problem(key, detail))
+}
+
+func (c *settingsCheck) address(key, text string) dotterelpulley.Address {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		c.add(key, fmt.Sprintf("%q is not an IP address and port such as \"127.0.0.1:7001\"", text))
+	}
+	return dotterelpulley.Address(text)
+}
+
+func (c *settingsCheck) duration(key, text string, absent time.Duration) time.Duration {
+	if text == "" {
+		return absent
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		c.add(key, fmt.Sprintf("%q is not a duration above 0s such as \"5s\"", text))
+	}
+	return d
+}
--- /dev/null
+++ b/publisher/doc.go
@@ -0,0 +1,3 @@
+// Package publisher checks operators' files, turns them into records of the
+// configuration stream, and tells what became of them.
+package publisher
--- /dev/null
+++ b/publisher/note.go
@@ -0,0 +1,95 @@
+package publisher
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/decoder"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+// defaultWatch is for how long each step is watched when the note does not say.
+const defaultWatch = time.Minute
+
+// defaultCanaryShare bounds an unproved version's share when the note does not say.
+const defaultCanaryShare = 0.05
+
+// Note decodes a release note file and checks it against the configuration at that time; name stands for it in errors.
+func Note(name string, data []byte, c dotterelpulley.Configuration, now time.Time) (dotterelpulley.ReleaseNote, error) {
+	note, r, err := decodeNote(name, data, now)
+	if err != nil {
+		return note, err
+	}
+	if len(r.problems) == 0 {
+		r.faults(recorder.CheckNote(note, c, now))
+	}
+	return note, r.err()
+}
+
+// NoteAlone checks what a release note file says by itself, taking every service that it names as known.
+func NoteAlone(name string, data []byte, now time.Time) (dotterelpulley.ReleaseNote, error) {
+	note, r, err := decodeNote(name, data, now)
+	if err != nil {
+		return note, err
+	}
+	var c dotterelpulley.Configuration
+	for _, change := range note.Changes {
+		c.Services = append(c.Services, dotterelpulley.ServiceSettings{ID: change.Service})
+	}
+	if len(r.problems) == 0 {
+		r.faults(recorder.CheckNote(note, c, now))
+	}
+	return note, r.err()
+}
+
+func decodeNote(name string, data []byte, now time.Time) (dotterelpulley.ReleaseNote, report, error) {
+	w := wireNote{CanaryShare: defaultCanaryShare}
+	if err := decoder.Bytes(name, data, &w); err != nil {
+		return dotterelpulley.ReleaseNote{}, report{}, err
+	}
+	r := report{lines: decoder.Index(name, data)}
+	note := dotterelpulley.ReleaseNote{
+		ID:          dotterelpulley.NoteID(w.ID),
+		Deadline:    r.deadline(w.Deadline, now),
+		CanaryShare: w.CanaryShare,
+		Watch:       r.duration("watch", w.Watch, defaultWatch),
+	}
+	for i, change := range w.Changes {
+		note.Changes = append(note.Changes, r.change(fmt.Sprintf("changes[%d]", i), change))
+	}
+	return note, r, nil
+}
+
+func (r *report) deadline(value any, now time.Time) time.Time {
+	switch v := value.(type) {
+	case time.Time:
+		return v.UTC()
+	case string:
+		if at, err := time.Parse(time.RFC3339, v); err == nil {
+			return at.UTC()
+		}
+		if d, err := time.ParseDuration(v); err == nil {
+			return now.Add(d).UTC()
+		}
+	}
+	r.add("deadline", "must be a time in RFC 3339 form or a duration from now such as \"2h\"")
+	return time.Time{}
+}
+
+func (r *report) change(key string, w wireChange) dotterelpulley.Change {
+	action, err := recorder.ParseAction(w.Action)
+	if err != nil {
+		r.add(key+".action", "%v", err)
+	}
+	change := dotterelpulley.Change{
+		Action:  action,
+		Service: dotterelpulley.ServiceID(w.Service),
+		From:    w.From.fromWire(),
+		To:      w.To.fromWire(),
+	}
+	for _, after := range w.After {
+		change.After = append(change.After, dotterelpulley.ServiceID(after))
+	}
+	return change
+}
--- /dev/null
+++ b/publisher/report.go
@@ -0,0 +1,53 @@
+package publisher
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley/decoder"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+// report collects the problems of one file.
+type report struct {
+	lines    decoder.Lines
+	problems []decoder.Problem
+}
+
+func (r *report) add(key, format string, args ...any) {
+	r.problems = append(r.problems, r.lines.Problem(key, fmt.Sprintf(format, args...)))
+}
+
+func (r *report) faults(faults []recorder.Fault) {
+	for _, f := range faults {
+		r.add(f.Key, "%s", f.Detail)
+	}
+}
+
+// duration parses a duration that must be above zero; an absent one is absent.
+func (r *report) duration(key, text string, absent time.Duration) time.Duration {
+	if text == "" {
+		return absent
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		r.add(key, "%q is not a duration such as \"30s\"", text)
+		return absent
+	}
+	if d <= 0 {
+		r.add(key, "%s is not above 0s", d)
+		return absent
+	}
+	return d
+}
+
+func (r *report) err() error {
+	sort.SliceStable(r.problems, func(i, j int) bool { return r.problems[i].Line < r.problems[j].Line })
+	errs := make([]error, 0, len(r.problems))
+	for _, p := range r.problems {
+		errs = append(errs, p)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/recorder/configuration_state.go
@@ -0,0 +1,119 @@
+package recorder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/appender"
+)
+
+// noteMemory is how long after its deadline an accepted note is remembered.
+const noteMemory = 7 * 24 * time.Hour
+
+// AcceptedNote is a release note that the configuration stream has accepted.
+type AcceptedNote struct {
+	Offset   appender.Offset
+	Appended time.Time
+	Note     dotterelpulley.ReleaseNote
+}
+
+// ConfigurationState is the fold of the configuration stream.
+type ConfigurationState struct {
+	Configuration dotterelpulley.Configuration
+	// Newest is the record that made the current revision.
+	Newest RecordID
+	// Notes are the accepted release notes in the order of acceptance.
+	Notes []AcceptedNote
+}
+
+// Note returns the accepted note of that id.
+func (s *ConfigurationState) Note(id dotterelpulley.NoteID) (AcceptedNote, bool) {
+	for _, n := range s.Notes {
+		if n.Note.ID == id {
+			return n, true
+		}
+	}
+	return AcceptedNote{}, false
+}
+
+// Apply folds the next record in and returns the verdict on it.
+func (s *ConfigurationState) Apply(at Place, env Envelope) Verdict {
+	s.forget(at.Appended)
+	switch body := env.Body.(type) {
+	case Delta:
+		return s.applyDelta(at, env, body)
+	case Note:
+		return s.applyNote(at, env, body.Note)
+	case ConfigurationSnapshot:
+		return s.applySnapshot(at, env, body)
+	case Claim, Renewal, Release, Opening, Step, Outcome, BadVersion, MovesSnapshot:
+		return refused(at, env, "the record does not belong on the configuration stream")
+	}
+	return refused(at, env, "the record has no body")
+}
+
+func (s *ConfigurationState) applyDelta(at Place, env Envelope, delta Delta) Verdict {
+	if env.Base != s.Configuration.Revision {
+		v := refused(at, env, "based on revision %d, but revision %d was in force", env.Base, s.Configuration.Revision)
+		v.LostTo = s.Newest
+		return v
+	}
+	next, reason := delta.Apply(s.Configuration)
+	if reason != "" {
+		return refused(at, env, "%s", reason)
+	}
+	if reason := s.openNoteUsesRemoved(next); reason != "" {
+		return refused(at, env, "%s", reason)
+	}
+	next.Revision = dotterelpulley.Revision(at.Offset)
+	s.Configuration = next
+	s.Newest = env.ID
+	return accepted(at, env)
+}
+
+func (s *ConfigurationState) openNoteUsesRemoved(next dotterelpulley.Configuration) string {
+	for _, n := range s.Notes {
+		for _, change := range n.Note.Changes {
+			_, before := s.Configuration.Service(change.Service)
+			_, after := next.Service(change.Service)
+			if before && !after {
+				return "service " + string(change.Service) + " is in use by release note " + string(n.Note.ID)
+			}
+		}
+	}
+	return ""
+}
+
+func (s *ConfigurationState) applyNote(at Place, env Envelope, note dotterelpulley.ReleaseNote) Verdict {
+	if env.Base > s.Configuration.Revision {
+		return refused(at, env, "based on revision %d, but revision %d was in force", env.Base, s.Configuration.Revision)
+	}
+	if _, taken := s.Note(note.ID); taken {
+		return refused(at, env, "release note %q has been published before", note.ID)
+	}
+	for _, fault := range CheckNote(note, s.Configuration, at.Appended) {
+		return refused(at, env, "%s: %s", fault.Key, fault.Detail)
+	}
+	s.Notes = append(slices.Clone(s.Notes), AcceptedNote{Offset: at.Offset, Appended: at.Appended, Note: note})
+	return accepted(at, env)
+}
+
+func (s *ConfigurationState) applySnapshot(at Place, env Envelope, snapshot ConfigurationSnapshot) Verdict {
+	if at.Offset != snapshot.Through+1 {
+		return refused(at, env, "the snapshot ends at offset %d", snapshot.Through)
+	}
+	if !same(snapshot, ConfigurationSnapshot{Through: snapshot.Through, State: *s}) {
+		return refused(at, env, "the snapshot differs from the fold of revision %d", s.Configuration.Revision)
+	}
+	return accepted(at, env)
+}
+
+func (s *ConfigurationState) forget(now time.Time) {
+	old := func(n AcceptedNote) bool {
+		return now.Sub(n.Note.Deadline) > noteMemory
+	}
+	if slices.ContainsFunc(s.Notes, old) {
+		s.Notes = slices.DeleteFunc(slices.Clone(s.Notes), old)
+	}
+}
--- /dev/null
+++ b/recorder/moves_state.go
@@ -0,0 +1,290 @@
+package recorder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/appender"
+)
+
+// moveMemory is how long after its deadline an ended move is remembered.
+const moveMemory = 7 * 24 * time.Hour
+
+// ClockTolerance is how far a host's clock may be from the log's.
+const ClockTolerance = 2 * time.Second
+
+// Lease is the right of one host to advance moves.
+type Lease struct {
+	Holder   dotterelpulley.HostID
+	Duration time.Duration
+	// Fence is the offset of the claim, the fencing number of every order and step.
+	Fence appender.Offset
+	// Newest is the offset of the claim or of the last renewal.
+	Newest   appender.Offset
+	Released bool
+}
+
+// MoveID names the move of one service by one release note.
+type MoveID struct {
+	Note    dotterelpulley.NoteID
+	Service dotterelpulley.ServiceID
+}
+
+// String returns the id as "note/service".
+func (id MoveID) String() string {
+	return string(id.Note) + "/" + string(id.Service)
+}
+
+// Phase tells how far a move is.
+type Phase int
+
+// The phases of a move.
+const (
+	PhaseRunning Phase = iota
+	PhaseDone
+	PhaseUndone
+)
+
+var phaseNames = [...]string{"running", "done", "undone"}
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	return phaseNames[p]
+}
+
+// Move is the state of one move.
+type Move struct {
+	ID       MoveID
+	Action   dotterelpulley.ChangeAction
+	From     dotterelpulley.Build
+	To       dotterelpulley.Build
+	Deadline time.Time
+	Cap      float64
+	Watch    time.Duration
+	Phase    Phase
+	// Number counts the steps so far; 0 while the version is being loaded.
+	Number int
+	Share  float64
+	// Since is when the log took the newest step.
+	Since  time.Time
+	Bad    bool
+	Reason string
+	Opened appender.Offset
+	Ended  appender.Offset
+}
+
+// Running reports whether the move has not ended.
+func (m Move) Running() bool {
+	return m.Phase == PhaseRunning
+}
+
+// Expired reports whether the move's deadline has passed with the clocks' tolerance.
+func (m Move) Expired(now time.Time) bool {
+	return now.After(m.Deadline.Add(ClockTolerance))
+}
+
+// MovesState is the fold of the moves stream.
+type MovesState struct {
+	Lease Lease
+	Moves []Move
+	// InForce is the build of each service that a move has completed.
+	InForce map[dotterelpulley.ServiceID]dotterelpulley.Build
+}
+
+// Move returns the move of that id.
+func (s *MovesState) Move(id MoveID) (Move, bool) {
+	for _, m := range s.Moves {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Move{}, false
+}
+
+// Running returns the running move of the service.
+func (s *MovesState) Running(service dotterelpulley.ServiceID) (Move, bool) {
+	for _, m := range s.Moves {
+		if m.ID.Service == service && m.Running() {
+			return m, true
+		}
+	}
+	return Move{}, false
+}
+
+// Apply folds the next record in and returns the verdict on it.
+func (s *MovesState) Apply(at Place, env Envelope) Verdict {
+	s.forget(at.Appended)
+	switch body := env.Body.(type) {
+	case Claim:
+		return s.applyClaim(at, env, body)
+	case Renewal:
+		if v, stale := s.stale(at, env, body.Fence); stale {
+			return v
+		}
+		s.Lease.Newest = at.Offset
+		return accepted(at, env)
+	case Release:
+		if v, stale := s.stale(at, env, body.Fence); stale {
+			return v
+		}
+		s.Lease.Released = true
+		return accepted(at, env)
+	case Opening:
+		return s.applyOpening(at, env, body)
+	case Step:
+		return s.applyStep(at, env, body)
+	case Outcome:
+		return s.applyOutcome(at, env, body)
+	case BadVersion:
+		return s.applyBad(at, env, body)
+	case MovesSnapshot:
+		return s.applySnapshot(at, env, body)
+	case Delta, Note, ConfigurationSnapshot:
+		return refused(at, env, "the record does not belong on the moves stream")
+	}
+	return refused(at, env, "the record has no body")
+}
+
+func (s *MovesState) applySnapshot(at Place, env Envelope, snapshot MovesSnapshot) Verdict {
+	if at.Offset != snapshot.Through+1 {
+		return refused(at, env, "the snapshot ends at offset %d", snapshot.Through)
+	}
+	if !same(snapshot, MovesSnapshot{Through: snapshot.Through, State: *s}) {
+		return refused(at, env, "the snapshot differs from the fold")
+	}
+	return accepted(at, env)
+}
+
+func (s *MovesState) applyClaim(at Place, env Envelope, claim Claim) Verdict {
+	if claim.After != s.Lease.Fence {
+		return refused(at, env, "the claim follows fence %d, but fence %d was newest", claim.After, s.Lease.Fence)
+	}
+	s.Lease = Lease{Holder: claim.Holder, Duration: claim.Duration, Fence: at.Offset, Newest: at.Offset}
+	return accepted(at, env)
+}
+
+func (s *MovesState) stale(at Place, env Envelope, fence appender.Offset) (Verdict, bool) {
+	if fence != s.Lease.Fence {
+		return refused(at, env, "fence %d is not the newest, %d", fence, s.Lease.Fence), true
+	}
+	if s.Lease.Released {
+		return refused(at, env, "the lease of fence %d was released", fence), true
+	}
+	return Verdict{}, false
+}
+
+func (s *MovesState) applyOpening(at Place, env Envelope, o Opening) Verdict {
+	if v, stale := s.stale(at, env, o.Fence); stale {
+		return v
+	}
+	if _, known := s.Move(o.Move); known {
+		return refused(at, env, "move %s was opened before", o.Move)
+	}
+	if other, running := s.Running(o.Move.Service); running {
+		return refused(at, env, "move %s is running", other.ID)
+	}
+	s.Moves = append(slices.Clone(s.Moves), Move{
+		ID: o.Move, Action: o.Action, From: o.From, To: o.To, Deadline: o.Deadline,
+		Cap: o.Cap, Watch: o.Watch, Since: at.Appended, Opened: at.Offset,
+	})
+	return accepted(at, env)
+}
+
+func (s *MovesState) applyStep(at Place, env Envelope, step Step) Verdict {
+	if v, stale := s.stale(at, env, step.Fence); stale {
+		return v
+	}
+	m, known := s.Move(step.Move)
+	switch {
+	case !known || !m.Running():
+		return refused(at, env, "move %s is not running", step.Move)
+	case m.Bad:
+		return refused(at, env, "move %s has a bad version", step.Move)
+	case step.Number != m.Number+1:
+		return refused(at, env, "step %d of move %s does not follow step %d", step.Number, step.Move, m.Number)
+	case step.Share < 0 || step.Share > 1 || step.Number == 1 && step.Share > m.Cap:
+		return refused(at, env, "share %g of move %s is not allowed", step.Share, step.Move)
+	case at.Appended.After(m.Deadline):
+		return refused(at, env, "the deadline of move %s has passed", step.Move)
+	}
+	m.Number, m.Share, m.Since, m.Reason = step.Number, step.Share, at.Appended, step.Reason
+	s.put(m)
+	return accepted(at, env)
+}
+
+func (s *MovesState) applyOutcome(at Place, env Envelope, o Outcome) Verdict {
+	if v, stale := s.stale(at, env, o.Fence); stale {
+		return v
+	}
+	m, known := s.Move(o.Move)
+	if !known || !m.Running() {
+		return refused(at, env, "move %s is not running", o.Move)
+	}
+	if o.Done {
+		if reason := cannotBeDone(m, at); reason != "" {
+			return refused(at, env, "move %s: %s", o.Move, reason)
+		}
+		m.Phase = PhaseDone
+		if m.Action == dotterelpulley.ChangeReplace {
+			s.putInForce(m)
+		}
+	} else {
+		m.Phase, m.Share = PhaseUndone, 0
+	}
+	m.Reason, m.Ended, m.Since = o.Reason, at.Offset, at.Appended
+	s.put(m)
+	return accepted(at, env)
+}
+
+func cannotBeDone(m Move, at Place) string {
+	switch {
+	case m.Bad:
+		return "its version is bad"
+	case at.Appended.After(m.Deadline):
+		return "its deadline has passed"
+	case m.Action == dotterelpulley.ChangeReplace && m.Share < 1:
+		return "its version does not have the whole share"
+	}
+	return ""
+}
+
+func (s *MovesState) applyBad(at Place, env Envelope, b BadVersion) Verdict {
+	m, known := s.Move(b.Move)
+	if !known || !m.Running() {
+		return refused(at, env, "move %s is not running", b.Move)
+	}
+	if m.Bad {
+		return refused(at, env, "move %s is known to be bad", b.Move)
+	}
+	m.Bad, m.Share, m.Reason = true, 0, b.Reason
+	s.put(m)
+	return accepted(at, env)
+}
+
+func (s *MovesState) put(m Move) {
+	s.Moves = slices.Clone(s.Moves)
+	for i := range s.Moves {
+		if s.Moves[i].ID == m.ID {
+			s.Moves[i] = m
+		}
+	}
+}
+
+func (s *MovesState) putInForce(m Move) {
+	next := make(map[dotterelpulley.ServiceID]dotterelpulley.Build, len(s.InForce)+1)
+	for service, build := range s.InForce {
+		next[service] = build
+	}
+	next[m.ID.Service] = m.To
+	s.InForce = next
+}
+
+func (s *MovesState) forget(now time.Time) {
+	old := func(m Move) bool {
+		return !m.Running() && now.Sub(m.Deadline) > moveMemory
+	}
+	if slices.ContainsFunc(s.Moves, old) {
+		s.Moves = slices.DeleteFunc(slices.Clone(s.Moves), old)
+	}
+}
