Answer callers on an entry host: queue, attempt, stream, forward to the holder

Cause: nothing served a request.

Each dispatch opens a connection of its own: one that never opened proves that nothing was sent, and a connection gone silent is never used for a new request. The HTTP library's own retries are off, since they send a request again after its bytes may have left.

--- /dev/null
+++ b/cmd/dotterel-entry/main.go
@@ -0,0 +1,61 @@
+// Command dotterel-entry runs an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/dotterelpulley/dotterelpulley/entry"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	return &cobra.Command{
+		Use:           "dotterel-entry SETTINGS",
+		Short:         "Run an entry host with a settings file",
+		Example:       "  dotterel-entry examples/pollulaotus/entry-1.toml",
+		Args:          cobra.ExactArgs(1),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(_ *cobra.Command, args []string) error {
+			return run(args[0])
+		},
+	}
+}
+
+// run serves until a signal or an operator asks the host to drain; a second signal ends it at once.
+func run(path string) error {
+	settings, err := entry.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
+	e := entry.New(settings, logger)
+	e.Counters().Publish("dotterel")
+	if err := e.Start(); err != nil {
+		return err
+	}
+	first, stopFirst := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stopFirst()
+	select {
+	case <-first.Done():
+	case <-e.Drained():
+	}
+	stopFirst()
+	second, stopSecond := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stopSecond()
+	e.Drain(second)
+	return e.Close()
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// attemptResult is how one attempt at an endpoint ended.
+type attemptResult interface {
+	attemptResult()
+}
+
+// attemptWhole says that the answer came whole.
+type attemptWhole struct{}
+
+// attemptNotStarted says that the endpoint provably started nothing.
+type attemptNotStarted struct{ reason string }
+
+// attemptBroken says that the answer stopped before its end and the run may go on.
+type attemptBroken struct{ err error }
+
+// attemptFailed says that the endpoint ran the request and failed.
+type attemptFailed struct{ detail string }
+
+// attemptCancelled says that nobody waits for the answer any more.
+type attemptCancelled struct{}
+
+func (attemptWhole) attemptResult()      {}
+func (attemptNotStarted) attemptResult() {}
+func (attemptBroken) attemptResult()     {}
+func (attemptFailed) attemptResult()     {}
+func (attemptCancelled) attemptResult()  {}
+
+// call is one HTTP call on a connection of its own: a new connection proves that
+// the endpoint takes connections, and one that never opened proves that nothing was sent.
+type call struct {
+	client   fasthttp.HostClient
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	sent     atomic.Bool
+	conn     atomic.Pointer[trackedConn]
+}
+
+func newCall(address dotterelpulley.Address, path string, timeouts Timeouts) *call {
+	c := &call{request: fasthttp.AcquireRequest(), response: fasthttp.AcquireResponse()}
+	c.client = fasthttp.HostClient{
+		Addr:                      string(address),
+		StreamResponseBody:        true,
+		MaxIdemponentCallAttempts: 1,
+		Dial: func(addr string) (net.Conn, error) {
+			return c.dial(addr, timeouts)
+		},
+	}
+	c.request.SetRequestURI("http://" + string(address) + path)
+	c.request.Header.SetMethod(http.MethodPost)
+	c.request.Header.SetContentType("application/json")
+	c.request.SetConnectionClose()
+	return c
+}
+
+func (c *call) dial(addr string, timeouts Timeouts) (net.Conn, error) {
+	if c.sent.Load() {
+		return nil, errors.New("the call was already sent")
+	}
+	conn, err := net.DialTimeout("tcp", addr, timeouts.Dial)
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, call: c, firstByte: timeouts.FirstByte, idle: timeouts.Idle}
+	c.conn.Store(tracked)
+	return tracked, nil
+}
+
+// do sends the call and reads the answer's head; it ends when ctx does.
+func (c *call) do(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, c.abort)
+	defer stop()
+	return c.client.Do(c.request, c.response)
+}
+
+// abort closes the connection, if there is one.
+func (c *call) abort() {
+	if conn := c.conn.Load(); conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// body returns the answer's body as it comes.
+func (c *call) body() io.Reader {
+	return c.response.BodyStream()
+}
+
+// close ends the call and its connection.
+func (c *call) close() {
+	c.abort()
+	_ = c.response.CloseBodyStream()
+	fasthttp.ReleaseRequest(c.request)
+	fasthttp.ReleaseResponse(c.response)
+}
+
+// trackedConn notes when a byte may have left and bounds the wait for each read.
+type trackedConn struct {
+	net.Conn
+	call      *call
+	firstByte time.Duration
+	idle      time.Duration
+	answered  bool
+}
+
+// Write marks the call as sent before the first byte may leave.
+func (t *trackedConn) Write(p []byte) (int, error) {
+	t.call.sent.Store(true)
+	return t.Conn.Write(p)
+}
+
+// Read waits at most the idle time-out, or the first-byte time-out for the first read.
+func (t *trackedConn) Read(p []byte) (int, error) {
+	wait := t.idle
+	if !t.answered {
+		wait = t.firstByte
+	}
+	if err := t.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return 0, err
+	}
+	n, err := t.Conn.Read(p)
+	t.answered = t.answered || n > 0
+	return n, err
+}
--- /dev/null
+++ b/entry/output.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// end is the end mark of a whole answer.
+type end struct {
+	chunks   int
+	version  dotterelpulley.VersionID
+	endpoint dotterelpulley.EndpointID
+}
+
+// output is one run's answer as it grows; any number of readers follow it.
+type output struct {
+	mu      sync.Mutex
+	chunks  []string
+	whole   *end
+	refusal *dotterelpulley.Refusal
+	changed chan struct{}
+}
+
+func newOutput() *output {
+	return &output{changed: make(chan struct{})}
+}
+
+// put adds the chunk at the index; a chunk that is already there, or leaves a gap, is dropped and put reports false.
+func (o *output) put(index int, text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended() || index != len(o.chunks) {
+		return false
+	}
+	o.chunks = append(o.chunks, text)
+	o.wake()
+	return true
+}
+
+// finish marks the answer whole.
+func (o *output) finish(e end) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended() {
+		return
+	}
+	e.chunks = len(o.chunks)
+	o.whole = &e
+	o.wake()
+}
+
+// fail ends the answer with a refusal.
+func (o *output) fail(r *dotterelpulley.Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended() {
+		return
+	}
+	o.refusal = r
+	o.wake()
+}
+
+func (o *output) ended() bool {
+	return o.whole != nil || o.refusal != nil
+}
+
+func (o *output) wake() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// view is what stands in an output from a chunk on.
+type view struct {
+	chunks  []string
+	whole   *end
+	refusal *dotterelpulley.Refusal
+	changed <-chan struct{}
+}
+
+func (v view) ended() bool {
+	return v.whole != nil || v.refusal != nil
+}
+
+// from returns what stands from the chunk on; changed is closed when more comes.
+func (o *output) from(chunk int) view {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return view{
+		chunks:  o.chunks[chunk:len(o.chunks):len(o.chunks)],
+		whole:   o.whole,
+		refusal: o.refusal,
+		changed: o.changed,
+	}
+}
+
+// length returns the number of chunks so far.
+func (o *output) length() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.chunks)
+}
--- /dev/null
+++ b/entry/plain.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// callPlain runs the request at a plain service.
+func (e *Entry) callPlain(ctx context.Context, r *run, g grant, id string) attemptResult {
+	c := newCall(g.endpoint.Address, "/v1/call", e.settings.Timeouts)
+	defer c.close()
+	c.request.Header.Set(headerKey, r.request.Key.String())
+	c.request.Header.Set(headerRequestID, id)
+	c.request.Header.Set(headerRoute, string(r.request.Route))
+	c.request.Header.Set(headerOrganisation, string(r.request.Key.Organisation))
+	c.request.Header.Set(headerKind, r.request.Kind.String())
+	c.request.SetBody(r.request.Payload)
+	if err := c.do(ctx); err != nil {
+		return unanswered(ctx, c, err)
+	}
+	if status := c.response.StatusCode(); status != http.StatusOK {
+		return plainRefusal(c, status)
+	}
+	body, err := io.ReadAll(c.body())
+	if err != nil {
+		return attemptBroken{err: err}
+	}
+	if declared := c.response.Header.ContentLength(); declared >= 0 && declared != len(body) {
+		return attemptBroken{err: fmt.Errorf("answer has %d bytes of %d", len(body), declared)}
+	}
+	r.output.put(0, string(body))
+	return attemptWhole{}
+}
+
+func plainRefusal(c *call, status int) attemptResult {
+	notAdmitted := string(c.response.Header.Peek(headerNotAdmitted)) == "true"
+	if status == http.StatusServiceUnavailable && notAdmitted {
+		return attemptNotStarted{reason: "not-admitted"}
+	}
+	return attemptFailed{detail: fmt.Sprintf("the service answered status %d", status)}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/decoder"
+)
+
+// Settings is what a process learns from its settings file.
+type Settings struct {
+	Host            dotterelpulley.HostID
+	Zone            dotterelpulley.ZoneID
+	CallerAddress   dotterelpulley.Address
+	OperatorAddress dotterelpulley.Address
+	PeerAddress     dotterelpulley.Address
+	LogAddress      dotterelpulley.Address
+	HostListAddress dotterelpulley.Address
+	Limits          Limits
+	Timeouts        Timeouts
+}
+
+// Limits bounds what callers may send and what the host keeps.
+type Limits struct {
+	BodyBytes   int
+	HeaderBytes int
+	// Waiting is the number of requests that may wait at once.
+	Waiting int
+	// Slots is the number of requests at an endpoint that reports none.
+	Slots int
+}
+
+// Timeouts bounds how long the process waits.
+type Timeouts struct {
+	Dial time.Duration
+	// FirstByte is the wait for an endpoint's first byte.
+	FirstByte time.Duration
+	// Idle is the longest gap between two reads of a stream.
+	Idle time.Duration
+	// Abandon is the time that a plan goes on without any caller.
+	Abandon time.Duration
+	// Linger is the time for which an ended run's answer is kept for resends.
+	Linger time.Duration
+	// Drain is the longest graceful shutdown.
+	Drain time.Duration
+	// KeepEntries is how long callers may keep the entry addresses.
+	KeepEntries time.Duration
+	// HostListEvery and LoadEvery are the polling intervals.
+	HostListEvery time.Duration
+	LoadEvery     time.Duration
+}
+
+// DefaultSettings returns the settings of a file that states only what has no default.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits: Limits{
+			BodyBytes:   1 << 20,
+			HeaderBytes: 16 << 10,
+			Waiting:     4096,
+			Slots:       8,
+		},
+		Timeouts: Timeouts{
+			Dial:          time.Second,
+			FirstByte:     30 * time.Second,
+			Idle:          3 * time.Second,
+			Abandon:       5 * time.Second,
+			Linger:        time.Minute,
+			Drain:         2 * time.Minute,
+			KeepEntries:   10 * time.Second,
+			HostListEvery: time.Second,
+			LoadEvery:     time.Second,
+		},
+	}
+}
+
+// LoadSettings reads and checks a settings file; every error names the file and the key.
+func LoadSettings(path string) (Settings, error) {
+	w := toWire(DefaultSettings())
+	if err := decoder.File(path, &w); err != nil {
+		return Settings{}, err
+	}
+	s, err := w.fromWire()
+	if err == nil {
+		err = s.Check()
+	}
+	if err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check returns every fault of the settings, each with its key.
+func (s Settings) Check() error {
+	var faults []error
+	if s.Host == "" {
+		faults = append(faults, errors.New("host: must be given"))
+	}
+	if s.Zone == "" {
+		faults = append(faults, errors.New("zone: must be given"))
+	}
+	for _, a := range s.addresses() {
+		if _, err := netip.ParseAddrPort(string(a.address)); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %q is not an IP address with a port", a.key, a.address))
+		}
+	}
+	for _, n := range s.counts() {
+		if n.value <= 0 {
+			faults = append(faults, fmt.Errorf("%s: %d is not above 0", n.key, n.value))
+		}
+	}
+	for _, d := range s.durations() {
+		if d.value <= 0 {
+			faults = append(faults, fmt.Errorf("%s: %s is not above 0", d.key, d.value))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+type keyedAddress struct {
+	key     string
+	address dotterelpulley.Address
+}
+
+func (s Settings) addresses() []keyedAddress {
+	return []keyedAddress{
+		{"caller-address", s.CallerAddress},
+		{"operator-address", s.OperatorAddress},
+		{"peer-address", s.PeerAddress},
+		{"log-address", s.LogAddress},
+		{"host-list-address", s.HostListAddress},
+	}
+}
+
+type keyedCount struct {
+	key   string
+	value int
+}
+
+func (s Settings) counts() []keyedCount {
+	return []keyedCount{
+		{"limits.body-bytes", s.Limits.BodyBytes},
+		{"limits.header-bytes", s.Limits.HeaderBytes},
+		{"limits.waiting", s.Limits.Waiting},
+		{"limits.slots", s.Limits.Slots},
+	}
+}
+
+type keyedDuration struct {
+	key   string
+	value time.Duration
+}
+
+func (s Settings) durations() []keyedDuration {
+	t := s.Timeouts
+	return []keyedDuration{
+		{"timeouts.dial", t.Dial},
+		{"timeouts.first-byte", t.FirstByte},
+		{"timeouts.idle", t.Idle},
+		{"timeouts.abandon", t.Abandon},
+		{"timeouts.linger", t.Linger},
+		{"timeouts.drain", t.Drain},
+		{"timeouts.keep-entries", t.KeepEntries},
+		{"timeouts.host-list-every", t.HostListEvery},
+		{"timeouts.load-every", t.LoadEvery},
+	}
+}
--- /dev/null
+++ b/entry/settings_wire.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+type wireSettings struct {
+	Host            string       `toml:"host"`
+	Zone            string       `toml:"zone"`
+	CallerAddress   string       `toml:"caller-address"`
+	OperatorAddress string       `toml:"operator-address"`
+	PeerAddress     string       `toml:"peer-address"`
+	LogAddress      string       `toml:"log-address"`
+	HostListAddress string       `toml:"host-list-address"`
+	Limits          wireLimits   `toml:"limits"`
+	Timeouts        wireTimeouts `toml:"timeouts"`
+}
+
+type wireLimits struct {
+	BodyBytes   int `toml:"body-bytes"`
+	HeaderBytes int `toml:"header-bytes"`
+	Waiting     int `toml:"waiting"`
+	Slots       int `toml:"slots"`
+}
+
+type wireTimeouts struct {
+	Dial          string `toml:"dial"`
+	FirstByte     string `toml:"first-byte"`
+	Idle          string `toml:"idle"`
+	Abandon       string `toml:"abandon"`
+	Linger        string `toml:"linger"`
+	Drain         string `toml:"drain"`
+	KeepEntries   string `toml:"keep-entries"`
+	HostListEvery string `toml:"host-list-every"`
+	LoadEvery     string `toml:"load-every"`
+}
+
+func toWire(s Settings) wireSettings {
+	return wireSettings{
+		Host:            string(s.Host),
+		Zone:            string(s.Zone),
+		CallerAddress:   string(s.CallerAddress),
+		OperatorAddress: string(s.OperatorAddress),
+		PeerAddress:     string(s.PeerAddress),
+		LogAddress:      string(s.LogAddress),
+		HostListAddress: string(s.HostListAddress),
+		Limits: wireLimits{
+			BodyBytes:   s.Limits.BodyBytes,
+			HeaderBytes: s.Limits.HeaderBytes,
+			Waiting:     s.Limits.Waiting,
+			Slots:       s.Limits.Slots,
+		},
+		Timeouts: wireTimeouts{
+			Dial:          s.Timeouts.Dial.String(),
+			FirstByte:     s.Timeouts.FirstByte.String(),
+			Idle:          s.Timeouts.Idle.String(),
+			Abandon:       s.Timeouts.Abandon.String(),
+			Linger:        s.Timeouts.Linger.String(),
+			Drain:         s.Timeouts.Drain.String(),
+			KeepEntries:   s.Timeouts.KeepEntries.String(),
+			HostListEvery: s.Timeouts.HostListEvery.String(),
+			LoadEvery:     s.Timeouts.LoadEvery.String(),
+		},
+	}
+}
+
+func (w wireSettings) fromWire() (Settings, error) {
+	timeouts, err := w.Timeouts.fromWire()
+	s := Settings{
+		Host:            dotterelpulley.HostID(w.Host),
+		Zone:            dotterelpulley.ZoneID(w.Zone),
+		CallerAddress:   dotterelpulley.Address(w.CallerAddress),
+		OperatorAddress: dotterelpulley.Address(w.OperatorAddress),
+		PeerAddress:     dotterelpulley.Address(w.PeerAddress),
+		LogAddress:      dotterelpulley.Address(w.LogAddress),
+		HostListAddress: dotterelpulley.Address(w.HostListAddress),
+		Limits: Limits{
+			BodyBytes:   w.Limits.BodyBytes,
+			HeaderBytes: w.Limits.HeaderBytes,
+			Waiting:     w.Limits.Waiting,
+			Slots:       w.Limits.Slots,
+		},
+		Timeouts: timeouts,
+	}
+	return s, err
+}
+
+func (w wireTimeouts) fromWire() (Timeouts, error) {
+	var t Timeouts
+	var faults []error
+	read := func(key, text string, into *time.Duration) {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("timeouts.%s: %q is not a duration such as \"2s\"", key, text))
+		}
+		*into = d
+	}
+	read("dial", w.Dial, &t.Dial)
+	read("first-byte", w.FirstByte, &t.FirstByte)
+	read("idle", w.Idle, &t.Idle)
+	read("abandon", w.Abandon, &t.Abandon)
+	read("linger", w.Linger, &t.Linger)
+	read("drain", w.Drain, &t.Drain)
+	read("keep-entries", w.KeepEntries, &t.KeepEntries)
+	read("host-list-every", w.HostListEvery, &t.HostListEvery)
+	read("load-every", w.LoadEvery, &t.LoadEvery)
+	return t, errors.Join(faults...)
+}
