--- a/entry/engine.go
+++ b/entry/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 )
 
@@ -107,7 +108,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
-	whole, err := readTokens(c, r.output)
+	whole, err := readTokens(c.body(), r.output)
 	if whole {
 		return attemptWhole{}
 	}
@@ -129,8 +130,8 @@
 }
 
 // readTokens puts the stream's tokens into the output and reports whether its end mark came.
-func readTokens(c *call, out *output) (bool, error) {
-	lines := bufio.NewScanner(c.body())
+func readTokens(body io.Reader, out *output) (bool, error) {
+	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
 	for lines.Scan() {
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
