Add stand-ins for the platform and the endpoints

The processes need a log service, host list, weight store, engines and plain services to run against. Each speaks the forms of docs/design/protocols.md, takes faults, and endpoints keep a ledger of what ran by key.

--- /dev/null
+++ b/internal/standin/set.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+)
+
+// Placed is a stand-in with the address to start it on.
+type Placed[S any] struct {
+	Standin S
+	Address dotterelpulley.Address
+	// Listed is the address on the host list, such as a proxy's; the stand-in's own if empty.
+	Listed dotterelpulley.Address
+}
+
+// Set is a set of stand-ins that run in one process; what is nil is left out.
+type Set struct {
+	// Control is where every stand-in's faults, ledger and stats are also served, as /standin/ID/faults, also while it is down.
+	Control dotterelpulley.Address
+	Log     *Placed[*Log]
+	Hosts   *Placed[*Hosts]
+	Weights *Placed[*Weights]
+	Engines []Placed[*Engine]
+	Plain   []Placed[*Plain]
+
+	control control
+	started []closer
+}
+
+type closer interface {
+	Close() error
+}
+
+// control is the listener that reaches all stand-ins of a set.
+type control struct {
+	server
+}
+
+// Start starts every stand-in of the set, and puts the endpoints on its host list.
+func (s *Set) Start() error {
+	steps := []func() error{s.startLog, s.startHosts, s.startWeights, s.startEngines, s.startPlain, s.startControl}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return errors.Join(err, s.Close())
+		}
+	}
+	return nil
+}
+
+func (s *Set) startLog() error {
+	if s.Log == nil {
+		return nil
+	}
+	return s.keep("log", s.Log.Standin, s.Log.Standin.Start(s.Log.Address))
+}
+
+func (s *Set) startHosts() error {
+	if s.Hosts == nil {
+		return nil
+	}
+	return s.keep("host list", s.Hosts.Standin, s.Hosts.Standin.Start(s.Hosts.Address))
+}
+
+func (s *Set) startWeights() error {
+	if s.Weights == nil {
+		return nil
+	}
+	return s.keep("weight store", s.Weights.Standin, s.Weights.Standin.Start(s.Weights.Address))
+}
+
+func (s *Set) startEngines() error {
+	for _, p := range s.Engines {
+		e := p.Standin
+		if s.Weights != nil && e.WeightStore == "" {
+			e.WeightStore = s.Weights.Standin.Address()
+		}
+		if err := s.keep(string(e.ID), e, e.Start(p.Address)); err != nil {
+			return err
+		}
+		s.list(lister.Host{
+			ID:         dotterelpulley.HostID(e.ID),
+			Kind:       lister.KindEngine,
+			Service:    e.Service,
+			Address:    orDefault(p.Listed, e.Address()),
+			Zone:       e.Zone,
+			Generation: e.Generation,
+		})
+	}
+	return nil
+}
+
+func (s *Set) startPlain() error {
+	for _, placed := range s.Plain {
+		p := placed.Standin
+		if err := s.keep(string(p.ID), p, p.Start(placed.Address)); err != nil {
+			return err
+		}
+		s.list(lister.Host{
+			ID:      dotterelpulley.HostID(p.ID),
+			Kind:    lister.KindPlain,
+			Service: p.Service,
+			Address: orDefault(placed.Listed, p.Address()),
+			Zone:    p.Zone,
+		})
+	}
+	return nil
+}
+
+func (s *Set) list(h lister.Host) {
+	if s.Hosts != nil {
+		s.Hosts.Standin.Set(h)
+	}
+}
+
+func (s *Set) keep(name string, c closer, failed error) error {
+	if failed != nil {
+		return fmt.Errorf("start stand-in %q: %w", name, failed)
+	}
+	s.started = append(s.started, c)
+	return nil
+}
+
+func (s *Set) startControl() error {
+	if s.Control == "" {
+		return nil
+	}
+	return s.keep("control", &s.control, s.control.start(s.Control, s.controlRoutes))
+}
+
+// controlRoutes serves what each stand-in has under /standin/ at /standin/ID/.
+func (s *Set) controlRoutes(app *fiber.App) {
+	if s.Log != nil {
+		app.Post("/standin/log/faults", s.Log.Standin.handleFaults)
+		app.Get("/standin/log/stats", s.Log.Standin.handleStats)
+	}
+	if s.Hosts != nil {
+		app.Put("/standin/host-list/hosts", s.Hosts.Standin.handlePut)
+		app.Post("/standin/host-list/faults", s.Hosts.Standin.handleFaults)
+	}
+	if s.Weights != nil {
+		app.Post("/standin/weight-store/faults", s.Weights.Standin.handleFaults)
+		app.Get("/standin/weight-store/stats", s.Weights.Standin.handleStats)
+	}
+	for _, p := range s.Engines {
+		app.Post("/standin/"+string(p.Standin.ID)+"/faults", p.Standin.handleFaults)
+		app.Get("/standin/"+string(p.Standin.ID)+"/ledger", p.Standin.handleLedger)
+	}
+	for _, p := range s.Plain {
+		app.Post("/standin/"+string(p.Standin.ID)+"/faults", p.Standin.handleFaults)
+		app.Get("/standin/"+string(p.Standin.ID)+"/ledger", p.Standin.handleLedger)
+	}
+	app.Get("/standin/ledger", func(c fiber.Ctx) error { return c.JSON(ledgerToWire(s.Runs())) })
+}
+
+// Runs returns the runs of all endpoints of the set.
+func (s *Set) Runs() []Run {
+	var runs []Run
+	for _, p := range s.Engines {
+		runs = append(runs, p.Standin.Ledger.Runs()...)
+	}
+	for _, p := range s.Plain {
+		runs = append(runs, p.Standin.Ledger.Runs()...)
+	}
+	return runs
+}
+
+// Close stops every stand-in that was started and waits for it.
+func (s *Set) Close() error {
+	var failed []error
+	for i := len(s.started) - 1; i >= 0; i-- {
+		failed = append(failed, s.started[i].Close())
+	}
+	s.started = nil
+	return errors.Join(failed...)
+}
