Send a seeded load and judge every answer whole

An open-loop plan of arrivals from a seed, callers that keep the entry addresses they were told, resends under one key, a judge of streamed and unstreamed answers, and an audit of the answers against the endpoints' ledgers. The expected text waits for the stand-in engine's output function; until then the judge checks indexes and the chunk count.

--- /dev/null
+++ b/loader/arrival_test.go
@@ -0,0 +1,80 @@
+package loader
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+func TestPlanIsOrderedBoundedAndRepeatable(t *testing.T) {
+	checkProperty(t, func(c *qt.C, t *rapid.T) {
+		settings := PlanSettings{
+			Profile:    profiles[rapid.SampledFrom(ProfileNames()).Draw(t, "profile")],
+			Seed:       Seed(rapid.Uint64().Draw(t, "seed")),
+			Start:      time.UnixMilli(rapid.Int64Range(0, 1<<40).Draw(t, "start")),
+			Duration:   5 * time.Second,
+			BurstEvery: 2 * time.Second,
+			Resend:     0.3,
+		}
+		arrivals := Plan(settings)
+		c.Assert(Plan(settings), qt.DeepEquals, arrivals)
+		keys := map[dotterelpulley.Key]bool{}
+		last := time.Duration(0)
+		for _, a := range arrivals {
+			c.Assert(a.At >= last && a.At < settings.Duration, qt.IsTrue)
+			c.Assert(keys[a.Request.Key], qt.IsFalse)
+			c.Assert(a.Within, qt.Equals, a.Request.Tier.DefaultDeadline())
+			c.Assert(a.Output <= a.Request.MaxTokens, qt.IsTrue)
+			c.Assert(len(a.Request.Payload) > 0, qt.Equals, a.Output == 0)
+			keys[a.Request.Key] = true
+			last = a.At
+		}
+	})
+}
+
+func TestPlanKeepsItsRateAndBursts(t *testing.T) {
+	c := qt.New(t)
+	const seed = 7
+	arrivals := Plan(PlanSettings{
+		Profile:    profiles[ProfilePollulaotus],
+		Seed:       seed,
+		Duration:   100 * time.Second,
+		Rate:       100,
+		BurstEvery: 10 * time.Second,
+	})
+	inBursts := 0
+	for _, a := range arrivals {
+		if a.At >= 10*time.Second && a.At%(10*time.Second) < defaultBurstLength {
+			inBursts++
+		}
+	}
+	calm := len(arrivals) - inBursts
+	c.Check(calm > 8500 && calm < 9700, qt.IsTrue, qt.Commentf("seed %d: %d calm arrivals", seed, calm))
+	c.Check(inBursts > 3200 && inBursts < 4000, qt.IsTrue, qt.Commentf("seed %d: %d in bursts", seed, inBursts))
+}
+
+func TestPlanSpreadsLengthsAHundredfoldAndSharesPrefixes(t *testing.T) {
+	for name, profile := range profiles {
+		t.Run(string(name), func(t *testing.T) {
+			c := qt.New(t)
+			shortest, longest := dotterelpulley.Tokens(1<<30), dotterelpulley.Tokens(0)
+			prefixes := map[string]dotterelpulley.RouteID{}
+			for _, a := range Plan(PlanSettings{Profile: profile, Duration: time.Minute, Rate: 50}) {
+				if a.Output == 0 {
+					continue
+				}
+				shortest, longest = min(shortest, a.Output), max(longest, a.Output)
+				c.Assert(strings.HasSuffix(a.Request.Prompt, fmt.Sprintf("len=%d", a.Output)), qt.IsTrue)
+				prefixes[a.Request.Prompt[:templateBytes]] = a.Request.Route
+			}
+			c.Check(longest >= 90*shortest, qt.IsTrue, qt.Commentf("from %d to %d", shortest, longest))
+			c.Check(len(prefixes) <= len(profile.Classes), qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/loader/ledger.go
@@ -0,0 +1,54 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// Run is one line of an endpoint's ledger.
+type Run struct {
+	Key          string
+	Outcome      string
+	Tokens       dotterelpulley.Tokens
+	PromptTokens dotterelpulley.Tokens
+	CachedTokens dotterelpulley.Tokens
+	Digest       Digest
+}
+
+// Whole reports whether the run came to its end.
+func (r Run) Whole() bool {
+	return r.Outcome == "whole"
+}
+
+// Prefill returns the prompt tokens that the run computed.
+func (r Run) Prefill() dotterelpulley.Tokens {
+	return max(0, r.PromptTokens-r.CachedTokens)
+}
+
+const ledgerTimeout = 5 * time.Second
+
+// FetchLedger reads the ledger of the stand-in at the address.
+func FetchLedger(address dotterelpulley.Address) ([]Run, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + string(address) + "/standin/ledger")
+	if err := fasthttp.DoTimeout(req, resp, ledgerTimeout); err != nil {
+		return nil, fmt.Errorf("fetch ledger of %s: %w", address, err)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return nil, fmt.Errorf("fetch ledger of %s: status %d", address, resp.StatusCode())
+	}
+	var w wireLedger
+	if err := json.Unmarshal(resp.Body(), &w); err != nil {
+		return nil, fmt.Errorf("decode ledger of %s: %w", address, err)
+	}
+	return w.fromWire()
+}
