--- /dev/null
+++ b/assessor/wire.go
@@ -0,0 +1,173 @@
+package assessor
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+type wireTally struct {
+	Requests      int            `json:"requests,omitempty"`
+	Failures      int            `json:"failures,omitempty"`
+	FirstToken    map[string]int `json:"first-token,omitempty"`
+	BetweenTokens map[string]int `json:"between-tokens,omitempty"`
+}
+
+type wireCell struct {
+	Route      string    `json:"route"`
+	Tier       string    `json:"tier"`
+	Generation string    `json:"generation"`
+	Load       string    `json:"load"`
+	Old        wireTally `json:"old"`
+	New        wireTally `json:"new"`
+	Recent     wireTally `json:"recent"`
+}
+
+type wireEvidence struct {
+	Note    string     `json:"note"`
+	Service string     `json:"service"`
+	Step    int        `json:"step"`
+	Old     string     `json:"old"`
+	New     string     `json:"new"`
+	Began   time.Time  `json:"began"`
+	Cells   []wireCell `json:"cells"`
+}
+
+// Encode returns the evidence of one host as JSON.
+func Encode(all []*Evidence) ([]byte, error) {
+	wires := make([]wireEvidence, 0, len(all))
+	for _, e := range all {
+		wires = append(wires, e.toWire())
+	}
+	return json.Marshal(wires)
+}
+
+// Decode returns the evidence of one host.
+func Decode(data []byte) ([]*Evidence, error) {
+	var wires []wireEvidence
+	if err := json.Unmarshal(data, &wires); err != nil {
+		return nil, fmt.Errorf("decode evidence: %w", err)
+	}
+	all := make([]*Evidence, 0, len(wires))
+	for _, w := range wires {
+		e, err := w.fromWire()
+		if err != nil {
+			return nil, fmt.Errorf("evidence of release note %q: %w", w.Note, err)
+		}
+		all = append(all, e)
+	}
+	return all, nil
+}
+
+func (e *Evidence) toWire() wireEvidence {
+	w := wireEvidence{
+		Note:    string(e.Exposure.Note),
+		Service: string(e.Exposure.Service),
+		Step:    e.Exposure.Step,
+		Old:     string(e.Exposure.Old),
+		New:     string(e.Exposure.New),
+		Began:   e.Began.UTC(),
+	}
+	for cell, pair := range e.Cells {
+		w.Cells = append(w.Cells, wireCell{
+			Route:      string(cell.Route),
+			Tier:       cell.Tier.String(),
+			Generation: string(cell.Generation),
+			Load:       cell.Load.String(),
+			Old:        pair.Old.toWire(),
+			New:        pair.New.toWire(),
+			Recent:     pair.Recent.toWire(),
+		})
+	}
+	return w
+}
+
+func (w wireEvidence) fromWire() (*Evidence, error) {
+	e := &Evidence{
+		Exposure: Exposure{
+			Note:    dotterelpulley.NoteID(w.Note),
+			Service: dotterelpulley.ServiceID(w.Service),
+			Step:    w.Step,
+			Old:     dotterelpulley.VersionID(w.Old),
+			New:     dotterelpulley.VersionID(w.New),
+		},
+		Began: w.Began,
+		Cells: map[Cell]*Pair{},
+	}
+	for _, wc := range w.Cells {
+		cell, err := wc.cell()
+		if err != nil {
+			return nil, err
+		}
+		var pair Pair
+		if pair.Old, err = wc.Old.fromWire(); err != nil {
+			return nil, err
+		}
+		if pair.New, err = wc.New.fromWire(); err != nil {
+			return nil, err
+		}
+		if pair.Recent, err = wc.Recent.fromWire(); err != nil {
+			return nil, err
+		}
+		e.Cells[cell] = &pair
+	}
+	return e, nil
+}
+
+func (w wireCell) cell() (Cell, error) {
+	tier, err := dotterelpulley.ParseTier(w.Tier)
+	if err != nil {
+		return Cell{}, err
+	}
+	band, err := ParseBand(w.Load)
+	if err != nil {
+		return Cell{}, err
+	}
+	return Cell{
+		Route:      dotterelpulley.RouteID(w.Route),
+		Tier:       tier,
+		Generation: dotterelpulley.Generation(w.Generation),
+		Load:       band,
+	}, nil
+}
+
+func (t *Tally) toWire() wireTally {
+	return wireTally{
+		Requests:      t.Requests,
+		Failures:      t.Failures,
+		FirstToken:    t.FirstToken.toWire(),
+		BetweenTokens: t.BetweenTokens.toWire(),
+	}
+}
+
+func (w wireTally) fromWire() (Tally, error) {
+	t := Tally{Requests: w.Requests, Failures: w.Failures}
+	if err := t.FirstToken.fromWire(w.FirstToken); err != nil {
+		return t, err
+	}
+	return t, t.BetweenTokens.fromWire(w.BetweenTokens)
+}
+
+func (h *Histogram) toWire() map[string]int {
+	w := map[string]int{}
+	for b, n := range h {
+		if n > 0 {
+			w[strconv.Itoa(b)] = n
+		}
+	}
+	return w
+}
+
+func (h *Histogram) fromWire(w map[string]int) error {
+	for name, n := range w {
+		b, err := strconv.Atoi(name)
+		if err != nil || b < 0 || b >= buckets {
+			return fmt.Errorf("histogram bucket %q is not in 0 to %d", name, buckets-1)
+		}
+		h[b] = n
+	}
+	return nil
+}
--- a/decoder/lines.go
+++ b/decoder/lines.go
@@ -52,19 +52,17 @@
 }
 
 func (x *indexer) expression(node *unstable.Node) {
-	switch node.Kind {
-	case unstable.Table:
-		x.prefix = x.path("", node.Key())
-		x.mark(x.prefix, node)
-	case unstable.ArrayTable:
-		path := x.path("", node.Key())
-		x.mark(path, node)
+	if node.Kind == unstable.KeyValue {
+		x.keyValue(x.prefix, node)
+		return
+	}
+	x.prefix = x.path("", node.Key())
+	x.mark(x.prefix, node)
+	if node.Kind == unstable.ArrayTable {
+		path := x.prefix
 		x.prefix = fmt.Sprintf("%s[%d]", path, x.tables[path])
 		x.tables[path]++
 		x.mark(x.prefix, node)
-	case unstable.KeyValue:
-		x.keyValue(x.prefix, node)
-	default:
 	}
 }
 
@@ -75,16 +73,17 @@
 }
 
 func (x *indexer) value(path string, value *unstable.Node) {
-	switch value.Kind {
-	case unstable.InlineTable:
+	if value.Kind == unstable.InlineTable {
 		for it := value.Children(); it.Next(); {
 			x.keyValue(path, it.Node())
 		}
-	case unstable.Array:
-		for i, it := 0, value.Children(); it.Next(); i++ {
-			x.value(fmt.Sprintf("%s[%d]", path, i), it.Node())
-		}
-	default:
+		return
+	}
+	if value.Kind != unstable.Array {
+		return
+	}
+	for i, it := 0, value.Children(); it.Next(); i++ {
+		x.value(fmt.Sprintf("%s[%d]", path, i), it.Node())
 	}
 }
 
--- /dev/null
+++ b/mover/mover.go
@@ -0,0 +1,145 @@
+package mover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+// Mover decides what one host does about moves; set Settings and IDs before the first tick.
+type Mover struct {
+	Settings Settings
+	// IDs begins the unique ids of this process's records.
+	IDs string
+
+	lease   lease
+	pending pending
+	orders  orders
+	spread  map[recorder.MoveID]bool
+	count   int
+}
+
+// Tick returns what to do now.
+func (m *Mover) Tick(now time.Time, view *View) []Action {
+	m.lease.observe(now, view)
+	actions := m.spreadBad(view)
+	if m.lease.active(now, view) {
+		actions = append(actions, m.orders.next(now, view, m.Settings, m.lease.fence)...)
+	}
+	if m.pending.live {
+		if m.pending.again(now, view.CaughtUp) && m.stillMine(now, view) {
+			actions = append(actions, m.pending.append)
+		}
+		return actions
+	}
+	stream, body, wanted := m.wantedRecord(now, view)
+	if !wanted {
+		return actions
+	}
+	m.count++
+	a := Append{Stream: stream, Envelope: recorder.Envelope{
+		ID:   recorder.RecordID(fmt.Sprintf("%s-%d", m.IDs, m.count)),
+		Body: body,
+	}}
+	m.pending.begin(a, now)
+	return append(actions, a)
+}
+
+// stillMine drops a pending record that was decided under a lease that is gone.
+func (m *Mover) stillMine(now time.Time, view *View) bool {
+	switch m.pending.append.Envelope.Body.(type) {
+	case recorder.Claim, recorder.Renewal:
+		m.pending.live = false
+		return false
+	case recorder.Delta, recorder.Note, recorder.ConfigurationSnapshot, recorder.Release, recorder.Opening,
+		recorder.Step, recorder.Outcome, recorder.BadVersion, recorder.MovesSnapshot:
+	}
+	if !m.lease.active(now, view) {
+		m.pending.live = false
+	}
+	return m.pending.live
+}
+
+// Appended notes the answer to an append.
+func (m *Mover) Appended(id recorder.RecordID, now time.Time, err error) {
+	m.pending.answer(id, now, err)
+}
+
+// Observe takes the verdict on each record of the streams as it is read.
+func (m *Mover) Observe(v recorder.Verdict) {
+	body, sent := m.pending.append.Envelope.Body, m.pending.sent
+	if m.pending.settle(v) && v.Accepted {
+		m.lease.won(body, v.Offset, sent, m.Settings.Lease)
+	}
+}
+
+// Ordered notes how an order went.
+func (m *Mover) Ordered(o Order, now time.Time, err error) {
+	m.orders.answered(o, now, err)
+}
+
+// MaySend reports whether the lease outlasts the order's own time-out.
+func (m *Mover) MaySend(o Order, now time.Time) bool {
+	return o.Fence == m.lease.fence && now.Add(m.Settings.OrderTimeout).Before(m.lease.until)
+}
+
+// Leading reports whether the newest claim that this host knows of is its own, lapsed or not.
+func (m *Mover) Leading(view *View) bool {
+	return m.lease.leading(view)
+}
+
+// Active reports whether this host may advance moves.
+func (m *Mover) Active(now time.Time, view *View) bool {
+	return m.lease.active(now, view)
+}
+
+// Farewell returns the record that gives the lease up, if this host holds it.
+func (m *Mover) Farewell(now time.Time, view *View) (Append, bool) {
+	if !m.lease.active(now, view) {
+		return Append{}, false
+	}
+	m.count++
+	return Append{Stream: appender.StreamMoves, Envelope: recorder.Envelope{
+		ID:   recorder.RecordID(fmt.Sprintf("%s-%d", m.IDs, m.count)),
+		Body: recorder.Release{Fence: m.lease.fence},
+	}}, true
+}
+
+// spreadBad wants each bad verdict of the own evidence spread once, under a lapsed lease too.
+func (m *Mover) spreadBad(view *View) []Action {
+	if !m.lease.leading(view) {
+		return nil
+	}
+	var actions []Action
+	for _, move := range view.Moves.Moves {
+		if !move.Running() || m.spread[move.ID] {
+			continue
+		}
+		if bad, found := m.badVerdict(view, move); found {
+			if m.spread == nil {
+				m.spread = map[recorder.MoveID]bool{}
+			}
+			m.spread[move.ID] = true
+			actions = append(actions, Spread{Bad: bad})
+		}
+	}
+	return actions
+}
+
+// badVerdict returns the verdict against the move's version, of the own evidence or of an entry host.
+func (m *Mover) badVerdict(view *View, move recorder.Move) (recorder.BadVersion, bool) {
+	for _, bad := range view.Marked {
+		if bad.Move == move.ID && bad.Version == VersionOf(move.To) {
+			return bad, true
+		}
+	}
+	a := view.Assessments[move.ID]
+	if !a.Bad {
+		return recorder.BadVersion{}, false
+	}
+	return recorder.BadVersion{
+		Move: move.ID, Version: VersionOf(move.To), Reason: a.Reason, By: m.Settings.Host,
+	}, true
+}
--- a/mover/settings.go
+++ b/mover/settings.go
@@ -24,8 +24,6 @@
 	OrderTimeout time.Duration
 	// LoadsAtOnce bounds the endpoints that load at the same time.
 	LoadsAtOnce int
-	// LoadTime is the first estimate of how long an endpoint takes to load a version.
-	LoadTime time.Duration
 	// Retention is how long the log keeps a record.
 	Retention time.Duration
 }
@@ -35,7 +33,6 @@
 	DefaultLease        = 5 * time.Second
 	DefaultOrderTimeout = time.Second
 	DefaultLoadsAtOnce  = 4
-	DefaultLoadTime     = 30 * time.Second
 	DefaultRetention    = 24 * time.Hour
 )
 
@@ -48,7 +45,6 @@
 	Lease        string `toml:"lease"`
 	OrderTimeout string `toml:"order-timeout"`
 	LoadsAtOnce  *int   `toml:"loads-at-once"`
-	LoadTime     string `toml:"load-time"`
 	Retention    string `toml:"log-retention"`
 }
 
@@ -68,7 +64,6 @@
 		Lease:        c.duration("lease", w.Lease, DefaultLease),
 		OrderTimeout: c.duration("order-timeout", w.OrderTimeout, DefaultOrderTimeout),
 		LoadsAtOnce:  DefaultLoadsAtOnce,
-		LoadTime:     c.duration("load-time", w.LoadTime, DefaultLoadTime),
 		Retention:    c.duration("log-retention", w.Retention, DefaultRetention),
 	}
 	if w.LoadsAtOnce != nil {
--- /dev/null
+++ b/mover/wishes.go
@@ -0,0 +1,154 @@
+package mover
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+// noDeadline orders the wishes that no move's deadline hurries.
+const noDeadline = 24 * time.Hour
+
+// wish is an endpoint whose builds are not the wanted ones.
+type wish struct {
+	endpoint Endpoint
+	want     []dotterelpulley.VersionID
+	deadline time.Time
+	// rank is the endpoint's place in its generation.
+	rank  int
+	loads bool
+}
+
+// wishes returns the endpoints whose state is not the wanted one: the nearest deadline first, then one of each generation.
+func wishes(now time.Time, view *View) []wish {
+	var found []wish
+	for _, service := range servicesOf(view) {
+		found = append(found, serviceWishes(now, view, service)...)
+	}
+	slices.SortStableFunc(found, func(a, b wish) int {
+		if c := a.deadline.Compare(b.deadline); c != 0 {
+			return c
+		}
+		return a.rank - b.rank
+	})
+	return found
+}
+
+func servicesOf(view *View) []dotterelpulley.ServiceID {
+	var services []dotterelpulley.ServiceID
+	for _, e := range view.Endpoints {
+		if !slices.Contains(services, e.Service) {
+			services = append(services, e.Service)
+		}
+	}
+	return services
+}
+
+func serviceWishes(now time.Time, view *View, service dotterelpulley.ServiceID) []wish {
+	build, known := view.inForce(service)
+	if !known {
+		return nil
+	}
+	moves := movesOf(view, service)
+	serving := view.serving(service)
+	var found []wish
+	for i, r := range ranked(serving) {
+		want := wantedBuilds(now, moves, r, i < canaries(moves, len(serving)))
+		want = addVersion([]dotterelpulley.VersionID{VersionOf(build)}, want...)
+		if satisfied(r.Loaded, want, len(moves) > 0) {
+			continue
+		}
+		found = append(found, wish{
+			endpoint: r.Endpoint, want: want, rank: r.rank,
+			deadline: nearestDeadline(now, moves), loads: !subset(want, r.Loaded),
+		})
+	}
+	return found
+}
+
+type rankedEndpoint struct {
+	Endpoint
+	rank int
+}
+
+// ranked orders endpoints so that the first ones are of every generation.
+func ranked(endpoints []Endpoint) []rankedEndpoint {
+	endpoints = slices.Clone(endpoints)
+	slices.SortFunc(endpoints, func(a, b Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	seen := map[dotterelpulley.Generation]int{}
+	var found []rankedEndpoint
+	for _, e := range endpoints {
+		found = append(found, rankedEndpoint{Endpoint: e, rank: seen[e.Generation]})
+		seen[e.Generation]++
+	}
+	slices.SortStableFunc(found, func(a, b rankedEndpoint) int { return a.rank - b.rank })
+	return found
+}
+
+// canaries returns how many endpoints have to load a version before its canary step.
+func canaries(moves []recorder.Move, endpoints int) int {
+	n := 0
+	for _, m := range moves {
+		if m.Running() {
+			n = max(n, int(math.Ceil(m.Cap*float64(endpoints))))
+		}
+	}
+	return n
+}
+
+// wantedBuilds returns what the endpoint shall hold beside the build in force.
+func wantedBuilds(now time.Time, moves []recorder.Move, e rankedEndpoint, canary bool) []dotterelpulley.VersionID {
+	var want []dotterelpulley.VersionID
+	for _, m := range moves {
+		switch m.Action {
+		case dotterelpulley.ChangeReplace:
+			want = addVersion(want, replaceBuilds(now, m, e, canary)...)
+		case dotterelpulley.ChangeAdd:
+			if m.Phase != recorder.PhaseUndone && !replaced(moves, m) {
+				want = addVersion(want, VersionOf(m.To))
+			}
+		case dotterelpulley.ChangeWithdraw:
+			if m.Phase != recorder.PhaseUndone {
+				want = slices.DeleteFunc(want, func(v dotterelpulley.VersionID) bool { return v == VersionOf(m.From) })
+			}
+		}
+	}
+	return want
+}
+
+func replaceBuilds(now time.Time, m recorder.Move, e rankedEndpoint, canary bool) []dotterelpulley.VersionID {
+	if m.Running() && !m.Bad {
+		if m.Number > 0 || canary || e.rank == 0 || e.has(m.To) {
+			return []dotterelpulley.VersionID{VersionOf(m.From), VersionOf(m.To)}
+		}
+		return nil
+	}
+	if m.Running() || now.Sub(m.Since) < dropDelay {
+		return keptVersions(e.Endpoint, m)
+	}
+	return nil
+}
+
+// replaced reports whether a later move has taken the added version out of force again.
+func replaced(moves []recorder.Move, added recorder.Move) bool {
+	for _, m := range moves {
+		if m.Phase == recorder.PhaseDone && m.Opened > added.Opened && VersionOf(m.From) == VersionOf(added.To) {
+			return true
+		}
+	}
+	return false
+}
+
+func nearestDeadline(now time.Time, moves []recorder.Move) time.Time {
+	deadline := now.Add(noDeadline)
+	for _, m := range moves {
+		if m.Running() && m.Deadline.Before(deadline) {
+			deadline = m.Deadline
+		}
+	}
+	return deadline
+}
