--- a/loader/audit.go
+++ b/loader/audit.go
@@ -10,7 +10,7 @@
 	FalseNotRun int
 	// Unfounded counts whole answers that no whole run in the ledgers gave.
 	Unfounded int
-	// Prefill counts prompt tokens computed, WastedPrefill those of runs without a whole answer in time.
+	// Prefill counts prompt tokens computed, WastedPrefill those that gave no whole answer in time.
 	Prefill       int
 	WastedPrefill int
 	// Examples names a few keys at fault.
@@ -33,13 +33,14 @@
 }
 
 func (a *Audit) add(r Result, runs []Run) {
-	a.Runs += len(runs)
+	starts := countStarts(runs)
+	a.Runs += starts
 	key := r.Arrival.Request.Key.String()
-	if len(runs) > 1 {
+	if starts > 1 {
 		a.Duplicates++
 		a.example("duplicate", key)
 	}
-	if len(runs) > 0 && r.NotRun() {
+	if starts > 0 && r.NotRun() {
 		a.FalseNotRun++
 		a.example("false-not-run", key)
 	}
@@ -50,13 +51,26 @@
 	}
 	useful := ok && whole.Ended <= r.Arrival.Within
 	for _, run := range runs {
-		a.Prefill += int(run.Prefill())
-		if !useful || !run.Whole() {
-			a.WastedPrefill += int(run.Prefill())
+		a.Prefill += int(run.Prefilled)
+		if useful {
+			a.WastedPrefill += int(run.Wasted)
+		} else {
+			a.WastedPrefill += int(run.Prefilled)
 		}
 	}
 }
 
+// countStarts leaves out the runs that another endpoint handed over.
+func countStarts(runs []Run) int {
+	starts := 0
+	for _, run := range runs {
+		if !run.Continued {
+			starts++
+		}
+	}
+	return starts
+}
+
 func (a *Audit) example(fault, key string) {
 	if len(a.Examples) < maxExamples {
 		a.Examples = append(a.Examples, fault+" "+key)
--- a/loader/audit_test.go
+++ b/loader/audit_test.go
@@ -25,9 +25,9 @@
 	whole := Send{Outcome: OutcomeWhole, Digest: 5}
 	notRun := Send{Outcome: OutcomeRefused, Refused: Refused{Kind: dotterelpulley.ErrorShed}}
 	unknown := Send{Outcome: OutcomeRefused, Refused: Refused{Truth: dotterelpulley.OutcomeUnknown}}
-	run := Run{Key: "o/k", Outcome: "whole", Digest: 5, PromptTokens: 10, CachedTokens: 4}
-	broken := Run{Key: "o/k", Outcome: "cancelled", PromptTokens: 10}
-	other := Run{Key: "p/k", Outcome: "whole", Digest: 5, PromptTokens: 10}
+	run := Run{Key: "o/k", Outcome: "whole", Digest: 5, Prefilled: 6}
+	broken := Run{Key: "o/k", Outcome: "cancelled", Prefilled: 10, Wasted: 10}
+	other := Run{Key: "p/k", Outcome: "whole", Digest: 5, Prefilled: 10}
 	tests := []struct {
 		name   string
 		result Result
@@ -40,6 +40,7 @@
 		{"another output", resultOf(Send{Outcome: OutcomeWhole, Digest: 6}), []Run{run}, Audit{Runs: 1, Unfounded: 1, Prefill: 6}},
 		{"denied", resultOf(notRun), []Run{run}, Audit{Runs: 1, FalseNotRun: 1, Prefill: 6, WastedPrefill: 6}},
 		{"denied after an unknown", resultOf(unknown, notRun), []Run{run}, Audit{Runs: 1, Prefill: 6, WastedPrefill: 6}},
+		{"handed over", resultOf(whole), []Run{{Key: "o/k", Outcome: "moved", Prefilled: 6}, {Key: "o/k", Outcome: "whole", Digest: 5, Continued: true}}, Audit{Runs: 1, Prefill: 6}},
 		{"denied truly", resultOf(notRun), []Run{other}, Audit{}},
 	}
 	for _, test := range tests {
--- a/loader/judge.go
+++ b/loader/judge.go
@@ -49,14 +49,6 @@
 func (Lost) event()    {}
 func (Refused) event() {}
 
-// Expectation is what a whole answer must be; the zero value leaves the content open.
-type Expectation struct {
-	Text   string
-	Chunks int
-	// Known tells that Text and Chunks are what must come.
-	Known bool
-}
-
 // Judge takes one answer's events and judges it; set Expect before the first event.
 type Judge struct {
 	Expect Expectation
--- a/loader/ledger.go
+++ b/loader/ledger.go
@@ -13,12 +13,15 @@
 
 // Run is one line of an endpoint's ledger.
 type Run struct {
-	Key          string
-	Outcome      string
-	Tokens       dotterelpulley.Tokens
-	PromptTokens dotterelpulley.Tokens
-	CachedTokens dotterelpulley.Tokens
-	Digest       Digest
+	Key     string
+	Outcome string
+	Version dotterelpulley.VersionID
+	// Prefilled counts the prompt tokens that the run computed, Wasted those of a run that gave nothing.
+	Prefilled dotterelpulley.Tokens
+	Wasted    dotterelpulley.Tokens
+	Digest    Digest
+	// Continued marks a run that another endpoint began and handed over.
+	Continued bool
 }
 
 // Whole reports whether the run came to its end.
@@ -26,11 +29,6 @@
 	return r.Outcome == "whole"
 }
 
-// Prefill returns the prompt tokens that the run computed.
-func (r Run) Prefill() dotterelpulley.Tokens {
-	return max(0, r.PromptTokens-r.CachedTokens)
-}
-
 const ledgerTimeout = 5 * time.Second
 
 // FetchLedger reads the ledger of the stand-in at the address.
--- a/loader/runner_test.go
+++ b/loader/runner_test.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin"
 )
 
 // fakeEntry answers plans with a stream and everything else with a body; the
@@ -42,13 +43,17 @@
 			return ctx.JSON(wireRefusal{Error: "shed", Truth: "not-run", RetryAfter: "1h"})
 		}
 		if !w.Stream {
-			return ctx.JSON(wireBody{Output: w.Prompt, Chunks: 1})
+			return ctx.JSON(wireBody{Output: standin.Reply(string(w.Payload)), Chunks: 1})
 		}
 		ctx.Set(fiber.HeaderContentType, "text/event-stream")
 		return ctx.SendStreamWriter(func(out *bufio.Writer) {
-			fmt.Fprint(out, ": waiting\n\nevent: chunk\ndata: {\"index\":0,\"text\":\"a\"}\n\n")
+			fmt.Fprint(out, ": waiting\n\n")
+			tokens := standin.Output(w.Prompt, w.MaxTokens)
+			for i, token := range tokens {
+				fmt.Fprintf(out, "event: chunk\ndata: {\"index\":%d,\"text\":%q}\n\n", i, token)
+			}
 			if strings.Contains(w.Route, "cab") {
-				fmt.Fprint(out, "event: end\ndata: {\"chunks\":1,\"version\":\"v1\"}\n\n")
+				fmt.Fprintf(out, "event: end\ndata: {\"chunks\":%d,\"version\":\"v1\"}\n\n", len(tokens))
 			}
 		})
 	})
--- a/loader/sender.go
+++ b/loader/sender.go
@@ -134,11 +134,6 @@
 	return lost(err)
 }
 
-// expect returns what a whole answer to the arrival must be.
-func expect(Arrival) Expectation {
-	return Expectation{}
-}
-
 // entries asks the host for the addresses to use.
 func (s *sender) entries(host dotterelpulley.Address, zone dotterelpulley.ZoneID) (Entries, error) {
 	req := fasthttp.AcquireRequest()
--- a/loader/wire.go
+++ b/loader/wire.go
@@ -132,12 +132,13 @@
 }
 
 type wireRun struct {
-	Key          string `json:"key"`
-	Outcome      string `json:"outcome"`
-	Tokens       int    `json:"tokens"`
-	CachedTokens int    `json:"cached-tokens"`
-	PromptTokens int    `json:"prompt-tokens"`
-	Digest       string `json:"digest"`
+	Key           string `json:"key"`
+	Outcome       string `json:"outcome"`
+	Version       string `json:"version"`
+	Prefilled     int    `json:"prefilled-tokens"`
+	WastedPrefill int    `json:"wasted-prefill-tokens"`
+	Digest        string `json:"digest"`
+	Continued     bool   `json:"continued"`
 }
 
 type wireLedger struct {
@@ -158,11 +159,12 @@
 
 func (w wireRun) fromWire() (Run, error) {
 	r := Run{
-		Key:          w.Key,
-		Outcome:      w.Outcome,
-		Tokens:       dotterelpulley.Tokens(w.Tokens),
-		PromptTokens: dotterelpulley.Tokens(w.PromptTokens),
-		CachedTokens: dotterelpulley.Tokens(w.CachedTokens),
+		Key:       w.Key,
+		Outcome:   w.Outcome,
+		Version:   dotterelpulley.VersionID(w.Version),
+		Prefilled: dotterelpulley.Tokens(w.Prefilled),
+		Wasted:    dotterelpulley.Tokens(w.WastedPrefill),
+		Continued: w.Continued,
 	}
 	if w.Digest == "" {
 		return r, nil
