--- a/loader/judge_test.go
+++ b/loader/judge_test.go
@@ -89,7 +89,8 @@
 	}{
 		{"whole", Send{Outcome: OutcomeWhole}, 1, 0, false},
 		{"wrong", Send{Outcome: OutcomeWrong}, 1, 0, false},
-		{"unreachable", Send{Outcome: OutcomeUnreachable}, 1, 0, true},
+		{"unreachable", Send{Outcome: OutcomeUnreachable}, 1, retryPause, true},
+		{"unreachable twice", Send{Outcome: OutcomeUnreachable}, 2, 2 * retryPause, true},
 		{"cut", Send{Outcome: OutcomeCut}, 1, retryPause, true},
 		{"the last send", Send{Outcome: OutcomeCut}, defaultSends, 0, false},
 		{"past the deadline", Send{Outcome: OutcomeCut, Ended: time.Minute}, 1, 0, false},
--- a/loader/retry.go
+++ b/loader/retry.go
@@ -19,7 +19,7 @@
 
 // Next tells whether to send again after n sends, and how long to wait first.
 func (r Retry) Next(last Send, n int, within time.Duration) (time.Duration, bool) {
-	wait, again := pause(last)
+	wait, again := pause(last, n)
 	if !again || n >= r.limit() || last.Ended+wait >= within {
 		return 0, false
 	}
@@ -33,16 +33,16 @@
 	return defaultSends
 }
 
-func pause(last Send) (time.Duration, bool) {
+// pause doubles the wait with each send, and keeps to what a refusal asks for.
+func pause(last Send, n int) (time.Duration, bool) {
+	backoff := retryPause << (n - 1)
 	switch last.Outcome {
 	case OutcomeWhole, OutcomeWrong:
 		return 0, false
-	case OutcomeUnreachable:
-		return 0, true
-	case OutcomeCut, OutcomeTimedOut:
-		return retryPause, true
+	case OutcomeUnreachable, OutcomeCut, OutcomeTimedOut:
+		return backoff, true
 	case OutcomeRefused:
-		return max(retryPause, last.Refused.RetryAfter), worthRetry(last.Refused.Kind)
+		return max(backoff, last.Refused.RetryAfter), worthRetry(last.Refused.Kind)
 	}
 	return 0, false
 }
