--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -26,7 +26,7 @@
 	// slowBuckets is how many buckets beyond that threshold count as slow: 1.4 times as long.
 	slowBuckets = 2
 	// minPerRoute is how many requests of a step prove a route.
-	minPerRoute = 20
+	minPerRoute = 12
 	// calm is the log ratio beneath which evidence is good enough to go on.
 	calm = 3
 )
--- /dev/null
+++ b/assessor/report.go
@@ -0,0 +1,37 @@
+package assessor
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Report is what a host tells of its evidence and of the bad versions that it knows.
+type Report struct {
+	Evidence []*Evidence
+	// Bad are the records that say so, encoded.
+	Bad [][]byte
+}
+
+type wireReport struct {
+	Evidence json.RawMessage `json:"evidence"`
+	Bad      [][]byte        `json:"bad"`
+}
+
+// EncodeReport returns the report as JSON.
+func EncodeReport(r Report) ([]byte, error) {
+	evidence, err := Encode(r.Evidence)
+	if err != nil {
+		return nil, fmt.Errorf("encode evidence: %w", err)
+	}
+	return json.Marshal(wireReport{Evidence: evidence, Bad: r.Bad})
+}
+
+// DecodeReport returns the report of one host.
+func DecodeReport(data []byte) (Report, error) {
+	var w wireReport
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Report{}, fmt.Errorf("decode report: %w", err)
+	}
+	evidence, err := Decode(w.Evidence)
+	return Report{Evidence: evidence, Bad: w.Bad}, err
+}
--- /dev/null
+++ b/cmd/dotterel-mover/actions.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/mover"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+func (p *process) append(a mover.Append) {
+	data, err := recorder.Encode(a.Envelope)
+	if err == nil {
+		_, err = p.client.Append(a.Stream, data)
+	}
+	if err != nil {
+		p.counters.Inc("retry-append")
+		p.log.Warn().Str("event", "append-failed").Str("stream", string(a.Stream)).Err(err).Msg("")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mover.Appended(a.Envelope.ID, time.Now(), err)
+}
+
+type wireWant struct {
+	Versions []string `json:"versions"`
+	Role     string   `json:"role,omitempty"`
+}
+
+type wireOrder struct {
+	Fence   int64    `json:"fence"`
+	OrderID string   `json:"order_id"`
+	Want    wireWant `json:"want"`
+}
+
+var (
+	errLeaseTooShort = errors.New("the lease does not outlast the order")
+	errStaleFence    = errors.New("the endpoint has seen a newer fence")
+)
+
+// order sends one order; the lease is checked last of all.
+func (p *process) order(o mover.Order) {
+	address, known := p.address(o.Endpoint)
+	if !known {
+		return
+	}
+	w := wireOrder{Fence: int64(o.Fence), OrderID: uuid.NewString()}
+	for _, v := range o.Want {
+		w.Want.Versions = append(w.Want.Versions, string(v))
+	}
+	body, err := json.Marshal(w)
+	if err == nil {
+		err = p.post(address, "/v1/orders", body, func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.mover.MaySend(o, time.Now())
+		})
+	}
+	switch {
+	case err == nil:
+		p.counters.Inc("orders-taken")
+	case errors.Is(err, errLeaseTooShort):
+		p.counters.Inc("orders-withheld")
+	case errors.Is(err, errStaleFence):
+		p.counters.Inc("orders-refused-stale-fence")
+	default:
+		p.counters.Inc("retry-order")
+	}
+	p.log.Info().Str("event", "order").Str("endpoint", string(o.Endpoint)).Int64("fence", int64(o.Fence)).
+		Strs("want", w.Want.Versions).AnErr("error", err).Msg("")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mover.Ordered(o, time.Now(), err)
+}
+
+func (p *process) address(id dotterelpulley.EndpointID) (dotterelpulley.Address, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.list.Hosts {
+		if h.Endpoint().ID == id && h.Kind != lister.KindEntry {
+			return h.Address, true
+		}
+	}
+	return "", false
+}
+
+func (p *process) post(address dotterelpulley.Address, path string, body []byte, allowed func() bool) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + string(address) + path)
+	req.Header.SetMethod(http.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	if !allowed() {
+		return errLeaseTooShort
+	}
+	if err := p.http.DoTimeout(req, resp, p.settings.OrderTimeout); err != nil {
+		return fmt.Errorf("post %q to %q: %w", path, address, err)
+	}
+	switch resp.StatusCode() {
+	case http.StatusOK, http.StatusAccepted, http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return errStaleFence
+	}
+	return fmt.Errorf("post %q to %q: status %d", path, address, resp.StatusCode())
+}
+
+// spread tells every entry host of a bad version.
+func (p *process) spread(s mover.Spread) {
+	p.log.Warn().Str("event", "bad-version").Str("move", s.Bad.Move.String()).Str("reason", s.Bad.Reason).Msg("")
+	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(uuid.NewString()), Body: s.Bad})
+	if err != nil {
+		p.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
+		return
+	}
+	p.mu.Lock()
+	p.follower.Mark(s.Bad)
+	hosts := p.list.Hosts
+	p.mu.Unlock()
+	for _, h := range hosts {
+		if h.Kind != lister.KindEntry {
+			continue
+		}
+		p.wait.Go(func() {
+			if err := p.post(h.PeerAddress, "/v1/bad-versions", data, func() bool { return true }); err != nil {
+				p.counters.Inc("bad-version-not-told")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/dotterel-mover/main.go
@@ -0,0 +1,58 @@
+// Command dotterel-mover carries out release notes; of those that run, one is active.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/dotterelpulley/dotterelpulley/mover"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	return &cobra.Command{
+		Use:           "dotterel-mover SETTINGS",
+		Short:         "Carry out release notes with a settings file",
+		Example:       "  dotterel-mover examples/pollulaotus/mover-1.toml",
+		Args:          cobra.ExactArgs(1),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(_ *cobra.Command, args []string) error {
+			return run(args[0])
+		},
+	}
+}
+
+// run works until a signal, then gives the lease up.
+func run(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings %q: %w", path, err)
+	}
+	settings, err := mover.ParseSettings(path, data)
+	if err != nil {
+		return err
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
+	p := newProcess(settings, logger)
+	p.counters.Publish("dotterel-mover")
+	if err := p.start(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-ctx.Done()
+	return p.Close()
+}
--- /dev/null
+++ b/cmd/dotterel-mover/operators.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+const operatorReadTimeout = 5 * time.Second
+
+// operators serves health, counters and status.
+type operators struct {
+	app *fiber.App
+}
+
+type wireStatus struct {
+	Host    string     `json:"host"`
+	Leading bool       `json:"leading"`
+	Active  bool       `json:"active"`
+	Holder  string     `json:"holder"`
+	Fence   int64      `json:"fence"`
+	Moves   []wireMove `json:"moves"`
+}
+
+type wireMove struct {
+	Move     string  `json:"move"`
+	State    string  `json:"state"`
+	Step     int     `json:"step"`
+	Share    float64 `json:"share"`
+	TimeLeft string  `json:"time-left"`
+	Requests int     `json:"requests"`
+	Bad      bool    `json:"bad"`
+	Reason   string  `json:"reason"`
+}
+
+func (o *operators) start(p *process) error {
+	o.app = fiber.New(fiber.Config{ReadTimeout: operatorReadTimeout})
+	o.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	o.app.Get("/readyz", func(c fiber.Ctx) error {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.follower.Ready() {
+			return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+		}
+		return c.SendString("ready\n")
+	})
+	o.app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(p.status()) })
+	o.app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+	listener, err := net.Listen("tcp", string(p.settings.Operators))
+	if err != nil {
+		return fmt.Errorf("listen on %q: %w", p.settings.Operators, err)
+	}
+	p.wait.Go(func() {
+		if err := o.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+			p.log.Error().Str("event", "listener-ended").Err(err).Msg("")
+		}
+	})
+	return nil
+}
+
+func (o *operators) close() error {
+	return o.app.ShutdownWithTimeout(shutdownLimit)
+}
+
+func (p *process) status() wireStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	view := p.view(now)
+	status := wireStatus{
+		Host:    string(p.settings.Host),
+		Leading: p.mover.Leading(view),
+		Active:  p.mover.Active(now, view),
+		Holder:  string(view.Moves.Lease.Holder),
+		Fence:   int64(view.Moves.Lease.Fence),
+	}
+	for _, m := range view.Moves.Moves {
+		status.Moves = append(status.Moves, moveStatus(m, view.Assessments[m.ID].Reason, view.Assessments[m.ID].Requests, now))
+	}
+	return status
+}
+
+func moveStatus(m recorder.Move, evidence string, requests int, now time.Time) wireMove {
+	w := wireMove{
+		Move:     m.ID.String(),
+		State:    m.Phase.String(),
+		Step:     m.Number,
+		Share:    m.Share,
+		TimeLeft: max(0, m.Deadline.Sub(now)).Round(time.Second).String(),
+		Requests: requests,
+		Bad:      m.Bad,
+		Reason:   m.Reason,
+	}
+	if m.Running() && evidence != "" {
+		w.Reason = evidence
+	}
+	return w
+}
--- a/follower/facts.go
+++ b/follower/facts.go
@@ -53,7 +53,7 @@
 	bad := map[dotterelpulley.ServiceID][]dotterelpulley.VersionID{}
 	for _, m := range f.moves.state.Moves {
 		if m.Running() && (m.Bad || f.facts.has(m.ID)) {
-			bad[m.ID.Service] = append(bad[m.ID.Service], m.To.Version)
+			bad[m.ID.Service] = append(bad[m.ID.Service], recorder.VersionOf(m.To))
 		}
 	}
 	return bad
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -117,11 +117,11 @@
 	}
 	m, running := f.moves.state.Running(service)
 	if !running || m.Action != dotterelpulley.ChangeReplace || !f.advancing(m, now) {
-		return []dotterelpulley.Share{{Version: build.Version, Fraction: 1}}
+		return []dotterelpulley.Share{{Version: recorder.VersionOf(build), Fraction: 1}}
 	}
 	return []dotterelpulley.Share{
-		{Version: m.From.Version, Fraction: 1 - m.Share},
-		{Version: m.To.Version, Fraction: m.Share},
+		{Version: recorder.VersionOf(m.From), Fraction: 1 - m.Share},
+		{Version: recorder.VersionOf(m.To), Fraction: m.Share},
 	}
 }
 
@@ -143,3 +143,12 @@
 func (f *Follower) Running(service dotterelpulley.ServiceID) (recorder.Move, bool) {
 	return f.moves.state.Running(service)
 }
+
+// Tail returns how many records of the stream follow its newest snapshot, that one included, and when the log took the first of them.
+func (f *Follower) Tail(stream appender.Stream) (records int, oldest time.Time) {
+	t, _ := f.track(stream)
+	if t == nil || len(t.tail) == 0 {
+		return 0, time.Time{}
+	}
+	return len(t.tail), t.tail[0].Appended
+}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -131,7 +131,7 @@
 // badVerdict returns the verdict against the move's version, of the own evidence or of an entry host.
 func (m *Mover) badVerdict(view *View, move recorder.Move) (recorder.BadVersion, bool) {
 	for _, bad := range view.Marked {
-		if bad.Move == move.ID && bad.Version == VersionOf(move.To) {
+		if bad.Move == move.ID && bad.Version == recorder.VersionOf(move.To) {
 			return bad, true
 		}
 	}
@@ -140,6 +140,6 @@
 		return recorder.BadVersion{}, false
 	}
 	return recorder.BadVersion{
-		Move: move.ID, Version: VersionOf(move.To), Reason: a.Reason, By: m.Settings.Host,
+		Move: move.ID, Version: recorder.VersionOf(move.To), Reason: a.Reason, By: m.Settings.Host,
 	}, true
 }
--- a/mover/orders.go
+++ b/mover/orders.go
@@ -93,7 +93,7 @@
 	var kept []dotterelpulley.VersionID
 	for _, build := range []dotterelpulley.Build{m.From, m.To} {
 		if e.has(build) {
-			kept = append(kept, VersionOf(build))
+			kept = append(kept, recorder.VersionOf(build))
 		}
 	}
 	return kept
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -8,7 +8,7 @@
 
 const (
 	// stepOverhead is the time that a step takes beside its watch: the append, its way to every entry host, and a poll.
-	stepOverhead = 3 * time.Second
+	stepOverhead = 2 * time.Second
 	// finishMargin is kept free before a deadline for the last record.
 	finishMargin = 5 * time.Second
 )
--- a/mover/view.go
+++ b/mover/view.go
@@ -82,14 +82,9 @@
 
 func (e Endpoint) has(build dotterelpulley.Build) bool {
 	for _, v := range e.Loaded {
-		if v == VersionOf(build) {
+		if v == recorder.VersionOf(build) {
 			return true
 		}
 	}
 	return false
 }
-
-// VersionOf returns the build as endpoints name it.
-func VersionOf(build dotterelpulley.Build) dotterelpulley.VersionID {
-	return dotterelpulley.VersionID(build.String())
-}
--- a/mover/wishes.go
+++ b/mover/wishes.go
@@ -58,7 +58,7 @@
 	var found []wish
 	for i, r := range ranked(serving) {
 		want := wantedBuilds(now, moves, r, i < canaries(moves, len(serving)))
-		want = addVersion([]dotterelpulley.VersionID{VersionOf(build)}, want...)
+		want = addVersion([]dotterelpulley.VersionID{recorder.VersionOf(build)}, want...)
 		if satisfied(r.Loaded, want, len(moves) > 0) {
 			continue
 		}
@@ -109,11 +109,11 @@
 			want = addVersion(want, replaceBuilds(now, m, e, canary)...)
 		case dotterelpulley.ChangeAdd:
 			if m.Phase != recorder.PhaseUndone && !replaced(moves, m) {
-				want = addVersion(want, VersionOf(m.To))
+				want = addVersion(want, recorder.VersionOf(m.To))
 			}
 		case dotterelpulley.ChangeWithdraw:
 			if m.Phase != recorder.PhaseUndone {
-				want = slices.DeleteFunc(want, func(v dotterelpulley.VersionID) bool { return v == VersionOf(m.From) })
+				want = slices.DeleteFunc(want, func(v dotterelpulley.VersionID) bool { return v == recorder.VersionOf(m.From) })
 			}
 		}
 	}
@@ -123,7 +123,7 @@
 func replaceBuilds(now time.Time, m recorder.Move, e rankedEndpoint, canary bool) []dotterelpulley.VersionID {
 	if m.Running() && !m.Bad {
 		if m.Number > 0 || canary || e.rank == 0 || e.has(m.To) {
-			return []dotterelpulley.VersionID{VersionOf(m.From), VersionOf(m.To)}
+			return []dotterelpulley.VersionID{recorder.VersionOf(m.From), recorder.VersionOf(m.To)}
 		}
 		return nil
 	}
@@ -136,7 +136,7 @@
 // replaced reports whether a later move has taken the added version out of force again.
 func replaced(moves []recorder.Move, added recorder.Move) bool {
 	for _, m := range moves {
-		if m.Phase == recorder.PhaseDone && m.Opened > added.Opened && VersionOf(m.From) == VersionOf(added.To) {
+		if m.Phase == recorder.PhaseDone && m.Opened > added.Opened && recorder.VersionOf(m.From) == recorder.VersionOf(added.To) {
 			return true
 		}
 	}
--- a/recorder/verdict.go
+++ b/recorder/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 )
 
@@ -23,3 +24,11 @@
 func refused(at Place, env Envelope, format string, args ...any) Verdict {
 	return Verdict{Offset: at.Offset, ID: env.ID, Reason: fmt.Sprintf(format, args...)}
 }
+
+// VersionOf returns the build as endpoints name it; a plain service's is empty.
+func VersionOf(build dotterelpulley.Build) dotterelpulley.VersionID {
+	if build.Version == "" {
+		return ""
+	}
+	return dotterelpulley.VersionID(build.String())
+}
