--- a/internal/standin/engine_routes.go
+++ b/internal/standin/engine_routes.go
@@ -80,8 +80,9 @@
 		PromptTokens: j.total,
 	})
 	e.submit(j, now)
+	fails := j.fails
 	e.state.Unlock()
-	if w.Stream {
+	if w.Stream && !fails {
 		return e.stream(c, j, 0)
 	}
 	return e.answer(c, j)
@@ -100,13 +101,21 @@
 		return fail(c, fiber.StatusBadRequest, "invalid_request", err.Error())
 	}
 	j := e.find(w.RequestID)
-	if j == nil || w.From < 0 || w.From > len(j.output) {
+	if j == nil || w.From < 0 || w.From > len(j.output) || !e.join(j) {
 		return fail(c, fiber.StatusNotFound, "unknown_request", "no run of "+strconv.Quote(w.RequestID)+" from that token")
 	}
+	return e.stream(c, j, w.From)
+}
+
+// join adds a reader to a run that goes on or is whole.
+func (e *Engine) join(j *job) bool {
 	e.state.Lock()
+	defer e.state.Unlock()
+	if j.outcome != OutcomeRunning && j.outcome != OutcomeWhole {
+		return false
+	}
 	j.readers++
-	e.state.Unlock()
-	return e.stream(c, j, w.From)
+	return true
 }
 
 func (e *Engine) handleCancel(c fiber.Ctx) error {
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -12,6 +12,7 @@
 // stream sends the job's tokens from the given one on, as they come.
 func (e *Engine) stream(c fiber.Ctx, j *job, from int) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.RequestCtx().Response.ImmediateHeaderFlush = true
 	e.open.Add(1)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer e.open.Done()
@@ -43,9 +44,6 @@
 			line = appendEnd(line[:0], j)
 			_, _ = w.Write(line)
 		}
-		if outcome == OutcomeFailed {
-			_, _ = w.WriteString("data: {\"error\":{\"type\":\"internal_error\"}}\n\n")
-		}
 		if w.Flush() != nil || outcome != OutcomeRunning {
 			return
 		}
--- a/internal/standin/file.go
+++ b/internal/standin/file.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/proxy"
 )
 
 // wireFile is the TOML file of a set of stand-ins.
@@ -17,6 +18,7 @@
 	Versions []wireBehaviour `toml:"versions"`
 	Engines  []wireEngine    `toml:"engines"`
 	Plain    []wirePlain     `toml:"plain"`
+	Proxies  []wireProxy     `toml:"proxies"`
 }
 
 type wireFileLog struct {
@@ -75,6 +77,12 @@
 	CrashReturn   wireDuration `toml:"crash-return"`
 }
 
+type wireProxy struct {
+	ID      string `toml:"id"`
+	Address string `toml:"address"`
+	Target  string `toml:"target"`
+}
+
 // ReadFile reads a set of stand-ins from a TOML file, ready to start.
 func ReadFile(path string) (*Set, error) {
 	var w wireFile
@@ -105,6 +113,13 @@
 	for _, p := range w.Plain {
 		set.Plain = append(set.Plain, p.fromWire())
 	}
+	for _, p := range w.Proxies {
+		set.Proxies = append(set.Proxies, PlacedProxy{
+			ID:      p.ID,
+			Address: dotterelpulley.Address(p.Address),
+			Standin: &proxy.Proxy{Target: dotterelpulley.Address(p.Target)},
+		})
+	}
 	return set, nil
 }
 
--- /dev/null
+++ b/internal/standin/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy puts faults between two addresses: delay, cuts, silence, lost answers, refusals.
+package proxy
--- a/internal/standin/set.go
+++ b/internal/standin/set.go
@@ -7,6 +7,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/proxy"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
@@ -18,6 +19,13 @@
 	Listed dotterelpulley.Address
 }
 
+// PlacedProxy is a fault proxy with the address to start it on.
+type PlacedProxy struct {
+	ID      string
+	Address dotterelpulley.Address
+	Standin *proxy.Proxy
+}
+
 // Set is a set of stand-ins that run in one process; what is nil is left out.
 type Set struct {
 	// Control is where every stand-in's faults, ledger and stats are also served, as /standin/ID/faults, also while it is down.
@@ -27,6 +35,7 @@
 	Weights *Placed[*Weights]
 	Engines []Placed[*Engine]
 	Plain   []Placed[*Plain]
+	Proxies []PlacedProxy
 
 	control control
 	started []closer
@@ -43,7 +52,7 @@
 
 // Start starts every stand-in of the set, and puts the endpoints on its host list.
 func (s *Set) Start() error {
-	steps := []func() error{s.startLog, s.startHosts, s.startWeights, s.startEngines, s.startPlain, s.startControl}
+	steps := []func() error{s.startLog, s.startHosts, s.startWeights, s.startEngines, s.startPlain, s.startProxies, s.startControl}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return errors.Join(err, s.Close())
@@ -111,6 +120,15 @@
 	return nil
 }
 
+func (s *Set) startProxies() error {
+	for _, p := range s.Proxies {
+		if err := s.keep(p.ID, p.Standin, p.Standin.Start(p.Address)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Set) list(h lister.Host) {
 	if s.Hosts != nil {
 		s.Hosts.Standin.Set(h)
@@ -132,6 +150,11 @@
 	return s.keep("control", &s.control, s.control.start(s.Control, s.controlRoutes))
 }
 
+// ControlAddress returns the address that the control listens on.
+func (s *Set) ControlAddress() dotterelpulley.Address {
+	return s.control.Address()
+}
+
 // controlRoutes serves what each stand-in has under /standin/ at /standin/ID/.
 func (s *Set) controlRoutes(app *fiber.App) {
 	if s.Log != nil {
@@ -154,6 +177,9 @@
 		app.Post("/standin/"+string(p.Standin.ID)+"/faults", p.Standin.handleFaults)
 		app.Get("/standin/"+string(p.Standin.ID)+"/ledger", p.Standin.handleLedger)
 	}
+	for _, p := range s.Proxies {
+		app.Post("/standin/"+p.ID+"/faults", p.Standin.Handle)
+	}
 	app.Get("/standin/ledger", func(c fiber.Ctx) error { return c.JSON(ledgerToWire(s.Runs())) })
 }
 
