Join the entry host with the follower, version shares and evidence

An entry host reads both streams, divides requests by the shares in force, counts evidence by cell, and stops a version that its evidence shows to be bad. It is not ready before it has reached the newest records of a source.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	counters counter.Set
 
 	endpoints endpoints
+	followed  followed
 	queue     queue
 	runs      runs
 
@@ -64,6 +65,7 @@
 		drain:    make(chan struct{}),
 	}
 	e.queue.endpoints = &e.endpoints
+	e.queue.followed = &e.followed
 	e.queue.limits = settings.Limits
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
@@ -89,6 +91,9 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
+	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
+	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
+	e.wait.Go(func() { e.every(assessEvery, e.assess) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
@@ -114,7 +119,10 @@
 	}
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
+	mux.HandleFunc("POST /v1/bad-versions", e.handleBad)
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
 		Handler:           mux,
@@ -131,7 +139,7 @@
 
 // ready reports whether callers may be sent here.
 func (e *Entry) ready() bool {
-	return e.listed.Load() && !e.draining.Load()
+	return e.listed.Load() && e.followed.ready() && !e.draining.Load()
 }
 
 // beginDrain makes the host take nothing new.
--- /dev/null
+++ b/entry/evidence.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+const (
+	assessEvery = 500 * time.Millisecond
+	// brokenOnce is the time within which broken streams of one endpoint count as one failure: they broke together.
+	brokenOnce   = 5 * time.Second
+	tellTimeout  = time.Second
+	maxFactBytes = 16 << 10
+)
+
+// outcome is how one attempt at a version went.
+type outcome struct {
+	grant   grant
+	started time.Time
+	first   time.Time
+	last    time.Time
+	chunks  int
+	result  attemptResult
+	// expired says that the request's time ended while it ran.
+	expired bool
+}
+
+// sample counts the attempt as evidence, if it says something of the version.
+func (f *followed) sample(req dotterelpulley.Request, o outcome, now time.Time) {
+	s, counts := o.sample(req)
+	if !counts {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, broken := o.result.(attemptBroken); broken && f.brokeLately(o.grant.endpoint.ID, now) {
+		return
+	}
+	if e := f.exposure(req.Service, now); e != nil {
+		e.Add(o.grant.version, s, now)
+	}
+}
+
+func (o outcome) sample(req dotterelpulley.Request) (assessor.Sample, bool) {
+	s := assessor.Sample{Cell: assessor.Cell{
+		Route:      req.Route,
+		Tier:       req.Tier,
+		Generation: o.grant.endpoint.Generation,
+		Load:       assessor.BandOf(o.grant.load),
+	}}
+	switch o.result.(type) {
+	case attemptWhole:
+		if o.chunks > 0 {
+			s.FirstToken = o.first.Sub(o.started)
+		}
+		if o.chunks > 1 {
+			s.BetweenTokens = o.last.Sub(o.first) / time.Duration(o.chunks-1)
+		}
+		return s, true
+	case attemptFailed, attemptBroken:
+		s.Failed = true
+		return s, true
+	case attemptCancelled:
+		s.Failed = true
+		return s, o.expired
+	case attemptNotStarted:
+	}
+	return s, false
+}
+
+// brokeLately reports whether a stream of the endpoint broke a moment ago, and notes that one did now; f.mu is held.
+func (f *followed) brokeLately(id dotterelpulley.EndpointID, now time.Time) bool {
+	if now.Sub(f.broken[id]) < brokenOnce {
+		return true
+	}
+	if f.broken == nil {
+		f.broken = map[dotterelpulley.EndpointID]time.Time{}
+	}
+	f.broken[id] = now
+	return false
+}
+
+// exposure returns the evidence of the service's running move, or nil without one; f.mu is held.
+func (f *followed) exposure(service dotterelpulley.ServiceID, now time.Time) *assessor.Evidence {
+	m, running := f.follower.Running(service)
+	if !running || m.Action != dotterelpulley.ChangeReplace {
+		delete(f.evidence, service)
+		return nil
+	}
+	e := f.evidence[service]
+	if e == nil {
+		e = &assessor.Evidence{}
+		if f.evidence == nil {
+			f.evidence = map[dotterelpulley.ServiceID]*assessor.Evidence{}
+		}
+		f.evidence[service] = e
+	}
+	e.Begin(assessor.Exposure{
+		Note:    m.ID.Note,
+		Service: m.ID.Service,
+		Step:    m.Number,
+		Old:     recorder.VersionOf(m.From),
+		New:     recorder.VersionOf(m.To),
+	}, now)
+	return e
+}
+
+// report returns this host's evidence and the bad versions that it knows of.
+func (f *followed) report(now time.Time) assessor.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var r assessor.Report
+	for _, s := range f.follower.Configuration().Services {
+		if e := f.exposure(s.ID, now); e != nil {
+			e.Refresh(now)
+			r.Evidence = append(r.Evidence, e)
+		}
+	}
+	for _, bad := range f.follower.Marked() {
+		env := recorder.Envelope{ID: recorder.RecordID(bad.Move.String()), Body: bad}
+		if data, err := recorder.Encode(env); err == nil {
+			r.Bad = append(r.Bad, data)
+		}
+	}
+	return r
+}
+
+// judge returns the versions that this host's own evidence shows to be bad.
+func (f *followed) judge(host dotterelpulley.HostID, now time.Time) []recorder.BadVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []recorder.BadVersion
+	for _, s := range f.follower.Configuration().Services {
+		e := f.exposure(s.ID, now)
+		if e == nil {
+			continue
+		}
+		e.Refresh(now)
+		a := f.assessor.Assess(e, now)
+		if !a.Bad {
+			continue
+		}
+		bad := recorder.BadVersion{
+			Move:    recorder.MoveID{Note: e.Exposure.Note, Service: e.Exposure.Service},
+			Version: e.Exposure.New,
+			Reason:  a.Reason,
+			By:      host,
+		}
+		if f.follower.Mark(bad) {
+			found = append(found, bad)
+		}
+	}
+	return found
+}
+
+// mark takes a verdict that another host spread and reports whether it is news.
+func (f *followed) mark(bad recorder.BadVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follower.Mark(bad)
+}
+
+// assess judges the running moves by this host's own evidence and spreads what is bad.
+func (e *Entry) assess() {
+	for _, bad := range e.followed.judge(e.settings.Host, time.Now()) {
+		e.counters.Inc("versions-judged-bad")
+		e.log.Warn().Str("event", "version-judged-bad").Str("move", bad.Move.String()).Str("reason", bad.Reason).Msg("")
+		e.spreadBad(bad)
+		e.queue.dispatch()
+	}
+}
+
+// spreadBad tells the other entry hosts that a version is bad.
+func (e *Entry) spreadBad(bad recorder.BadVersion) {
+	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(uuid.NewString()), Body: bad})
+	if err != nil {
+		e.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
+		return
+	}
+	for _, h := range e.endpoints.entries() {
+		if h.ID == e.settings.Host {
+			continue
+		}
+		e.wait.Go(func() { e.tellBad(h, data) })
+	}
+}
+
+func (e *Entry) tellBad(h lister.Host, data []byte) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + string(h.PeerAddress) + "/v1/bad-versions")
+	req.Header.SetMethod(http.MethodPost)
+	req.SetBody(data)
+	if err := e.reports.DoTimeout(req, resp, tellTimeout); err != nil {
+		e.counters.Inc("bad-version-not-told")
+	}
+}
+
+// handleEvidence answers the mover's polls.
+func (e *Entry) handleEvidence(w http.ResponseWriter, _ *http.Request) {
+	data, err := assessor.EncodeReport(e.followed.report(time.Now()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+// handleBad takes a verdict and passes it on once.
+func (e *Entry) handleBad(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxFactBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	env, err := recorder.Decode(data)
+	bad, ok := env.Body.(recorder.BadVersion)
+	if err != nil || !ok {
+		http.Error(w, "not a bad-version record", http.StatusBadRequest)
+		return
+	}
+	if e.followed.mark(bad) {
+		e.counters.Inc("bad-version-heard")
+		e.log.Warn().Str("event", "bad-version-heard").Str("move", bad.Move.String()).Str("by", string(bad.By)).Msg("")
+		e.spreadBad(bad)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// expired reports whether the context ended because its time had come.
+func expired(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
--- /dev/null
+++ b/entry/followed.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
+	"github.com/dotterelpulley/dotterelpulley/follower"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+	"github.com/dotterelpulley/dotterelpulley/splitter"
+)
+
+const (
+	logReadWait  = 400 * time.Millisecond
+	logReadRetry = 500 * time.Millisecond
+)
+
+// followed is what the log, or a peer in its place, says is in force.
+type followed struct {
+	mu        sync.Mutex
+	follower  follower.Follower
+	assessor  assessor.Assessor
+	splitters map[dotterelpulley.ServiceID]*splitter.Splitter
+	evidence  map[dotterelpulley.ServiceID]*assessor.Evidence
+	broken    map[dotterelpulley.EndpointID]time.Time
+}
+
+func (f *followed) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follower.Ready()
+}
+
+func (f *followed) next(stream appender.Stream) appender.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follower.Next(stream)
+}
+
+func (f *followed) applyPage(stream appender.Stream, page appender.Page) []follower.Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.follower.ApplyPage(stream, page)
+}
+
+// followLog reads the stream until the process ends.
+func (e *Entry) followLog(stream appender.Stream) {
+	for e.ctx.Err() == nil {
+		page, err := e.platform.Read(stream, e.followed.next(stream), logReadWait)
+		if err != nil {
+			e.counters.Inc("retry-log-read")
+			e.pause(logReadRetry)
+			continue
+		}
+		e.inForce(e.followed.applyPage(stream, page))
+	}
+}
+
+func (e *Entry) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-e.ctx.Done():
+	}
+}
+
+// inForce logs and counts what records changed, and tries what waits again.
+func (e *Entry) inForce(changes []follower.Change) {
+	for _, change := range changes {
+		e.tellChange(change)
+	}
+	if len(changes) > 0 {
+		e.queue.dispatch()
+	}
+}
+
+func (e *Entry) tellChange(change follower.Change) {
+	v := change.Verdict
+	if !v.Accepted {
+		e.counters.Inc("records-refused")
+		e.log.Warn().Str("event", "record-refused").Str("stream", string(change.Stream)).
+			Int64("offset", int64(v.Offset)).Str("reason", v.Reason).Msg("")
+		return
+	}
+	switch body := change.Body.(type) {
+	case recorder.Delta:
+		e.counters.Inc("configuration-revisions")
+		e.log.Info().Str("event", "configuration").Int64("revision", int64(v.Offset)).Msg("")
+	case recorder.Step:
+		e.log.Info().Str("event", "step").Str("move", body.Move.String()).Float64("share", body.Share).Msg("")
+	case recorder.Outcome:
+		e.log.Info().Str("event", "move-ended").Str("move", body.Move.String()).Bool("done", body.Done).Msg("")
+	case recorder.BadVersion:
+		e.log.Warn().Str("event", "bad-version").Str("move", body.Move.String()).Str("reason", body.Reason).Msg("")
+	case recorder.Note, recorder.ConfigurationSnapshot, recorder.Claim, recorder.Renewal,
+		recorder.Release, recorder.Opening, recorder.MovesSnapshot:
+	}
+}
--- a/entry/life.go
+++ b/entry/life.go
@@ -47,8 +47,16 @@
 // try sends the request to one endpoint; again is true only when nothing can have started there.
 func (e *Entry) try(r *run, g grant) (again bool, refusal *dotterelpulley.Refusal) {
 	id := uuid.NewString()
+	started := time.Now()
 	result := e.attempt(r, g, id)
-	defer func() { g.release(result) }()
+	defer func() {
+		g.release(result)
+		first, last, chunks := r.output.times()
+		e.followed.sample(r.request, outcome{
+			grant: g, started: started, first: first, last: last, chunks: chunks,
+			result: result, expired: expired(r.ctx),
+		}, time.Now())
+	}()
 	for range maxResumes {
 		_, broken := result.(attemptBroken)
 		if !broken || g.endpoint.kind != lister.KindEngine {
--- a/entry/output.go
+++ b/entry/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
 )
@@ -17,6 +18,8 @@
 type output struct {
 	mu      sync.Mutex
 	chunks  []string
+	first   time.Time
+	last    time.Time
 	whole   *end
 	refusal *dotterelpulley.Refusal
 	changed chan struct{}
@@ -33,11 +36,22 @@
 	if o.ended() || index != len(o.chunks) {
 		return false
 	}
+	o.last = time.Now()
+	if index == 0 {
+		o.first = o.last
+	}
 	o.chunks = append(o.chunks, text)
 	o.wake()
 	return true
 }
 
+// times returns when the first and the newest chunk came, and how many have.
+func (o *output) times() (first, last time.Time, chunks int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.first, o.last, len(o.chunks)
+}
+
 // finish marks the answer whole.
 func (o *output) finish(e end) {
 	o.mu.Lock()
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/lister"
@@ -12,12 +14,15 @@
 type grant struct {
 	endpoint known
 	version  dotterelpulley.VersionID
-	release  func(attemptResult)
+	// load is the part of the endpoint's slots that was taken.
+	load    float64
+	release func(attemptResult)
 }
 
 // queue admits requests in the order of their arrival and goes round the endpoints.
 type queue struct {
 	endpoints *endpoints
+	followed  *followed
 	limits    Limits
 
 	mu      sync.Mutex
@@ -28,6 +33,7 @@
 
 type waiter struct {
 	request dotterelpulley.Request
+	version dotterelpulley.VersionID
 	avoid   map[dotterelpulley.EndpointID]bool
 	granted chan grant
 }
@@ -92,38 +98,73 @@
 }
 
 func (q *queue) grant(w *waiter, all []known) bool {
+	w.version = q.choose(w, all)
 	for i := range all {
 		k := all[(q.next+i)%len(all)]
-		if !q.fits(w, k) {
+		version, fits := q.fits(w, k)
+		if !fits {
 			continue
 		}
 		q.next += i + 1
+		load := float64(max(k.report.running+k.report.waiting, q.running[k.ID])) / float64(q.slots(k))
 		q.running[k.ID]++
-		w.granted <- grant{endpoint: k, version: firstVersion(k), release: q.releaser(k.ID)}
+		w.granted <- grant{endpoint: k, version: version, load: load, release: q.releaser(k.ID)}
 		return true
 	}
 	return false
 }
 
-func (q *queue) fits(w *waiter, k known) bool {
+// choose returns the waiter's version, or "" for any when no endpoint has the one in force.
+func (q *queue) choose(w *waiter, all []known) dotterelpulley.VersionID {
+	now := time.Now()
+	version := q.followed.version(w.request, w.version, now)
+	if served(w, all, version) {
+		return version
+	}
+	if version = q.followed.fallback(w.request.Service, now); served(w, all, version) {
+		return version
+	}
+	return ""
+}
+
+// served reports whether an endpoint has the version.
+func served(w *waiter, all []known, version dotterelpulley.VersionID) bool {
+	for _, k := range all {
+		if k.Service == w.request.Service && k.State == dotterelpulley.EndpointLive && k.Serves(version) {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether the endpoint can take the request, and at which version.
+func (q *queue) fits(w *waiter, k known) (dotterelpulley.VersionID, bool) {
 	if k.Service != w.request.Service || k.State != dotterelpulley.EndpointLive || w.avoid[k.ID] {
-		return false
+		return "", false
 	}
-	if k.kind == lister.KindEngine && len(k.Versions) == 0 {
-		return false
+	if q.running[k.ID] >= q.slots(k) {
+		return "", false
 	}
-	slots := k.report.slots
-	if slots == 0 {
-		slots = q.limits.Slots
+	if k.kind != lister.KindEngine {
+		return "", true
+	}
+	if w.version != "" {
+		return w.version, k.Serves(w.version)
+	}
+	barred := q.followed.barred(k.Service)
+	for _, v := range k.Versions {
+		if !slices.Contains(barred, v) {
+			return v, true
+		}
 	}
-	return q.running[k.ID] < slots
+	return "", false
 }
 
-func firstVersion(k known) dotterelpulley.VersionID {
-	if len(k.Versions) == 0 {
-		return ""
+func (q *queue) slots(k known) int {
+	if k.report.slots > 0 {
+		return k.report.slots
 	}
-	return k.Versions[0]
+	return q.limits.Slots
 }
 
 func (q *queue) releaser(id dotterelpulley.EndpointID) func(attemptResult) {
