Pass log records between entry hosts

Each host asks one peer every 500 ms for records that it has not read itself, so that a failing log read does not hold a host back and a new host can become ready from a ready peer.

--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -25,8 +25,10 @@
 	slowTail = 0.05
 	// slowBuckets is how many buckets beyond that threshold count as slow: 1.4 times as long.
 	slowBuckets = 2
-	// minPerRoute is how many requests of a step prove a route.
+	// minPerRoute is how many requests of a step prove the busiest route; a rarer one needs fewer in proportion.
 	minPerRoute = 12
+	// minOnRareRoute is how many requests of a step prove the rarest route.
+	minOnRareRoute = 3
 	// calm is the log ratio beneath which evidence is good enough to go on.
 	calm = 3
 )
@@ -152,9 +154,14 @@
 		old[cell.Route] += pair.Old.Requests
 		fresh[cell.Route] += pair.New.Requests
 	}
+	busiest := 0
+	for _, n := range old {
+		busiest = max(busiest, n)
+	}
 	var missing []dotterelpulley.RouteID
 	for route, n := range old {
-		if n >= minReference && fresh[route] < minPerRoute {
+		need := max(minOnRareRoute, minPerRoute*n/max(1, busiest))
+		if fresh[route] < need {
 			missing = append(missing, route)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,6 +94,7 @@
 	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
 	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
 	e.wait.Go(func() { e.every(assessEvery, e.assess) })
+	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
@@ -122,6 +123,7 @@
 	protocols.SetHTTP1(true)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
+	mux.HandleFunc("GET /v1/records", e.handleRecords)
 	mux.HandleFunc("POST /v1/bad-versions", e.handleBad)
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/follower"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+)
+
+const (
+	// relayEvery is how often one peer is asked for records that this host has not read.
+	relayEvery = 500 * time.Millisecond
+	// relayLimit bounds the records of each stream in one answer.
+	relayLimit = 200
+	// relayTimeout bounds one question to a peer.
+	relayTimeout = time.Second
+)
+
+type wireRelayed struct {
+	Offset   int64     `json:"offset"`
+	Appended time.Time `json:"appended-at"`
+	Data     []byte    `json:"data"`
+}
+
+type wireRelay struct {
+	// Ready says that the host's heads are of a source of the newest records.
+	Ready   bool                     `json:"ready"`
+	Heads   map[string]int64         `json:"heads"`
+	Records map[string][]wireRelayed `json:"records"`
+}
+
+func relayedStreams() []appender.Stream {
+	return []appender.Stream{appender.StreamConfiguration, appender.StreamMoves}
+}
+
+// relay returns what a peer lacks that has folded each stream up to its head.
+func (f *followed) relay(heads map[appender.Stream]appender.Offset) wireRelay {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := wireRelay{Ready: f.follower.Ready(), Heads: map[string]int64{}, Records: map[string][]wireRelayed{}}
+	for _, stream := range relayedStreams() {
+		w.Heads[string(stream)] = int64(f.follower.Next(stream) - 1)
+		for _, r := range f.follower.Since(stream, heads[stream], relayLimit) {
+			w.Records[string(stream)] = append(w.Records[string(stream)], wireRelayed{
+				Offset: int64(r.Offset), Appended: r.Appended, Data: r.Data,
+			})
+		}
+	}
+	return w
+}
+
+// relayed takes a peer's answer.
+func (f *followed) relayed(w wireRelay) []follower.Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var changes []follower.Change
+	for _, stream := range relayedStreams() {
+		for _, r := range w.Records[string(stream)] {
+			changes = append(changes, f.follower.Apply(stream, appender.Record{
+				Offset: appender.Offset(r.Offset), Appended: r.Appended, Data: r.Data,
+			})...)
+		}
+		if w.Ready {
+			f.follower.Heard(stream, appender.Offset(w.Heads[string(stream)]))
+		}
+	}
+	return changes
+}
+
+// askPeer asks one peer at random for records that this host has not read.
+func (e *Entry) askPeer() {
+	var peers []lister.Host
+	for _, h := range e.endpoints.entries() {
+		if h.ID != e.settings.Host {
+			peers = append(peers, h)
+		}
+	}
+	if len(peers) == 0 {
+		return
+	}
+	w, err := e.fetchRelay(peers[rand.IntN(len(peers))].PeerAddress)
+	if err != nil {
+		e.counters.Inc("retry-relay")
+		return
+	}
+	changes := e.followed.relayed(w)
+	e.counters.Add("records-relayed", int64(len(changes)))
+	e.inForce(changes)
+}
+
+func (e *Entry) fetchRelay(address dotterelpulley.Address) (wireRelay, error) {
+	query := url.Values{}
+	for _, stream := range relayedStreams() {
+		query.Set(string(stream), strconv.FormatInt(int64(e.followed.next(stream)-1), 10))
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + string(address) + "/v1/records?" + query.Encode())
+	if err := e.reports.DoTimeout(req, resp, relayTimeout); err != nil {
+		return wireRelay{}, fmt.Errorf("ask %q for records: %w", address, err)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return wireRelay{}, fmt.Errorf("ask %q for records: status %d", address, resp.StatusCode())
+	}
+	var w wireRelay
+	if err := json.Unmarshal(resp.Body(), &w); err != nil {
+		return wireRelay{}, fmt.Errorf("decode records of %q: %w", address, err)
+	}
+	return w, nil
+}
+
+// handleRecords answers a peer's question for records.
+func (e *Entry) handleRecords(w http.ResponseWriter, r *http.Request) {
+	heads := map[appender.Stream]appender.Offset{}
+	for _, stream := range relayedStreams() {
+		head, err := strconv.ParseInt(r.URL.Query().Get(string(stream)), 10, 64)
+		if err != nil {
+			http.Error(w, fmt.Sprintf("stream %q: %v", stream, err), http.StatusBadRequest)
+			return
+		}
+		heads[stream] = appender.Offset(head)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(e.followed.relay(heads)); err != nil {
+		e.counters.Inc("relay-cut")
+	}
+}
