--- /dev/null
+++ b/limiter/budget.go
@@ -0,0 +1,70 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+const (
+	defaultRetryRatio = 0.1
+	defaultBurst      = 10
+	// retriesPerSecond are allowed to a service without much traffic.
+	retriesPerSecond = 0.5
+)
+
+// Budget bounds the retries of each service by its requests; the zero value works.
+type Budget struct {
+	// Ratio is the retries allowed per request; 0.1 if zero.
+	Ratio float64
+	// Burst bounds the retries saved up; 10 if zero.
+	Burst float64
+
+	services map[dotterelpulley.ServiceID]*bucket
+}
+
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *Budget) bucket(now time.Time, id dotterelpulley.ServiceID) *bucket {
+	if b.services == nil {
+		b.services = map[dotterelpulley.ServiceID]*bucket{}
+	}
+	s, ok := b.services[id]
+	if !ok {
+		s = &bucket{tokens: b.burst(), at: now}
+		b.services[id] = s
+	}
+	s.tokens = min(b.burst(), s.tokens+max(now.Sub(s.at).Seconds(), 0)*retriesPerSecond)
+	s.at = now
+	return s
+}
+
+func (b *Budget) burst() float64 {
+	if b.Burst > 0 {
+		return b.Burst
+	}
+	return defaultBurst
+}
+
+// Deposit credits the service with one request.
+func (b *Budget) Deposit(now time.Time, id dotterelpulley.ServiceID) {
+	ratio := b.Ratio
+	if ratio == 0 {
+		ratio = defaultRetryRatio
+	}
+	s := b.bucket(now, id)
+	s.tokens = min(b.burst(), s.tokens+ratio)
+}
+
+// Withdraw takes one retry out of the service's budget, if it has one.
+func (b *Budget) Withdraw(now time.Time, id dotterelpulley.ServiceID) bool {
+	s := b.bucket(now, id)
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
