--- /dev/null
+++ b/picker/subset.go
@@ -0,0 +1,44 @@
+package picker
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// DefaultSubset is how many endpoints of a service one host uses.
+const DefaultSubset = 64
+
+// Place is a host's place among the live entry hosts, in the order of their names.
+type Place struct {
+	Rank int
+	Of   int
+}
+
+// Subset returns the window of size endpoints that belongs to the host's place on the ring of all;
+// windows start evenly, so that hosts cover the endpoints evenly.
+func Subset(all []dotterelpulley.Endpoint, place Place, size int) []dotterelpulley.Endpoint {
+	if size <= 0 {
+		size = DefaultSubset
+	}
+	if len(all) <= size || place.Of <= 1 {
+		return all
+	}
+	size = max(size, (len(all)+place.Of-1)/place.Of)
+	ring := slices.Clone(all)
+	slices.SortFunc(ring, func(a, b dotterelpulley.Endpoint) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	window := make([]dotterelpulley.Endpoint, 0, size)
+	start := place.Rank * len(ring) / place.Of
+	for i := range size {
+		window = append(window, ring[(start+i)%len(ring)])
+	}
+	return window
+}
