Serve callers and peers over TLS when certificates are given

Cause: an organisation's requests cross the network between entry hosts. The caller listener shows a certificate; the peer listener shows one and asks for one of the same authority; replaced files are taken within a minute. Without files both speak in clear text as before.

--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -13,6 +13,8 @@
 // Certifier serves the certificates of its files; Load it before use.
 type Certifier struct {
 	Files Files
+	// Protocols are the protocols that both sides may agree on, such as "h2"; none if empty.
+	Protocols []string
 	// DialTimeout bounds the connection and handshake of Dial; none if zero.
 	DialTimeout time.Duration
 
@@ -33,13 +35,13 @@
 func (c *Certifier) Server() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
-		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
-			return c.handshake(hello.SupportedProtos)
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return c.handshake()
 		},
 	}
 }
 
-func (c *Certifier) handshake(protocols []string) (*tls.Config, error) {
+func (c *Certifier) handshake() (*tls.Config, error) {
 	m := c.held.Load()
 	if m == nil {
 		return nil, errors.New("no certificate is loaded")
@@ -47,11 +49,7 @@
 	config := &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{m.certificate},
-	}
-	for _, p := range protocols {
-		if p == "h2" || p == "http/1.1" {
-			config.NextProtos = append(config.NextProtos, p)
-		}
+		NextProtos:   c.Protocols,
 	}
 	if m.authority != nil {
 		config.ClientAuth = tls.RequireAndVerifyClientCert
@@ -72,7 +70,7 @@
 			MinVersion:   tls.VersionTLS13,
 			Certificates: []tls.Certificate{m.certificate},
 			RootCAs:      m.authority,
-			NextProtos:   []string{"h2", "http/1.1"},
+			NextProtos:   c.Protocols,
 		},
 	}
 	conn, err := dialer.DialContext(ctx, network, address)
--- a/certifier/certifier_test.go
+++ b/certifier/certifier_test.go
@@ -2,81 +2,40 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
+	"net/netip"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/issuer"
 )
 
-// authority issues certificates for tests.
-type authority struct {
-	c    *qt.C
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-	next int64
-}
+var (
+	home      = netip.MustParseAddr("127.0.0.1")
+	elsewhere = netip.MustParseAddr("127.0.0.9")
+)
 
-func newAuthority(c *qt.C) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	c.Assert(err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "authority"},
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	c.Assert(err, qt.IsNil)
-	cert, err := x509.ParseCertificate(der)
+func newIssuer(c *qt.C) *issuer.Issuer {
+	i, err := issuer.New()
 	c.Assert(err, qt.IsNil)
-	return &authority{c: c, cert: cert, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), next: 2}
+	return i
 }
 
-// write issues a certificate for the IP address into the folder.
-func (a *authority) write(folder, ip string) certifier.Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	a.c.Assert(err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(a.next),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.ParseIP(ip)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	a.next++
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	a.c.Assert(err, qt.IsNil)
-	encoded, err := x509.MarshalECPrivateKey(key)
-	a.c.Assert(err, qt.IsNil)
-	files := certifier.Files{
-		Certificate: filepath.Join(folder, "cert.pem"),
-		Key:         filepath.Join(folder, "key.pem"),
-		Authority:   filepath.Join(folder, "authority.pem"),
-	}
-	a.save(files.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	a.save(files.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encoded}))
-	a.save(files.Authority, a.pem)
+func write(c *qt.C, i *issuer.Issuer, folder string, ip netip.Addr) certifier.Files {
+	files, err := i.Write(folder, ip)
+	c.Assert(err, qt.IsNil)
 	return files
 }
 
-func (a *authority) save(path string, data []byte) {
-	a.c.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
+func loaded(c *qt.C, files certifier.Files) *certifier.Certifier {
+	held := &certifier.Certifier{Files: files}
+	c.Assert(held.Load(), qt.IsNil)
+	return held
 }
 
 // shake makes one handshake over loopback and returns the server certificate's serial number.
@@ -108,56 +67,51 @@
 	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
 }
 
-func loaded(c *qt.C, files certifier.Files) *certifier.Certifier {
-	held := &certifier.Certifier{Files: files}
-	c.Assert(held.Load(), qt.IsNil)
-	return held
-}
-
 func TestPeersOfOneAuthorityMeet(t *testing.T) {
 	c := qt.New(t)
-	a := newAuthority(c)
-	server := loaded(c, a.write(c.TempDir(), "127.0.0.1"))
-	client := loaded(c, a.write(c.TempDir(), "127.0.0.1"))
+	i := newIssuer(c)
+	server := loaded(c, write(c, i, c.TempDir(), home))
+	client := loaded(c, write(c, i, c.TempDir(), home))
 	_, err := shake(c, server, client)
 	c.Assert(err, qt.IsNil)
 }
 
 func TestStrangersAreRefused(t *testing.T) {
 	c := qt.New(t)
-	a, other := newAuthority(c), newAuthority(c)
-	server := loaded(c, a.write(c.TempDir(), "127.0.0.1"))
+	i, other := newIssuer(c), newIssuer(c)
+	ours := write(c, i, c.TempDir(), home)
+	server := loaded(c, ours)
 
-	foreign := other.write(c.TempDir(), "127.0.0.1")
+	foreign := write(c, other, c.TempDir(), home)
 	_, err := shake(c, server, loaded(c, foreign))
 	c.Check(err, qt.ErrorMatches, ".*certificate signed by unknown authority.*")
 
 	// The stranger trusts the server, but the server does not trust the stranger.
-	other.save(foreign.Authority, a.pem)
+	foreign.Authority = ours.Authority
 	_, err = shake(c, server, loaded(c, foreign))
 	c.Check(err, qt.IsNotNil)
 
-	elsewhere := loaded(c, a.write(c.TempDir(), "127.0.0.9"))
-	_, err = shake(c, elsewhere, server)
+	misplaced := loaded(c, write(c, i, c.TempDir(), elsewhere))
+	_, err = shake(c, misplaced, server)
 	c.Check(err, qt.ErrorMatches, ".*valid for 127.0.0.9, not 127.0.0.1.*")
 }
 
 func TestReplacedFilesAreTakenAndTornOnesAreNot(t *testing.T) {
 	c := qt.New(t)
-	a := newAuthority(c)
+	i := newIssuer(c)
 	folder := c.TempDir()
-	server := loaded(c, a.write(folder, "127.0.0.1"))
-	client := loaded(c, a.write(c.TempDir(), "127.0.0.1"))
+	server := loaded(c, write(c, i, folder, home))
+	client := loaded(c, write(c, i, c.TempDir(), home))
 	before, err := shake(c, server, client)
 	c.Assert(err, qt.IsNil)
 
-	files := a.write(folder, "127.0.0.1")
+	files := write(c, i, folder, home)
 	c.Assert(server.Load(), qt.IsNil)
 	after, err := shake(c, server, client)
 	c.Assert(err, qt.IsNil)
 	c.Check(after > before, qt.IsTrue, qt.Commentf("serial %d after %d", after, before))
 
-	a.save(files.Key, []byte("half a key"))
+	c.Assert(os.WriteFile(files.Key, []byte("half a key"), 0o600), qt.IsNil)
 	c.Check(server.Load(), qt.ErrorMatches, "load certificate .*")
 	kept, err := shake(c, server, client)
 	c.Assert(err, qt.IsNil)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,7 +13,9 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/counter"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
 	"github.com/dotterelpulley/dotterelpulley/lister"
@@ -40,6 +42,8 @@
 	reports  fasthttp.Client
 	peerHTTP *http.Client
 
+	certificates certificates
+
 	callers   *fiber.App
 	operators *fiber.App
 	peers     *http.Server
@@ -60,9 +64,11 @@
 		log:      logger,
 		hosts:    lister.Client{Address: settings.HostListAddress},
 		platform: appender.Client{Address: settings.LogAddress},
-		peerHTTP: newPeerHTTP(settings.Timeouts.Dial),
 		drain:    make(chan struct{}),
 	}
+	e.certificates.callers = certifier.Certifier{Files: settings.CallerFiles, Protocols: []string{"http/1.1"}}
+	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2"}}
+	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
 	e.queue.endpoints = &e.endpoints
 	e.queue.limits = settings.Limits
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -76,12 +82,15 @@
 
 // Start opens the listeners and begins to work.
 func (e *Entry) Start() error {
+	if err := e.loadCertificates(); err != nil {
+		return err
+	}
 	e.callers = e.callerApp()
 	e.operators = e.operatorApp()
-	if err := e.serveApp(e.callers, string(e.settings.CallerAddress)); err != nil {
+	if err := e.serveApp(e.callers, e.settings.CallerAddress, &e.certificates.callers); err != nil {
 		return err
 	}
-	if err := e.serveApp(e.operators, string(e.settings.OperatorAddress)); err != nil {
+	if err := e.serveApp(e.operators, e.settings.OperatorAddress, &certifier.Certifier{}); err != nil {
 		return err
 	}
 	if err := e.servePeers(); err != nil {
@@ -89,16 +98,18 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
+	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
 }
 
-func (e *Entry) serveApp(app *fiber.App, address string) error {
-	listener, err := net.Listen("tcp", address)
+func (e *Entry) serveApp(app *fiber.App, address dotterelpulley.Address, c *certifier.Certifier) error {
+	plain, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", address, err)
 	}
+	listener := secure(plain, c)
 	e.wait.Go(func() {
 		if err := app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			e.log.Error().Str("event", "listener-ended").Err(err).Msg("")
@@ -112,20 +123,15 @@
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", e.settings.PeerAddress, err)
 	}
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
 		Handler:           mux,
-		Protocols:         &protocols,
+		Protocols:         peerProtocols(),
 		ReadHeaderTimeout: callerReadTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: peerPingAfter,
-			PingTimeout:     peerPingTimeout,
-		},
+		HTTP2:             peerPings(),
 	}
-	e.wait.Go(func() { _ = e.peers.Serve(listener) })
+	e.wait.Go(func() { _ = e.peers.Serve(secure(listener, &e.certificates.peers)) })
 	return nil
 }
 
--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/issuer"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+)
+
+const (
+	testService = "drafting-pool"
+	testVersion = "draft@1"
+	waitLimit   = 20 * time.Second
+	waitStep    = 5 * time.Millisecond
+)
+
+// fleet is a few entry hosts in one process before stand-ins.
+type fleet struct {
+	*qt.C
+	log     standin.Log
+	hosts   standin.Hosts
+	engine  standin.Engine
+	entries []*Entry
+	issuer  *issuer.Issuer
+	client  *http.Client
+	ip      netip.Addr
+}
+
+// newFleet starts the entry hosts, each with its settings changed by change.
+func newFleet(t *testing.T, count int, change func(*fleet, *Settings)) *fleet {
+	f := &fleet{C: qt.New(t), client: http.DefaultClient}
+	pid := os.Getpid()
+	f.ip = netip.AddrFrom4([4]byte{127, 20, byte(pid >> 8), byte(pid)})
+	f.engine = standin.Engine{ID: "draft-1", Service: testService, Versions: []string{testVersion}, Step: time.Millisecond}
+	f.Assert(f.log.Start("127.0.0.1:0"), qt.IsNil)
+	f.Assert(f.hosts.Start("127.0.0.1:0"), qt.IsNil)
+	f.Assert(f.engine.Start("127.0.0.1:0"), qt.IsNil)
+	f.Cleanup(func() {
+		f.Check(f.engine.Close(), qt.IsNil)
+		f.Check(f.hosts.Close(), qt.IsNil)
+		f.Check(f.log.Close(), qt.IsNil)
+	})
+	f.hosts.Set(lister.Host{ID: "draft-1", Kind: lister.KindEngine, Service: testService, Address: f.engine.Address(), Zone: "perth-north"})
+	for i := range count {
+		f.start(i, change)
+	}
+	for _, e := range f.entries {
+		f.until("every entry host knows its peers and the engine's version", func() bool {
+			return len(e.endpoints.entries()) == count && len(e.endpoints.all()) == 1 && len(e.endpoints.all()[0].Versions) == 1
+		})
+	}
+	return f
+}
+
+func (f *fleet) start(i int, change func(*fleet, *Settings)) {
+	s := DefaultSettings()
+	s.Host = dotterelpulley.HostID(fmt.Sprintf("entry-%d", i+1))
+	s.Zone = "perth-north"
+	s.LogAddress = f.log.Address()
+	s.HostListAddress = f.hosts.Address()
+	s.CallerAddress = f.free()
+	s.OperatorAddress = f.free()
+	s.PeerAddress = f.free()
+	s.Timeouts.HostListEvery = 50 * time.Millisecond
+	s.Timeouts.LoadEvery = 50 * time.Millisecond
+	if change != nil {
+		change(f, &s)
+	}
+	f.Assert(s.Check(), qt.IsNil)
+	e := New(s, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	f.Assert(e.Start(), qt.IsNil)
+	f.Cleanup(func() { f.Check(e.Close(), qt.IsNil) })
+	f.Cleanup(f.client.CloseIdleConnections)
+	f.entries = append(f.entries, e)
+	f.hosts.Set(lister.Host{
+		ID:          s.Host,
+		Kind:        lister.KindEntry,
+		Address:     s.CallerAddress,
+		PeerAddress: s.PeerAddress,
+		Zone:        s.Zone,
+	})
+}
+
+// free returns an address on an IP address that only this process uses.
+func (f *fleet) free() dotterelpulley.Address {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(f.ip, 0).String())
+	f.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return dotterelpulley.Address(listener.Addr().String())
+}
+
+// until waits for a condition.
+func (f *fleet) until(what string, holds func() bool) {
+	tick := time.NewTicker(waitStep)
+	defer tick.Stop()
+	limit := time.NewTimer(waitLimit)
+	defer limit.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-limit.C:
+			f.Fatalf("waited %s until %s", waitLimit, what)
+		}
+	}
+}
+
+// plan sends an unstreamed plan to the entry host and returns its answer.
+func (f *fleet) plan(to int, key, prompt string) wireAnswer {
+	body, err := json.Marshal(wireRequest{
+		Organisation: "council",
+		Tier:         "urgent",
+		Service:      testService,
+		Prompt:       prompt,
+		MaxTokens:    defaultTokens,
+	})
+	f.Assert(err, qt.IsNil)
+	scheme := "http"
+	if f.issuer != nil {
+		scheme = "https"
+	}
+	url := fmt.Sprintf("%s://%s/v1/plans", scheme, f.entries[to].settings.CallerAddress)
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	f.Assert(err, qt.IsNil)
+	req.Header.Set(headerKey, key)
+	resp, err := f.client.Do(req)
+	f.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	f.Assert(err, qt.IsNil)
+	f.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	var answer wireAnswer
+	f.Assert(json.Unmarshal(text, &answer), qt.IsNil)
+	return answer
+}
+
+// secureFleet gives callers and peers certificates of one authority.
+func secureFleet(f *fleet, s *Settings) {
+	if f.issuer == nil {
+		i, err := issuer.New()
+		f.Assert(err, qt.IsNil)
+		f.issuer = i
+		f.client = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: i.Pool(), MinVersion: tls.VersionTLS13}}}
+	}
+	files, err := f.issuer.Write(f.TempDir(), f.ip)
+	f.Assert(err, qt.IsNil)
+	s.PeerFiles = files
+	files.Authority = ""
+	s.CallerFiles = files
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,23 +20,8 @@
 	waitingEvery    = time.Second
 )
 
-// newPeerHTTP returns a client for calls between entry hosts over cleartext HTTP/2.
-func newPeerHTTP(dial time.Duration) *http.Client {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dial}
-	return &http.Client{Transport: &http.Transport{
-		Protocols:   &protocols,
-		DialContext: dialer.DialContext,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: peerPingAfter,
-			PingTimeout:     peerPingTimeout,
-		},
-	}}
-}
-
 func (e *Entry) peer(address dotterelpulley.Address) peerpbconnect.PeerServiceClient {
-	return peerpbconnect.NewPeerServiceClient(e.peerHTTP, "http://"+string(address))
+	return peerpbconnect.NewPeerServiceClient(e.peerHTTP, e.peerURL(address))
 }
 
 // forward runs the request on its holder and copies the answer into an output of this host.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
 )
 
@@ -21,6 +22,10 @@
 	HostListAddress dotterelpulley.Address
 	Limits          Limits
 	Timeouts        Timeouts
+	// CallerFiles is the certificate shown to callers, who speak in clear text if none is given.
+	CallerFiles certifier.Files
+	// PeerFiles is the certificate shown to and asked of other entry hosts.
+	PeerFiles certifier.Files
 }
 
 // Limits bounds what callers may send and what the host keeps.
@@ -51,6 +56,8 @@
 	// HostListEvery and LoadEvery are the polling intervals.
 	HostListEvery time.Duration
 	LoadEvery     time.Duration
+	// CertificatesEvery is the interval at which certificate files are read again.
+	CertificatesEvery time.Duration
 }
 
 // DefaultSettings returns the settings of a file that states only what has no default.
@@ -63,15 +70,16 @@
 			Slots:       8,
 		},
 		Timeouts: Timeouts{
-			Dial:          time.Second,
-			FirstByte:     30 * time.Second,
-			Idle:          3 * time.Second,
-			Abandon:       5 * time.Second,
-			Linger:        time.Minute,
-			Drain:         2 * time.Minute,
-			KeepEntries:   10 * time.Second,
-			HostListEvery: time.Second,
-			LoadEvery:     time.Second,
+			Dial:              time.Second,
+			FirstByte:         30 * time.Second,
+			Idle:              3 * time.Second,
+			Abandon:           5 * time.Second,
+			Linger:            time.Minute,
+			Drain:             2 * time.Minute,
+			KeepEntries:       10 * time.Second,
+			HostListEvery:     time.Second,
+			LoadEvery:         time.Second,
+			CertificatesEvery: time.Minute,
 		},
 	}
 }
@@ -106,6 +114,14 @@
 			faults = append(faults, fmt.Errorf("%s: %q is not an IP address with a port", a.key, a.address))
 		}
 	}
+	for _, f := range s.files() {
+		if err := f.files.Check(); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", f.key, err))
+		}
+	}
+	if s.PeerFiles.Given() && s.PeerFiles.Authority == "" {
+		faults = append(faults, errors.New("peer-tls.authority: must be given"))
+	}
 	for _, n := range s.counts() {
 		if n.value <= 0 {
 			faults = append(faults, fmt.Errorf("%s: %d is not above 0", n.key, n.value))
@@ -134,6 +150,18 @@
 	}
 }
 
+type keyedFiles struct {
+	key   string
+	files certifier.Files
+}
+
+func (s Settings) files() []keyedFiles {
+	return []keyedFiles{
+		{"caller-tls", s.CallerFiles},
+		{"peer-tls", s.PeerFiles},
+	}
+}
+
 type keyedCount struct {
 	key   string
 	value int
@@ -165,5 +193,6 @@
 		{"timeouts.keep-entries", t.KeepEntries},
 		{"timeouts.host-list-every", t.HostListEvery},
 		{"timeouts.load-every", t.LoadEvery},
+		{"timeouts.certificates-every", t.CertificatesEvery},
 	}
 }
--- a/entry/settings_wire.go
+++ b/entry/settings_wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
 )
 
 type wireSettings struct {
@@ -18,6 +19,14 @@
 	HostListAddress string       `toml:"host-list-address"`
 	Limits          wireLimits   `toml:"limits"`
 	Timeouts        wireTimeouts `toml:"timeouts"`
+	CallerTLS       wireFiles    `toml:"caller-tls"`
+	PeerTLS         wireFiles    `toml:"peer-tls"`
+}
+
+type wireFiles struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
 }
 
 type wireLimits struct {
@@ -28,15 +37,16 @@
 }
 
 type wireTimeouts struct {
-	Dial          string `toml:"dial"`
-	FirstByte     string `toml:"first-byte"`
-	Idle          string `toml:"idle"`
-	Abandon       string `toml:"abandon"`
-	Linger        string `toml:"linger"`
-	Drain         string `toml:"drain"`
-	KeepEntries   string `toml:"keep-entries"`
-	HostListEvery string `toml:"host-list-every"`
-	LoadEvery     string `toml:"load-every"`
+	Dial              string `toml:"dial"`
+	FirstByte         string `toml:"first-byte"`
+	Idle              string `toml:"idle"`
+	Abandon           string `toml:"abandon"`
+	Linger            string `toml:"linger"`
+	Drain             string `toml:"drain"`
+	KeepEntries       string `toml:"keep-entries"`
+	HostListEvery     string `toml:"host-list-every"`
+	LoadEvery         string `toml:"load-every"`
+	CertificatesEvery string `toml:"certificates-every"`
 }
 
 func toWire(s Settings) wireSettings {
@@ -55,16 +65,19 @@
 			Slots:       s.Limits.Slots,
 		},
 		Timeouts: wireTimeouts{
-			Dial:          s.Timeouts.Dial.String(),
-			FirstByte:     s.Timeouts.FirstByte.String(),
-			Idle:          s.Timeouts.Idle.String(),
-			Abandon:       s.Timeouts.Abandon.String(),
-			Linger:        s.Timeouts.Linger.String(),
-			Drain:         s.Timeouts.Drain.String(),
-			KeepEntries:   s.Timeouts.KeepEntries.String(),
-			HostListEvery: s.Timeouts.HostListEvery.String(),
-			LoadEvery:     s.Timeouts.LoadEvery.String(),
+			Dial:              s.Timeouts.Dial.String(),
+			FirstByte:         s.Timeouts.FirstByte.String(),
+			Idle:              s.Timeouts.Idle.String(),
+			Abandon:           s.Timeouts.Abandon.String(),
+			Linger:            s.Timeouts.Linger.String(),
+			Drain:             s.Timeouts.Drain.String(),
+			KeepEntries:       s.Timeouts.KeepEntries.String(),
+			HostListEvery:     s.Timeouts.HostListEvery.String(),
+			LoadEvery:         s.Timeouts.LoadEvery.String(),
+			CertificatesEvery: s.Timeouts.CertificatesEvery.String(),
 		},
+		CallerTLS: filesToWire(s.CallerFiles),
+		PeerTLS:   filesToWire(s.PeerFiles),
 	}
 }
 
@@ -84,11 +97,21 @@
 			Waiting:     w.Limits.Waiting,
 			Slots:       w.Limits.Slots,
 		},
-		Timeouts: timeouts,
+		Timeouts:    timeouts,
+		CallerFiles: w.CallerTLS.fromWire(),
+		PeerFiles:   w.PeerTLS.fromWire(),
 	}
 	return s, err
 }
 
+func filesToWire(f certifier.Files) wireFiles {
+	return wireFiles{Certificate: f.Certificate, Key: f.Key, Authority: f.Authority}
+}
+
+func (w wireFiles) fromWire() certifier.Files {
+	return certifier.Files{Certificate: w.Certificate, Key: w.Key, Authority: w.Authority}
+}
+
 func (w wireTimeouts) fromWire() (Timeouts, error) {
 	var t Timeouts
 	var faults []error
@@ -108,5 +131,6 @@
 	read("keep-entries", w.KeepEntries, &t.KeepEntries)
 	read("host-list-every", w.HostListEvery, &t.HostListEvery)
 	read("load-every", w.LoadEvery, &t.LoadEvery)
+	read("certificates-every", w.CertificatesEvery, &t.CertificatesEvery)
 	return t, errors.Join(faults...)
 }
--- /dev/null
+++ b/internal/standin/issuer/doc.go
@@ -0,0 +1,2 @@
+// Package issuer stands in for an operator's certificate authority.
+package issuer
