--- a/cmd/dotterel-mover/poll.go
+++ b/cmd/dotterel-mover/poll.go
@@ -86,7 +86,7 @@
 }
 
 func (p *process) pollEvidence(h lister.Host) {
-	data, err := p.get(h.PeerAddress, "/v1/evidence")
+	data, err := p.peers.call(p.ctx, http.MethodGet, h.PeerAddress, "/v1/evidence", nil)
 	if err != nil {
 		p.counters.Inc("retry-evidence")
 		return
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -1,16 +1,17 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/follower"
@@ -103,24 +104,36 @@
 	for _, stream := range relayedStreams() {
 		query.Set(string(stream), strconv.FormatInt(int64(e.followed.next(stream)-1), 10))
 	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + string(address) + "/v1/records?" + query.Encode())
-	if err := e.reports.DoTimeout(req, resp, relayTimeout); err != nil {
-		return wireRelay{}, fmt.Errorf("ask %q for records: %w", address, err)
-	}
-	if resp.StatusCode() != http.StatusOK {
-		return wireRelay{}, fmt.Errorf("ask %q for records: status %d", address, resp.StatusCode())
+	data, err := e.callPeer(http.MethodGet, address, "/v1/records?"+query.Encode(), nil)
+	if err != nil {
+		return wireRelay{}, fmt.Errorf("ask for records: %w", err)
 	}
 	var w wireRelay
-	if err := json.Unmarshal(resp.Body(), &w); err != nil {
+	if err := json.Unmarshal(data, &w); err != nil {
 		return wireRelay{}, fmt.Errorf("decode records of %q: %w", address, err)
 	}
 	return w, nil
 }
 
+// callPeer makes one short call to another entry host.
+func (e *Entry) callPeer(method string, address dotterelpulley.Address, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, relayTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, e.peerURL(address)+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("call %q of peer %q: %w", path, address, err)
+	}
+	resp, err := e.peerHTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("call %q of peer %q: %w", path, address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fmt.Errorf("call %q of peer %q: status %d", path, address, resp.StatusCode)
+	}
+	return io.ReadAll(resp.Body)
+}
+
 // handleRecords answers a peer's question for records.
 func (e *Entry) handleRecords(w http.ResponseWriter, r *http.Request) {
 	heads := map[appender.Stream]appender.Offset{}
