--- a/cmd/dotterelctl/check.go
+++ b/cmd/dotterelctl/check.go
@@ -92,6 +92,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = publisher.Note(file, data, c, time.Now())
+	_, err = publisher.Note(file, data, c, nil, time.Now())
 	return err
 }
--- a/cmd/dotterelctl/publish.go
+++ b/cmd/dotterelctl/publish.go
@@ -52,10 +52,10 @@
 		return err
 	}
 	s := flags.open()
-	if _, err := s.catchUp(appender.StreamConfiguration); err != nil {
+	if err := s.catchUpBoth(); err != nil {
 		return err
 	}
-	p, err := publication(kind, file, data, s.follower.Configuration())
+	p, err := s.publication(kind, file, data)
 	if err != nil {
 		return exitError{exitFailed, err}
 	}
@@ -73,13 +73,14 @@
 	return told(s, verdict)
 }
 
-func publication(kind publisher.FileKind, file string, data []byte, inForce dotterelpulley.Configuration) (publisher.Publication, error) {
+func (s *source) publication(kind publisher.FileKind, file string, data []byte) (publisher.Publication, error) {
+	inForce := s.follower.Configuration()
 	switch kind {
 	case publisher.FileConfiguration:
 		c, err := publisher.Configuration(file, data)
 		return publisher.OfConfiguration(inForce, c), err
 	case publisher.FileNote:
-		note, err := publisher.Note(file, data, inForce, time.Now())
+		note, err := publisher.Note(file, data, inForce, s.follower.InForce, time.Now())
 		return publisher.OfNote(inForce, note), err
 	case publisher.FileSettings:
 		return publisher.Publication{}, fmt.Errorf("%q holds settings, which are not published", file)
--- a/cmd/dotterelctl/settings.go
+++ b/cmd/dotterelctl/settings.go
@@ -1,28 +1,57 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"strings"
+
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/dotterelpulley/dotterelpulley/decoder"
 	"github.com/dotterelpulley/dotterelpulley/entry"
 	"github.com/dotterelpulley/dotterelpulley/mover"
 )
 
-// checkSettings checks the settings of either binary, told apart by the keys that only an entry host has.
+// checkSettings checks the settings of an entry host or of a mover, told apart by the listeners that only an entry host has.
 func checkSettings(file string, data []byte) error {
-	var top map[string]any
-	if err := toml.Unmarshal(data, &top); err == nil && ofEntry(top) {
-		_, err := entry.LoadSettings(file)
+	if !ofEntry(data) {
+		_, err := mover.ParseSettings(file, data)
+		return err
+	}
+	_, err := entry.LoadSettings(file)
+	if err == nil {
+		return nil
+	}
+	var problem decoder.Problem
+	if errors.As(err, &problem) {
 		return err
 	}
-	_, err := mover.ParseSettings(file, data)
-	return err
+	return withLines(file, data, err)
 }
 
-func ofEntry(top map[string]any) bool {
+func ofEntry(data []byte) bool {
+	var top map[string]any
+	if err := toml.Unmarshal(data, &top); err != nil {
+		return false
+	}
 	for _, key := range []string{"caller-address", "peer-address", "limits", "timeouts"} {
-		if _, ok := top[key]; ok {
+		if _, found := top[key]; found {
 			return true
 		}
 	}
 	return false
 }
+
+// withLines puts file and line before each fault of the form "key: detail".
+func withLines(file string, data []byte, err error) error {
+	lines := decoder.Index(file, data)
+	var problems []error
+	for _, fault := range strings.Split(strings.TrimPrefix(err.Error(), file+": "), "\n") {
+		key, detail, found := strings.Cut(fault, ": ")
+		if !found {
+			return fmt.Errorf("%s: %s", file, fault)
+		}
+		problems = append(problems, lines.Problem(key, detail))
+	}
+	return errors.Join(problems...)
+}
--- a/publisher/note.go
+++ b/publisher/note.go
@@ -15,8 +15,13 @@
 // defaultCanaryShare bounds an unproved version's share when the note does not say.
 const defaultCanaryShare = 0.05
 
+// InForce returns the build that a service runs outside a move.
+type InForce func(dotterelpulley.ServiceID) (dotterelpulley.Build, bool)
+
 // Note decodes a release note file and checks it against the configuration at that time; name stands for it in errors.
-func Note(name string, data []byte, c dotterelpulley.Configuration, now time.Time) (dotterelpulley.ReleaseNote, error) {
+//
+// With inForce, a withdrawal of what a service runs is a problem too.
+func Note(name string, data []byte, c dotterelpulley.Configuration, inForce InForce, now time.Time) (dotterelpulley.ReleaseNote, error) {
 	note, r, err := decodeNote(name, data, now)
 	if err != nil {
 		return note, err
@@ -24,9 +29,21 @@
 	if len(r.problems) == 0 {
 		r.faults(recorder.CheckNote(note, c, now))
 	}
+	if inForce != nil {
+		r.withdrawals(note, inForce)
+	}
 	return note, r.err()
 }
 
+func (r *report) withdrawals(note dotterelpulley.ReleaseNote, inForce InForce) {
+	for i, change := range note.Changes {
+		build, known := inForce(change.Service)
+		if known && change.Action == dotterelpulley.ChangeWithdraw && build.Version == change.From.Version {
+			r.add(fmt.Sprintf("changes[%d].from.version", i), "version %q is in force and cannot be withdrawn", build.Version)
+		}
+	}
+}
+
 // NoteAlone checks what a release note file says by itself, taking every service that it names as known.
 func NoteAlone(name string, data []byte, now time.Time) (dotterelpulley.ReleaseNote, error) {
 	note, r, err := decodeNote(name, data, now)
