--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -60,15 +60,37 @@
 
 var measureNames = [measureCount]string{"failures", "slow first tokens", "slow tokens"}
 
-// group is a set of cells that are judged together; an empty route means all.
+// scope tells which cells are judged together.
+type scope int
+
+const (
+	scopeAll scope = iota
+	scopeRoute
+	scopeGeneration
+	scopeLoad
+	scopeCell
+	scopeCount
+)
+
+// group is a set of cells that are judged together; of the cell, only what the scope names is set.
 type group struct {
 	measure measure
-	route   dotterelpulley.RouteID
-	all     bool
+	scope   scope
 	cell    Cell
 	recent  bool
 }
 
+// groupsOf returns the groups that the cell belongs to.
+func groupsOf(m measure, c Cell, recent bool) [scopeCount]group {
+	return [scopeCount]group{
+		{m, scopeAll, Cell{}, recent},
+		{m, scopeRoute, Cell{Route: c.Route}, recent},
+		{m, scopeGeneration, Cell{Generation: c.Generation}, recent},
+		{m, scopeLoad, Cell{Load: c.Load}, recent},
+		{m, scopeCell, c, recent},
+	}
+}
+
 type groupEvidence struct {
 	logs   logRatios
 	trials trials
@@ -77,11 +99,14 @@
 // Assess judges the evidence at that time.
 func (a Assessor) Assess(e *Evidence, now time.Time) Assessment {
 	groups := a.groups(e)
-	threshold := a.threshold(len(groups), now.Sub(e.Began))
-	worst, worstLog := group{}, math.Inf(-1)
+	limits := a.limits(groups, now.Sub(e.Began))
+	worst, excess, highest := group{}, math.Inf(-1), math.Inf(-1)
 	for g, have := range groups {
-		if l := have.logs.mean(); l > worstLog || l == worstLog && less(g, worst) {
-			worst, worstLog = g, l
+		l := have.logs.mean()
+		highest = max(highest, l)
+		over := l - limits[g.scope]
+		if over > excess || over == excess && less(g, worst) {
+			worst, excess = g, over
 		}
 	}
 	result := Assessment{}
@@ -89,13 +114,13 @@
 		result.Requests += pair.New.Requests
 		result.Failures += pair.New.Failures
 	}
-	if worstLog >= threshold {
+	if excess >= 0 {
 		result.Bad = true
 		result.Reason = describe(worst, groups[worst].trials)
 		return result
 	}
 	missing := a.unproved(e)
-	result.Enough = len(missing) == 0 && result.Requests >= minPerRoute && worstLog < calm
+	result.Enough = len(missing) == 0 && result.Requests >= minPerRoute && highest < calm
 	result.Reason = fmt.Sprintf("%d requests, %d failures", result.Requests, result.Failures)
 	if len(missing) > 0 {
 		result.Reason += fmt.Sprintf(", routes not proved: %q", missing)
@@ -103,49 +128,60 @@
 	return result
 }
 
-func (a Assessor) threshold(groups int, elapsed time.Duration) float64 {
+// limits returns the log ratio at which a group of each scope shows a bad version: the scopes share the
+// probability of a false alarm, and so do the groups within one and the windows of recent evidence.
+func (a Assessor) limits(groups map[group]*groupEvidence, elapsed time.Duration) [scopeCount]float64 {
 	alarm := a.FalseAlarm
 	if alarm <= 0 {
 		alarm = DefaultFalseAlarm
 	}
+	var counts [scopeCount]int
+	for g := range groups {
+		counts[g.scope]++
+	}
 	windows := 1 + float64(elapsed/recentWindow)
-	return math.Log(float64(max(1, groups)) * windows / alarm)
+	var limits [scopeCount]float64
+	for s, n := range counts {
+		limits[s] = math.Log(float64(scopeCount) * float64(max(1, n)) * windows / alarm)
+	}
+	return limits
 }
 
-// groups collects the ratios of each cell, each route, and everything together.
+// groups collects the ratios of each group of cells.
 func (a Assessor) groups(e *Evidence) map[group]*groupEvidence {
 	found := map[group]*groupEvidence{}
 	ref := newReference(e)
 	for cell, pair := range e.Cells {
+		if pair.New.Requests == 0 {
+			continue
+		}
 		for m := range measureCount {
-			for _, recent := range []bool{false, true} {
-				tally := &pair.New
-				if recent {
-					tally = &pair.Recent
-				}
-				t, known := ref.trials(m, cell, tally)
-				if !known || t.requests == 0 {
-					continue
-				}
-				logs := t.logRatios()
-				for _, g := range []group{
-					{measure: m, cell: cell, recent: recent},
-					{measure: m, route: cell.Route, recent: recent},
-					{measure: m, all: true, recent: recent},
-				} {
-					if found[g] == nil {
-						found[g] = &groupEvidence{}
-					}
-					found[g].logs.add(logs)
-					found[g].trials.requests += t.requests
-					found[g].trials.hits += t.hits
-				}
+			if t, known := ref.trials(m, cell, &pair.New); known {
+				collect(found, groupsOf(m, cell, false), t)
+			}
+			if t, known := ref.trials(m, cell, &pair.Recent); known {
+				collect(found, groupsOf(m, cell, true), t)
 			}
 		}
 	}
 	return found
 }
 
+func collect(into map[group]*groupEvidence, groups [scopeCount]group, t trials) {
+	if t.requests == 0 {
+		return
+	}
+	logs := t.logRatios()
+	for _, g := range groups {
+		if into[g] == nil {
+			into[g] = &groupEvidence{}
+		}
+		into[g].logs.add(logs)
+		into[g].trials.requests += t.requests
+		into[g].trials.hits += t.hits
+	}
+}
+
 // unproved returns the routes that the old version serves and the new one has not served enough in this step.
 func (a Assessor) unproved(e *Evidence) []dotterelpulley.RouteID {
 	old := map[dotterelpulley.RouteID]int{}
@@ -170,12 +206,17 @@
 }
 
 func describe(g group, t trials) string {
-	where := fmt.Sprintf("route %q, tier %s, generation %q, load %s", g.cell.Route, g.cell.Tier, g.cell.Generation, g.cell.Load)
-	switch {
-	case g.all:
-		where = "all routes"
-	case g.cell == (Cell{}):
-		where = fmt.Sprintf("route %q", g.route)
+	where := "all requests"
+	switch g.scope {
+	case scopeAll, scopeCount:
+	case scopeRoute:
+		where = fmt.Sprintf("route %q", g.cell.Route)
+	case scopeGeneration:
+		where = fmt.Sprintf("generation %q", g.cell.Generation)
+	case scopeLoad:
+		where = fmt.Sprintf("load %s", g.cell.Load)
+	case scopeCell:
+		where = fmt.Sprintf("route %q, tier %s, generation %q, load %s", g.cell.Route, g.cell.Tier, g.cell.Generation, g.cell.Load)
 	}
 	span := "in this step"
 	if g.recent {
@@ -187,8 +228,10 @@
 func less(a, b group) bool {
 	return cmp.Or(
 		cmp.Compare(a.measure, b.measure),
-		cmp.Compare(a.route, b.route),
-		cmp.Compare(fmt.Sprint(a.cell), fmt.Sprint(b.cell)),
-		cmp.Compare(fmt.Sprint(a.all, a.recent), fmt.Sprint(b.all, b.recent)),
+		cmp.Compare(a.scope, b.scope),
+		cmp.Compare(a.cell.Route, b.cell.Route),
+		cmp.Compare(a.cell.Tier, b.cell.Tier),
+		cmp.Compare(a.cell.Generation, b.cell.Generation),
+		cmp.Compare(a.cell.Load, b.cell.Load),
 	) < 0
 }
--- a/assessor/cell.go
+++ b/assessor/cell.go
@@ -100,3 +100,9 @@
 	t.FirstToken.merge(&other.FirstToken)
 	t.BetweenTokens.merge(&other.BetweenTokens)
 }
+
+// count adds the other tally's requests and failures alone.
+func (t *Tally) count(other *Tally) {
+	t.Requests += other.Requests
+	t.Failures += other.Failures
+}
--- a/assessor/exposure.go
+++ b/assessor/exposure.go
@@ -20,8 +20,10 @@
 
 // Pair is what is known of both versions in one cell.
 type Pair struct {
-	// Old is the reference since the move began.
+	// Old is the old version since the move began.
 	Old Tally
+	// OldStep is the old version since the step began.
+	OldStep Tally
 	// New is the new version since the step began.
 	New Tally
 	// Recent is the new version in the last seconds.
@@ -50,8 +52,7 @@
 		e.Cells = nil
 	}
 	for _, pair := range e.Cells {
-		pair.New = Tally{}
-		pair.Recent = Tally{}
+		*pair = Pair{Old: pair.Old}
 	}
 	e.Exposure, e.Began, e.rotated = x, now, now
 	e.current, e.previous = nil, nil
@@ -62,7 +63,9 @@
 	e.rotate(now)
 	switch version {
 	case e.Exposure.Old:
-		e.pair(s.Cell).Old.Add(s)
+		pair := e.pair(s.Cell)
+		pair.Old.Add(s)
+		pair.OldStep.Add(s)
 	case e.Exposure.New:
 		e.pair(s.Cell).New.Add(s)
 		if e.current == nil {
@@ -93,6 +96,7 @@
 	for cell, theirs := range other.Cells {
 		mine := e.pair(cell)
 		mine.Old.Merge(&theirs.Old)
+		mine.OldStep.Merge(&theirs.OldStep)
 		mine.New.Merge(&theirs.New)
 		mine.Recent.Merge(&theirs.Recent)
 	}
--- a/assessor/sequential.go
+++ b/assessor/sequential.go
@@ -5,6 +5,9 @@
 // multiples are the alternatives of the test: how many times the tolerated rate a bad version has.
 var multiples = [...]float64{2, 4, 10, 25}
 
+// maxTolerated bounds the rate that is tolerated.
+const maxTolerated = 0.9
+
 // maxAlternative bounds the rate that an alternative stands for.
 const maxAlternative = 0.95
 
@@ -61,3 +64,11 @@
 	p := (float64(hits) + 1) / (float64(n) + 2)
 	return min(1, p+deviations*math.Sqrt(p*(1-p)/(float64(n)+2)))
 }
+
+// atLeast returns a rate that is not exceeded by chance of the few seen, and 0 when nothing was hit.
+func atLeast(hits, n int) float64 {
+	if hits == 0 {
+		return 0
+	}
+	return (float64(hits) + math.Sqrt(float64(hits))) / float64(n)
+}
--- a/assessor/wire.go
+++ b/assessor/wire.go
@@ -22,6 +22,7 @@
 	Generation string    `json:"generation"`
 	Load       string    `json:"load"`
 	Old        wireTally `json:"old"`
+	OldStep    wireTally `json:"old-step"`
 	New        wireTally `json:"new"`
 	Recent     wireTally `json:"recent"`
 }
@@ -78,6 +79,7 @@
 			Generation: string(cell.Generation),
 			Load:       cell.Load.String(),
 			Old:        pair.Old.toWire(),
+			OldStep:    pair.OldStep.toWire(),
 			New:        pair.New.toWire(),
 			Recent:     pair.Recent.toWire(),
 		})
@@ -106,6 +108,9 @@
 		if pair.Old, err = wc.Old.fromWire(); err != nil {
 			return nil, err
 		}
+		if pair.OldStep, err = wc.OldStep.fromWire(); err != nil {
+			return nil, err
+		}
 		if pair.New, err = wc.New.fromWire(); err != nil {
 			return nil, err
 		}
--- a/cmd/dotterel-mover/operators.go
+++ b/cmd/dotterel-mover/operators.go
@@ -72,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	view := p.view(now)
+	view := p.view()
 	status := wireStatus{
 		Host:    string(p.settings.Host),
 		Leading: p.mover.Leading(view),
--- a/cmd/dotterel-mover/poll.go
+++ b/cmd/dotterel-mover/poll.go
@@ -24,7 +24,7 @@
 		p.list = list
 	}
 	hosts := p.list.Hosts
-	leading := p.mover.Leading(p.view(time.Now()))
+	leading := p.mover.Leading(p.view())
 	p.mu.Unlock()
 	if err != nil {
 		p.counters.Inc("retry-host-list")
@@ -43,6 +43,9 @@
 		}
 	}
 	polls.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.assessAll(time.Now())
 }
 
 type wireOrderState struct {
--- a/cmd/dotterel-mover/process.go
+++ b/cmd/dotterel-mover/process.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelpulley/dotterelpulley/follower"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 	"github.com/dotterelpulley/dotterelpulley/mover"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
 
 const (
@@ -46,6 +47,8 @@
 	list      lister.List
 	endpoints map[dotterelpulley.EndpointID]mover.Endpoint
 	evidence  map[dotterelpulley.HostID][]*assessor.Evidence
+	// assessments are of the newest poll.
+	assessments map[recorder.MoveID]mover.Assessment
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -145,7 +148,7 @@
 func (p *process) tick() {
 	p.mu.Lock()
 	now := time.Now()
-	view := p.view(now)
+	view := p.view()
 	actions := p.mover.Tick(now, view)
 	p.mu.Unlock()
 	for _, action := range actions {
@@ -163,7 +166,7 @@
 // Close gives the lease up, ends the process's work and waits for it.
 func (p *process) Close() error {
 	p.mu.Lock()
-	farewell, held := p.mover.Farewell(time.Now(), p.view(time.Now()))
+	farewell, held := p.mover.Farewell(time.Now(), p.view())
 	p.mu.Unlock()
 	if held {
 		p.append(farewell)
--- a/cmd/dotterel-mover/view.go
+++ b/cmd/dotterel-mover/view.go
@@ -11,7 +11,7 @@
 )
 
 // view gathers what the mover decides from; p.mu is held.
-func (p *process) view(now time.Time) *mover.View {
+func (p *process) view() *mover.View {
 	v := &mover.View{
 		Configuration: p.follower.ConfigurationState(),
 		Moves:         p.follower.MovesState(),
@@ -28,12 +28,20 @@
 			v.Endpoints = append(v.Endpoints, e)
 		}
 	}
-	for _, m := range v.Moves.Moves {
+	for id, a := range p.assessments {
+		v.Assessments[id] = a
+	}
+	return v
+}
+
+// assessAll judges every running move anew; p.mu is held.
+func (p *process) assessAll(now time.Time) {
+	p.assessments = map[recorder.MoveID]mover.Assessment{}
+	for _, m := range p.follower.MovesState().Moves {
 		if m.Running() && m.Number > 0 {
-			v.Assessments[m.ID] = p.assess(m, now)
+			p.assessments[m.ID] = p.assess(m, now)
 		}
 	}
-	return v
 }
 
 // caughtUp returns when both streams were last read to their end.
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -13,7 +13,7 @@
 	finishMargin = 5 * time.Second
 )
 
-// ladder returns the shares of a move's steps, from the canary share to all.
+// ladder returns the shares of a move's steps, from the canary share to the last; the done record gives the rest.
 func ladder(limit float64) []float64 {
 	shares := []float64{limit}
 	for _, next := range []float64{0.25, 0.5} {
@@ -21,7 +21,7 @@
 			shares = append(shares, next)
 		}
 	}
-	return append(shares, 1)
+	return append(shares, recorder.LastShare)
 }
 
 // LeastTime returns the least time in which a move with these terms can be done, without loading.
--- a/mover/records.go
+++ b/mover/records.go
@@ -163,7 +163,7 @@
 func (m *Mover) complete(now time.Time, view *View, move recorder.Move) bool {
 	switch move.Action {
 	case dotterelpulley.ChangeReplace:
-		return move.Share >= 1 && m.proved(now, view, move)
+		return move.Share >= recorder.LastShare && m.proved(now, view, move)
 	case dotterelpulley.ChangeAdd:
 		return enoughLoaded(view, move, 1)
 	case dotterelpulley.ChangeWithdraw:
--- a/recorder/moves_state.go
+++ b/recorder/moves_state.go
@@ -11,6 +11,9 @@
 // moveMemory is how long after its deadline an ended move is remembered.
 const moveMemory = 7 * 24 * time.Hour
 
+// LastShare is the share of a move's last step: the old version keeps the rest, to be compared with, until the move is done.
+const LastShare = 0.95
+
 // ClockTolerance is how far a host's clock may be from the log's.
 const ClockTolerance = 2 * time.Second
 
@@ -243,8 +246,8 @@
 		return "its version is bad"
 	case at.Appended.After(m.Deadline):
 		return "its deadline has passed"
-	case m.Action == dotterelpulley.ChangeReplace && m.Share < 1:
-		return "its version does not have the whole share"
+	case m.Action == dotterelpulley.ChangeReplace && m.Share < LastShare:
+		return "its version has not had the last share"
 	}
 	return ""
 }
