--- a/entry/certificates.go
+++ b/entry/certificates.go
@@ -71,6 +71,7 @@
 	}}
 }
 
+// peerProtocols are spoken between entry hosts.
 func peerProtocols() *http.Protocols {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
@@ -78,6 +79,13 @@
 	return &protocols
 }
 
+// peerListenerProtocols add what movers speak.
+func peerListenerProtocols() *http.Protocols {
+	protocols := peerProtocols()
+	protocols.SetHTTP1(true)
+	return protocols
+}
+
 // peerPings makes a silent peer connection end.
 func peerPings() *http.HTTP2Config {
 	return &http.HTTP2Config{
