--- /dev/null
+++ b/cmd/dotterel-load/cost.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dotterelpulley/dotterelpulley/sampler"
+)
+
+type wireCost struct {
+	Processes      int     `json:"processes"`
+	Over           string  `json:"over"`
+	Cores          float64 `json:"cores"`
+	BytesPerSecond float64 `json:"bytes-per-second"`
+	Resident       int64   `json:"resident-bytes"`
+	ResidentPeak   int64   `json:"resident-peak-bytes"`
+	Private        int64   `json:"private-bytes"`
+}
+
+// takeAll takes a sample of every process.
+func takeAll(pids []int) ([]sampler.Sample, error) {
+	samples := make([]sampler.Sample, 0, len(pids))
+	for _, pid := range pids {
+		s, err := sampler.Take(sampler.PID(pid))
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errRun, err)
+		}
+		samples = append(samples, s)
+	}
+	return samples, nil
+}
+
+// total adds up the costs from the first samples to the last.
+func total(first, last []sampler.Sample) wireCost {
+	var over time.Duration
+	w := wireCost{Processes: len(first)}
+	for i := range first {
+		c := sampler.Between(first[i], last[i])
+		over = max(over, c.Over)
+		w.Cores += c.Cores
+		w.BytesPerSecond += c.BytesPerSecond
+		w.Resident += int64(c.Resident)
+		w.ResidentPeak += int64(c.ResidentPeak)
+		w.Private += int64(c.Private)
+	}
+	w.Over = over.Round(time.Millisecond).String()
+	return w
+}
+
+func newCost() *cobra.Command {
+	var pids []int
+	var over time.Duration
+	command := &cobra.Command{
+		Use:     "cost",
+		Short:   "Measure what running processes cost",
+		Long:    "Measures the processor time, memory and bytes of running processes and writes their sums as one JSON line.",
+		Example: "  dotterel-load cost --pid 4242 --pid 4243 --over 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			first, err := takeAll(pids)
+			if err != nil {
+				return err
+			}
+			select {
+			case <-command.Context().Done():
+			case <-time.After(over):
+			}
+			last, err := takeAll(pids)
+			if err != nil {
+				return err
+			}
+			return json.NewEncoder(command.OutOrStdout()).Encode(total(first, last))
+		},
+	}
+	command.Flags().IntSliceVar(&pids, "pid", nil, "process to measure (repeatable)")
+	command.Flags().DurationVar(&over, "over", 10*time.Second, "time to measure over")
+	if err := command.MarkFlagRequired("pid"); err != nil {
+		panic(err)
+	}
+	return command
+}
--- /dev/null
+++ b/fitter/doc.go
@@ -0,0 +1,3 @@
+// Package fitter fits straight lines through measured points, such as those of
+// benchmarks that run at several sizes.
+package fitter
