--- /dev/null
+++ b/capacity/picker_test.go
@@ -0,0 +1,142 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/limiter"
+	"github.com/dotterelpulley/dotterelpulley/picker"
+)
+
+const (
+	service = dotterelpulley.ServiceID("kaasik-lm")
+	version = dotterelpulley.VersionID("kaasik-lm@1")
+)
+
+var (
+	endpointSizes = []int{20, 200, 2200}
+	prefixSizes   = []int{1000, 8000, 32000}
+)
+
+func endpoints(n int) []dotterelpulley.Endpoint {
+	all := make([]dotterelpulley.Endpoint, 0, n)
+	for i := range n {
+		all = append(all, dotterelpulley.Endpoint{
+			ID:         dotterelpulley.EndpointID(fmt.Sprintf("engine-%d", i)),
+			Service:    service,
+			Address:    dotterelpulley.Address(fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250)),
+			Zone:       dotterelpulley.ZoneID(fmt.Sprintf("zone-%d", i%5)),
+			Generation: dotterelpulley.Generation(fmt.Sprintf("g%d", i%5)),
+			Versions:   []dotterelpulley.VersionID{version},
+		})
+	}
+	return all
+}
+
+func reportAll(p *picker.Picker, all []dotterelpulley.Endpoint, now time.Time) {
+	for i, e := range all {
+		p.Report(now, e.ID, picker.Report{Running: i % 4, MeasuredAt: now})
+	}
+}
+
+func fullPicker(all []dotterelpulley.Endpoint, now time.Time) *picker.Picker {
+	p := &picker.Picker{Seed: 1, Zone: "zone-1", Peers: 8}
+	p.SetEndpoints(service, all)
+	p.SetShares(service, []dotterelpulley.Share{{Version: version, Fraction: 1}})
+	reportAll(p, all, now)
+	return p
+}
+
+func BenchmarkPickerChoice(b *testing.B) {
+	atSizes(b, "endpoints", endpointSizes, func(b *testing.B, n int) {
+		now := time.Unix(1, 0)
+		all := endpoints(n)
+		p, heap := heapOf(func() *picker.Picker { return fullPicker(all, now) })
+		ask := picker.Ask{
+			Route:       picker.Route{Service: service, Route: "cab-advisory"},
+			PromptBytes: 2048,
+			MaxTokens:   64,
+		}
+		b.ResetTimer()
+		for b.Loop() {
+			choice, verdict := p.Choose(now, ask)
+			if verdict != picker.Chosen {
+				b.Fatalf("verdict %d", verdict)
+			}
+			p.Sent(now, choice)
+			p.Ended(now, choice, picker.Result{Outcome: picker.RunWhole, Tokens: 32})
+		}
+		b.ReportMetric(heap, "heap-B")
+		runtime.KeepAlive(p)
+	})
+}
+
+func BenchmarkPickerReports(b *testing.B) {
+	atSizes(b, "endpoints", endpointSizes, func(b *testing.B, n int) {
+		now := time.Unix(1, 0)
+		all := endpoints(n)
+		p := fullPicker(all, now)
+		b.ResetTimer()
+		for b.Loop() {
+			now = now.Add(time.Second)
+			reportAll(p, all, now)
+		}
+	})
+}
+
+func BenchmarkPickerSubset(b *testing.B) {
+	atSizes(b, "endpoints", endpointSizes, func(b *testing.B, n int) {
+		all := endpoints(n)
+		for b.Loop() {
+			picker.Subset(all, picker.Place{Rank: 3, Of: 350}, 64)
+		}
+	})
+}
+
+func BenchmarkPickerPrefixes(b *testing.B) {
+	atSizes(b, "prefixes", prefixSizes, func(b *testing.B, n int) {
+		now := time.Unix(1, 0)
+		all := endpoints(64)
+		p := fullPicker(all, now)
+		_, heap := heapOf(func() *picker.Picker {
+			for i := range n {
+				p.Cached(now, all[i%len(all)].ID, picker.PrefixHash(i+1))
+			}
+			return p
+		})
+		next := 0
+		b.ResetTimer()
+		for b.Loop() {
+			next++
+			p.Cached(now, all[next%len(all)].ID, picker.PrefixHash(next%n+1))
+		}
+		b.ReportMetric(heap, "heap-B")
+		runtime.KeepAlive(p)
+	})
+}
+
+func BenchmarkLimiter(b *testing.B) {
+	atSizes(b, "endpoints", endpointSizes, func(b *testing.B, n int) {
+		now := time.Unix(1, 0)
+		all := endpoints(n)
+		sample := limiter.Sample{FirstToken: 200 * time.Millisecond, BetweenTokens: 20 * time.Millisecond, Inflight: 4}
+		l, heap := heapOf(func() *limiter.Limiter {
+			l := &limiter.Limiter{}
+			for _, e := range all {
+				l.Observe(now, e.ID, sample)
+			}
+			return l
+		})
+		next := 0
+		b.ResetTimer()
+		for b.Loop() {
+			next++
+			l.Observe(now, all[next%n].ID, sample)
+		}
+		b.ReportMetric(heap, "heap-B")
+		runtime.KeepAlive(l)
+	})
+}
