--- /dev/null
+++ b/internal/prover/entry.go
@@ -0,0 +1,164 @@
+package prover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/proxy"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+)
+
+// Entry is an entry host: its process, and the proxies before and behind it.
+type Entry struct {
+	*Process
+	Host      lister.Host
+	Operators dotterelpulley.Address
+	// Callers and Peers stand before the host's listeners.
+	Callers proxy.Proxy
+	Peers   proxy.Proxy
+	// Log and HostList stand between the host and the platform.
+	Log      proxy.Proxy
+	HostList proxy.Proxy
+
+	program  string
+	settings string
+	client   http.Client
+}
+
+const (
+	operatorTimeout = 2 * time.Second
+
+	entrySettings = `host = %q
+zone = %q
+caller-address = %q
+peer-address = %q
+operator-address = %q
+log-address = %q
+host-list-address = %q
+
+[timeouts]
+first-byte = "10s"
+idle = "2s"
+drain = "30s"
+keep-entries = "1s"
+host-list-every = "100ms"
+load-every = "100ms"
+`
+)
+
+// newEntry places entry host n of the site behind its proxies, not started yet.
+func (s *Site) newEntry(n int) (*Entry, error) {
+	ip := fmt.Sprintf("%s.%d", s.network, n)
+	id := fmt.Sprintf("entry-%d", n)
+	e := &Entry{
+		Operators: address(ip, 7102),
+		program:   s.Binaries.path("dotterel-entry"),
+		settings:  filepath.Join(s.dir, id+".toml"),
+		client:    http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	e.Callers.Target = address(ip, 7100)
+	e.Peers.Target = address(ip, 7101)
+	e.Log.Target = s.Log.Address()
+	e.HostList.Target = s.Hosts.Address()
+	for _, p := range e.proxies() {
+		if err := p.Start(address(ip, 0)); err != nil {
+			return nil, errors.Join(err, e.close())
+		}
+	}
+	e.Host = lister.Host{
+		ID:          dotterelpulley.HostID(id),
+		Kind:        lister.KindEntry,
+		Address:     e.Callers.Address(),
+		PeerAddress: e.Peers.Address(),
+		Zone:        s.Zones[(n-1)%len(s.Zones)],
+	}
+	text := fmt.Sprintf(
+		entrySettings, id, e.Host.Zone, e.Callers.Target, e.Peers.Target, e.Operators, e.Log.Address(), e.HostList.Address(),
+	)
+	return e, os.WriteFile(e.settings, []byte(text), 0o600)
+}
+
+func address(ip string, port int) dotterelpulley.Address {
+	return dotterelpulley.Address(fmt.Sprintf("%s:%d", ip, port))
+}
+
+func (e *Entry) proxies() []*proxy.Proxy {
+	return []*proxy.Proxy{&e.Callers, &e.Peers, &e.Log, &e.HostList}
+}
+
+// Start starts the host's process, a new incarnation each time.
+func (e *Entry) Start() error {
+	p, err := startProcess(string(e.Host.ID), e.program, e.settings)
+	if err != nil {
+		return err
+	}
+	e.Process = p
+	return nil
+}
+
+// Ready reports whether the host says that it is ready.
+func (e *Entry) Ready() bool {
+	status, _, err := e.Operator(http.MethodGet, "/readyz")
+	return err == nil && status == http.StatusOK
+}
+
+// Operator sends a request to the operators' listener and returns status and body.
+func (e *Entry) Operator(method, path string) (int, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+string(e.Operators)+path, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
+}
+
+// Status is what a host says of itself.
+type Status struct {
+	Ready     bool             `json:"ready"`
+	Draining  bool             `json:"draining"`
+	Live      int              `json:"live-requests"`
+	Entries   int              `json:"entry-hosts"`
+	Revision  int64            `json:"revision"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// EndpointStatus is what a host says of an endpoint.
+type EndpointStatus struct {
+	ID       string   `json:"id"`
+	State    string   `json:"state"`
+	Versions []string `json:"versions"`
+}
+
+// Status returns what the host says of itself; the zero value if it says nothing.
+func (e *Entry) Status() Status {
+	var s Status
+	_, body, err := e.Operator(http.MethodGet, "/v1/status")
+	if err != nil || json.Unmarshal(body, &s) != nil {
+		return Status{}
+	}
+	return s
+}
+
+// close kills the process and ends the proxies.
+func (e *Entry) close() error {
+	var failed []error
+	if e.Process != nil {
+		failed = append(failed, e.Process.Close())
+	}
+	for _, p := range e.proxies() {
+		failed = append(failed, p.Close())
+	}
+	return errors.Join(failed...)
+}
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -84,6 +84,15 @@
 	h.change(host.ID, []wireHost{hostToWire(host)})
 }
 
+// Visible returns the hosts as readers see them now.
+func (h *Hosts) Visible() []lister.Host {
+	var hosts []lister.Host
+	for _, w := range h.visible(time.Now()).Hosts {
+		hosts = append(hosts, w.fromWire())
+	}
+	return hosts
+}
+
 // Remove takes the host off the list.
 func (h *Hosts) Remove(id dotterelpulley.HostID) {
 	h.change(id, nil)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -100,7 +100,7 @@
 	s.mu.Unlock()
 	s.pause(delay)
 	next(ctx)
-	if s.losesAnswer() {
+	if ctx.IsPost() && s.losesAnswer() {
 		_ = ctx.Conn().Close()
 	}
 }
@@ -142,7 +142,7 @@
 	if ln != nil {
 		_ = ln.Close()
 	}
-	s.dropConnections()
+	s.CutConnections()
 }
 
 // Resume listens again on the address of before Stop.
@@ -191,7 +191,7 @@
 	s.delay = d
 }
 
-// LoseAnswers drops the connection after the effect of the next n calls; all of them if n is negative.
+// LoseAnswers drops the connection after the effect of the next n POST calls; of all if n is negative.
 func (s *server) LoseAnswers(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,7 +205,8 @@
 	return s.lost
 }
 
-func (s *server) dropConnections() {
+// CutConnections closes the connections that are open now; new ones work.
+func (s *server) CutConnections() {
 	s.mu.Lock()
 	open := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
--- /dev/null
+++ b/proof/call_test.go
@@ -0,0 +1,252 @@
+package proof
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin"
+)
+
+const callWithin = 20 * time.Second
+
+func newKey() dotterelpulley.Key {
+	id := uuid.Must(uuid.NewV7())
+	return dotterelpulley.Key{Organisation: "agro-emajogi", Idempotency: dotterelpulley.IdempotencyKey(id.String())}
+}
+
+// plan returns a call for a plan of so many tokens.
+func plan(words string, tokens int) prover.Call {
+	return prover.Call{Within: callWithin, Request: dotterelpulley.Request{
+		Key:       newKey(),
+		Kind:      dotterelpulley.KindPlan,
+		Tier:      dotterelpulley.TierInteractive,
+		Service:   "kaasik-lm",
+		Route:     "parcel-check",
+		Prompt:    fmt.Sprintf("%s len=%d", words, tokens),
+		MaxTokens: dotterelpulley.Tokens(tokens),
+	}}
+}
+
+func booking() prover.Call {
+	key := newKey()
+	return prover.Call{Within: callWithin, Request: dotterelpulley.Request{
+		Key:     key,
+		Kind:    dotterelpulley.KindBooking,
+		Tier:    dotterelpulley.TierStandard,
+		Service: "laotus-app",
+		Route:   "order",
+		Payload: fmt.Appendf(nil, `{"order":%q}`, key.Idempotency),
+	}}
+}
+
+func (s site) send(c prover.Call, through *prover.Entry) prover.Answer {
+	a := c.Send(s.Context(), through.Callers.Address())
+	s.Note("%s %s through %s: %s", c.Request.Kind, c.Request.Key, through.Host.ID, a)
+	return a
+}
+
+// wholeOnce checks that the answer is the whole one and that the key ran once.
+func (s site) wholeOnce(c prover.Call, a prover.Answer) {
+	s.Helper()
+	s.Check(a.Expected(c.Request), qt.IsTrue, qt.Commentf("%s", a))
+	s.Check(s.RunsOf(c.Request.Key), qt.HasLen, 1)
+}
+
+// duringStreams sends streams through every entry host, strikes once all have begun, and returns the calls with their answers.
+func (s site) duringStreams(tokens int, strike func()) ([]prover.Call, []prover.Answer) {
+	const perEntry = 4
+	calls := make([]prover.Call, perEntry*len(s.Entries))
+	answers := make([]prover.Answer, len(calls))
+	begun := make(chan struct{}, len(calls))
+	var tasks conc.WaitGroup
+	for i := range calls {
+		calls[i] = plan(fmt.Sprintf("stream %d", i), tokens)
+		calls[i].OnChunk = func(chunks int) {
+			if chunks == 5 {
+				begun <- struct{}{}
+			}
+		}
+		tasks.Go(func() { answers[i] = s.send(calls[i], s.Entries[i%len(s.Entries)]) })
+	}
+	for range calls {
+		select {
+		case <-begun:
+		case <-time.After(patience):
+			s.Error("a stream has not begun")
+		}
+	}
+	strike()
+	tasks.Wait()
+	return calls, answers
+}
+
+func TestStreamOutlivesSilentConnections(t *testing.T) {
+	s := running(t, nil)
+	calls, answers := s.duringStreams(200, func() {
+		enginesSilent(s)
+		peersSilent(s)
+	})
+	for i := range calls {
+		s.wholeOnce(calls[i], answers[i])
+	}
+}
+
+func TestStreamOutlivesCutsToTheEngine(t *testing.T) {
+	s := running(t, nil)
+	calls, answers := s.duringStreams(200, func() {
+		for _, e := range s.Engines {
+			e.CutConnections()
+		}
+	})
+	for i := range calls {
+		s.wholeOnce(calls[i], answers[i])
+	}
+}
+
+// TestStreamOutlivesAShortRefusal cuts the connections and refuses new ones for a moment, while the runs go on.
+func TestStreamOutlivesAShortRefusal(t *testing.T) {
+	s := running(t, nil)
+	calls, answers := s.duringStreams(200, func() {
+		for _, e := range s.Engines {
+			e.Stop()
+			s.Assert(e.Resume(), qt.IsNil)
+		}
+	})
+	for i := range calls {
+		s.wholeOnce(calls[i], answers[i])
+	}
+}
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	s := running(t, nil)
+	leaver := s.Entries[0]
+	calls, answers := s.duringStreams(300, func() {
+		s.Note("SIGTERM to %s", leaver.Host.ID)
+		s.Assert(leaver.Signal(syscall.SIGTERM), qt.IsNil)
+		s.await("the host says that it is not ready", func() bool { return !leaver.Ready() })
+		late := plan("late", 10)
+		s.Check(s.send(late, leaver).Whole, qt.IsFalse)
+		s.wholeOnce(late, s.send(late, s.Entries[1]))
+	})
+	for i := range calls {
+		s.wholeOnce(calls[i], answers[i])
+	}
+	select {
+	case <-leaver.Exited():
+		s.Assert(leaver.ExitCode(), qt.Equals, 0)
+	case <-time.After(patience):
+		s.Fatal("the host has not ended")
+	}
+}
+
+func TestResendMeetsTheRunningRequest(t *testing.T) {
+	s := running(t, nil)
+	call := plan("resent", 200)
+	var tasks conc.WaitGroup
+	answers := make([]prover.Answer, len(s.Entries))
+	begun := make(chan struct{})
+	first := call
+	first.OnChunk = func(chunks int) {
+		if chunks == 5 {
+			close(begun)
+		}
+	}
+	tasks.Go(func() { answers[0] = s.send(first, s.Entries[0]) })
+	<-begun
+	for i := 1; i < len(answers); i++ {
+		tasks.Go(func() { answers[i] = s.send(call, s.Entries[i]) })
+	}
+	s.Note("the first caller is cut off")
+	s.Entries[0].Callers.Cut()
+	tasks.Wait()
+	s.Check(answers[0].Whole, qt.IsFalse)
+	for _, a := range answers[1:] {
+		s.wholeOnce(call, a)
+	}
+	s.wholeOnce(call, s.send(call, s.Entries[0]))
+}
+
+func TestKeyBelongsToItsOrganisation(t *testing.T) {
+	s := running(t, nil)
+	mine := plan("mine", 20)
+	s.wholeOnce(mine, s.send(mine, s.Entries[0]))
+	theirs := plan("theirs", 20)
+	theirs.Request.Key = dotterelpulley.Key{Organisation: "rannu-vaetis", Idempotency: mine.Request.Key.Idempotency}
+	s.wholeOnce(theirs, s.send(theirs, s.Entries[1]))
+}
+
+func TestBookingWhoseAnswerIsLostRunsOnce(t *testing.T) {
+	s := running(t, nil)
+	for _, p := range s.Plain {
+		p.LoseAnswers(1)
+	}
+	call := booking()
+	a := s.send(call, s.Entries[0])
+	s.Assert(a.Whole, qt.IsFalse)
+	s.Check(a.Truth, qt.Equals, dotterelpulley.OutcomeUnknown.String())
+	for _, e := range s.Entries {
+		again := s.send(call, e)
+		s.Check(again.Whole, qt.IsFalse)
+		s.Check(again.Truth, qt.Equals, dotterelpulley.OutcomeUnknown.String())
+	}
+	s.Check(s.RunsOf(call.Request.Key), qt.HasLen, 1)
+}
+
+func TestRefusalBeforeTheStartIsTriedElsewhere(t *testing.T) {
+	s := running(t, nil)
+	s.Plain[0].NotAdmit()
+	for range 4 {
+		call := booking()
+		s.wholeOnce(call, s.send(call, s.Entries[0]))
+	}
+}
+
+// TestCrashingPromptIsRefusedEverywhere resends a prompt that crashes engines under the same key and under new ones.
+func TestCrashingPromptIsRefusedEverywhere(t *testing.T) {
+	const mostLost = 2
+	s := running(t, nil)
+	for _, e := range s.Engines {
+		e.CrashOn("crash me", 500*time.Millisecond)
+	}
+	crashes := func() int {
+		n := 0
+		for _, e := range s.Engines {
+			n += e.Crashes()
+		}
+		return n
+	}
+	call := plan("crash me", 20)
+	var last prover.Answer
+	for try := range 9 {
+		last = s.send(call, s.Entries[try%len(s.Entries)])
+		s.Check(last.Whole, qt.IsFalse)
+		if try%2 == 1 {
+			call.Request.Key = newKey()
+		}
+	}
+	s.Check(last.Refusal, qt.Equals, dotterelpulley.ErrorIsolated.String())
+	s.Check(crashes() > 0, qt.IsTrue)
+	s.Check(crashes() <= mostLost, qt.IsTrue, qt.Commentf("%d engines crashed", crashes()))
+	s.Check(standin.Duplicates(s.Runs()), qt.HasLen, 0)
+	for _, e := range s.Entries {
+		innocent := plan("innocent", 20)
+		s.wholeOnce(innocent, s.send(innocent, e))
+	}
+}
+
+func TestUnknownServiceIsRefused(t *testing.T) {
+	s := running(t, nil)
+	call := plan("unknown", 10)
+	call.Request.Service = "no-such-service"
+	a := s.send(call, s.Entries[0])
+	s.Check(a.Refusal, qt.Equals, dotterelpulley.ErrorUnknownService.String())
+	s.Check(s.RunsOf(call.Request.Key), qt.HasLen, 0)
+}
--- /dev/null
+++ b/proof/configuration_test.go
@@ -0,0 +1,87 @@
+package proof
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+)
+
+const inForceWithin = 7 * time.Second
+
+func TestNewHostIsNotReadyWithoutConfiguration(t *testing.T) {
+	s := place(t, nil)
+	e := s.Entries[0]
+	s.Assert(e.Start(), qt.IsNil)
+	s.await("the host has read the host list", func() bool { return e.Status().Entries > 0 })
+	s.Check(e.Ready(), qt.IsFalse)
+	refused := s.send(plan("early", 10), e)
+	s.Check(refused.Whole, qt.IsFalse)
+	s.publish(configuration)
+	s.Assert(prover.Until(s.Context(), inForceWithin, "the host is ready", e.Ready), qt.IsNil)
+}
+
+func TestNewHostLearnsFromItsPeersWhenTheLogIsDown(t *testing.T) {
+	s := running(t, nil)
+	newest := s.Entries[0].Status().Revision
+	s.Log.Stop()
+	e, err := s.AddEntry()
+	s.Assert(err, qt.IsNil)
+	s.Note("start %s without the log", e.Host.ID)
+	s.Assert(e.Start(), qt.IsNil)
+	s.await("the new host is ready", e.Ready)
+	s.Check(e.Status().Revision >= newest, qt.IsTrue)
+	s.Check(newest > 0, qt.IsTrue)
+	s.Assert(s.Log.Resume(), qt.IsNil)
+}
+
+// TestConfigurationIsInForceEverywhere cuts one host off the log: its peers pass the change on.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	s := running(t, nil)
+	before := s.Entries[0].Status().Revision
+	s.Note("%s is cut off the log", s.Entries[2].Host.ID)
+	s.Entries[2].Log.Refuse()
+	s.publish(s.edited("weight = 4", "weight = 5"))
+	for _, e := range s.Entries {
+		s.Assert(prover.Until(s.Context(), inForceWithin, string(e.Host.ID)+" has the change", func() bool {
+			return e.Status().Revision > before
+		}), qt.IsNil)
+	}
+}
+
+func TestOneOfTwoRacingOperatorsWins(t *testing.T) {
+	s := running(t, nil)
+	files := []string{s.edited("weight = 4", "weight = 6"), s.edited("weight = 4", "weight = 7")}
+	ran := make([]prover.Ran, len(files))
+	var tasks conc.WaitGroup
+	for i, file := range files {
+		tasks.Go(func() {
+			var err error
+			ran[i], err = s.Binaries.Run(s.Context(), "dotterelctl", "publish", "--log", string(s.Log.Address()), "--base", "1", file)
+			s.Check(err, qt.IsNil)
+		})
+	}
+	tasks.Wait()
+	codes := map[int]int{}
+	for _, r := range ran {
+		codes[r.Code]++
+	}
+	s.Check(codes, qt.DeepEquals, map[int]int{0: 1, 3: 1}, qt.Commentf("%v", ran))
+}
+
+// edited returns a copy of the configuration with one text in the place of another.
+func (s site) edited(old, text string) string {
+	data, err := os.ReadFile(configuration)
+	s.Assert(err, qt.IsNil)
+	s.Assert(strings.Contains(string(data), old), qt.IsTrue)
+	file := filepath.Join(s.TempDir(), "configuration.toml")
+	changed := strings.ReplaceAll(string(data), old, text)
+	s.Assert(os.WriteFile(file, []byte(changed), 0o600), qt.IsNil)
+	return file
+}
--- /dev/null
+++ b/proof/load_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+	"github.com/dotterelpulley/dotterelpulley/loader"
+)
+
+const (
+	loadRate     = 30
+	loadDeadline = 15 * time.Second
+	loadSends    = 8
+)
+
+// load is a mix of requests that is being sent.
+type load struct {
+	site    site
+	tasks   conc.WaitGroup
+	results []loader.Result
+}
+
+// startLoad sends seeded load to the entry hosts for the duration; some requests are sent twice.
+func (s site) startLoad(duration time.Duration, through []*prover.Entry) *load {
+	profile, err := loader.ParseProfile(string(loader.ProfilePollulaotus))
+	s.Assert(err, qt.IsNil)
+	runner := loader.Runner{Retry: loader.Retry{Sends: loadSends}}
+	for _, e := range through {
+		runner.Entries = append(runner.Entries, e.Callers.Address())
+	}
+	arrivals := loader.Plan(loader.PlanSettings{
+		Profile:     profile,
+		Seed:        loader.Seed(*seed),
+		Start:       time.Now(),
+		Duration:    duration,
+		Rate:        loadRate,
+		Resend:      0.3,
+		LengthScale: 0.1,
+		Deadline:    loadDeadline,
+	})
+	s.Note("load of %d requests over %s through %d entry hosts", len(arrivals), duration, len(through))
+	l := &load{site: s}
+	l.tasks.Go(func() { l.results = runner.Run(s.Context(), arrivals) })
+	return l
+}
+
+// wait waits for all answers and holds them against the ledgers: none wrong, none missing, none untrue, nothing run twice.
+func (l *load) wait() []loader.Result {
+	s := l.site
+	s.Helper()
+	l.tasks.Wait()
+	s.Note("the load has ended")
+	for _, r := range l.results {
+		for _, send := range r.Sends {
+			s.Check(send.Outcome, qt.Not(qt.Equals), loader.OutcomeWrong, comment(r))
+		}
+		s.Check(r.Answered(), qt.IsTrue, comment(r))
+	}
+	runs, err := loader.FetchLedger(s.Control())
+	s.Assert(err, qt.IsNil)
+	audit := loader.AuditRuns(l.results, runs)
+	s.Check(audit.Duplicates, qt.Equals, 0, qt.Commentf("keys run more than once, such as %v", audit.Examples))
+	s.Check(audit.FalseNotRun, qt.Equals, 0, qt.Commentf("keys run that were said not to have run, such as %v", audit.Examples))
+	s.Check(audit.Unfounded, qt.Equals, 0, qt.Commentf("whole answers that nothing ran for, such as %v", audit.Examples))
+	return l.results
+}
+
+// wholeWhere checks that every request that the filter takes was answered whole.
+func (s site) wholeWhere(results []loader.Result, takes func(loader.Result) bool) {
+	s.Helper()
+	for _, r := range results {
+		if takes(r) {
+			_, whole := r.Whole()
+			s.Check(whole, qt.IsTrue, comment(r))
+		}
+	}
+}
+
+func everyRequest(loader.Result) bool {
+	return true
+}
+
+func urgent(r loader.Result) bool {
+	return r.Arrival.Request.Tier == dotterelpulley.TierUrgent
+}
+
+func comment(r loader.Result) qt.Comment {
+	a := r.Arrival
+	final := r.Final()
+	return qt.Commentf("%s %s of %s at %s: %d sends, last %s %s %s after %s", a.Request.Kind, a.Request.Key, a.Request.Route,
+		a.At, len(r.Sends), final.Outcome, final.Refused.Kind, final.Fault, final.Ended)
+}
