--- a/internal/prover/entry.go
+++ b/internal/prover/entry.go
@@ -155,7 +155,7 @@
 func (e *Entry) close() error {
 	var failed []error
 	if e.Process != nil {
-		failed = append(failed, e.Process.Close())
+		failed = append(failed, e.Close())
 	}
 	for _, p := range e.proxies() {
 		failed = append(failed, p.Close())
--- a/internal/prover/site.go
+++ b/internal/prover/site.go
@@ -137,7 +137,7 @@
 // Report returns the schedule and each process's log.
 func (s *Site) Report() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "schedule:\n%s\n", s.Schedule.String())
+	fmt.Fprintf(&b, "schedule:\n%s\n", s.String())
 	for _, e := range s.Entries {
 		if e.Process != nil {
 			fmt.Fprintf(&b, "log of %s:\n%s\n", e.Name, e.Process.Log())
--- a/proof/call_test.go
+++ b/proof/call_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestStreamOutlivesSilentConnections(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	calls, answers := s.duringStreams(200, func() {
 		enginesSilent(s)
 		peersSilent(s)
@@ -100,7 +100,7 @@
 }
 
 func TestStreamOutlivesCutsToTheEngine(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	calls, answers := s.duringStreams(200, func() {
 		for _, e := range s.Engines {
 			e.CutConnections()
@@ -113,7 +113,7 @@
 
 // TestStreamOutlivesAShortRefusal cuts the connections and refuses new ones for a moment, while the runs go on.
 func TestStreamOutlivesAShortRefusal(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	calls, answers := s.duringStreams(200, func() {
 		for _, e := range s.Engines {
 			e.Stop()
@@ -126,7 +126,7 @@
 }
 
 func TestGracefulShutdownCutsNothing(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	leaver := s.Entries[0]
 	calls, answers := s.duringStreams(300, func() {
 		s.Note("SIGTERM to %s", leaver.Host.ID)
@@ -148,7 +148,7 @@
 }
 
 func TestResendMeetsTheRunningRequest(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	call := plan("resent", 200)
 	var tasks conc.WaitGroup
 	answers := make([]prover.Answer, len(s.Entries))
@@ -175,7 +175,7 @@
 }
 
 func TestKeyBelongsToItsOrganisation(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	mine := plan("mine", 20)
 	s.wholeOnce(mine, s.send(mine, s.Entries[0]))
 	theirs := plan("theirs", 20)
@@ -184,7 +184,7 @@
 }
 
 func TestBookingWhoseAnswerIsLostRunsOnce(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	for _, p := range s.Plain {
 		p.LoseAnswers(1)
 	}
@@ -201,7 +201,7 @@
 }
 
 func TestRefusalBeforeTheStartIsTriedElsewhere(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	s.Plain[0].NotAdmit()
 	for range 4 {
 		call := booking()
@@ -212,7 +212,7 @@
 // TestCrashingPromptIsRefusedEverywhere resends a prompt that crashes engines under the same key and under new ones.
 func TestCrashingPromptIsRefusedEverywhere(t *testing.T) {
 	const mostLost = 2
-	s := running(t, nil)
+	s := running(t)
 	for _, e := range s.Engines {
 		e.CrashOn("crash me", 500*time.Millisecond)
 	}
@@ -243,7 +243,7 @@
 }
 
 func TestUnknownServiceIsRefused(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	call := plan("unknown", 10)
 	call.Request.Service = "no-such-service"
 	a := s.send(call, s.Entries[0])
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestNewHostLearnsFromItsPeersWhenTheLogIsDown(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	newest := s.Entries[0].Status().Revision
 	s.Log.Stop()
 	e, err := s.AddEntry()
@@ -43,7 +43,7 @@
 
 // TestConfigurationIsInForceEverywhere cuts one host off the log: its peers pass the change on.
 func TestConfigurationIsInForceEverywhere(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	before := s.Entries[0].Status().Revision
 	s.Note("%s is cut off the log", s.Entries[2].Host.ID)
 	s.Entries[2].Log.Refuse()
@@ -56,7 +56,7 @@
 }
 
 func TestOneOfTwoRacingOperatorsWins(t *testing.T) {
-	s := running(t, nil)
+	s := running(t)
 	files := []string{s.edited("weight = 4", "weight = 6"), s.edited("weight = 4", "weight = 7")}
 	ran := make([]prover.Ran, len(files))
 	var tasks conc.WaitGroup
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -57,7 +57,7 @@
 func TestFaultUnderLoad(t *testing.T) {
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
-			s := running(t, nil)
+			s := running(t)
 			l := s.startLoad(loadTime, s.Entries)
 			s.awaitRuns(runsBefore)
 			s.Note("strike: %s", f.name)
@@ -201,7 +201,7 @@
 // TestLeavingEndpointGetsNoNewWork gives an endpoint's own sign and the host list's word.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	const within = 3 * time.Second
-	s := running(t, nil)
+	s := running(t)
 	l := s.startLoad(2*loadTime, s.Entries)
 	s.awaitRuns(runsBefore)
 	signs, listed := s.Engines[0], s.Engines[1]
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -104,8 +104,8 @@
 }
 
 // running makes a site with a published configuration, whose entry hosts are ready and know of each other and of all endpoints.
-func running(t *testing.T, change func(*prover.Shape)) site {
-	s := place(t, change)
+func running(t *testing.T) site {
+	s := place(t, nil)
 	s.publish(configuration)
 	for _, e := range s.Entries {
 		c := s.C
