Ask an organisation's callers for its token

Cause: a caller could name any organisation in its request and so attach to another's run or learn of its key. Configuration now carries digests of up to two tokens an organisation; an organisation with none stays open.

--- a/configuration.go
+++ b/configuration.go
@@ -22,6 +22,8 @@
 	ID OrganisationID
 	// Weight is the organisation's share within a tier against the others'; 1 if zero.
 	Weight int
+	// TokenDigests are of the tokens that its callers must show; an organisation without any is open.
+	TokenDigests [TokenDigestCount]TokenDigest
 }
 
 // TierSettings is what operators say of a tier.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -61,6 +61,10 @@
 		if err != nil {
 			return e.refuse(c, dotterelpulley.Refuse(dotterelpulley.ErrorInvalid, 0, err.Error()))
 		}
+		if refusal := e.authenticate(c, req.Key.Organisation); refusal != nil {
+			e.counters.Inc("refused-" + refusal.Kind.String())
+			return e.refuse(c, refusal)
+		}
 		w, refusal := e.submit(req)
 		if refusal != nil {
 			e.counters.Inc("refused-" + refusal.Kind.String())
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -17,9 +17,12 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/internal/standin"
 	"github.com/dotterelpulley/dotterelpulley/internal/standin/issuer"
 	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/publisher"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
 
 const (
@@ -121,6 +124,15 @@
 
 // plan sends an unstreamed plan to the entry host and returns its answer.
 func (f *fleet) plan(to int, key, prompt string) wireAnswer {
+	status, text := f.send(to, key, prompt, "")
+	f.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	var answer wireAnswer
+	f.Assert(json.Unmarshal(text, &answer), qt.IsNil)
+	return answer
+}
+
+// send sends an unstreamed plan with a token and returns what came back.
+func (f *fleet) send(to int, key, prompt string, token dotterelpulley.Token) (status int, answer []byte) {
 	body, err := json.Marshal(wireRequest{
 		Organisation: "council",
 		Tier:         "urgent",
@@ -137,15 +149,28 @@
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	f.Assert(err, qt.IsNil)
 	req.Header.Set(headerKey, key)
+	if token != "" {
+		req.Header.Set("Authorization", bearer+string(token))
+	}
 	resp, err := f.client.Do(req)
 	f.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	f.Assert(err, qt.IsNil)
-	f.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
-	var answer wireAnswer
-	f.Assert(json.Unmarshal(text, &answer), qt.IsNil)
-	return answer
+	return resp.StatusCode, text
+}
+
+// publish puts a configuration in force on every entry host.
+func (f *fleet) publish(file string) {
+	wanted, err := publisher.Configuration("configuration.toml", []byte(file))
+	f.Assert(err, qt.IsNil)
+	publication := publisher.OfConfiguration(dotterelpulley.Configuration{}, wanted)
+	data, err := recorder.Encode(publication.Envelope)
+	f.Assert(err, qt.IsNil)
+	f.log.Append(string(appender.StreamConfiguration), data)
+	for _, e := range f.entries {
+		f.until("the configuration is in force", func() bool { return e.followed.revision() > 0 })
+	}
 }
 
 // secureFleet gives callers and peers certificates of one authority.
--- a/entry/followed.go
+++ b/entry/followed.go
@@ -25,6 +25,9 @@
 	splitters map[dotterelpulley.ServiceID]*splitter.Splitter
 	evidence  map[dotterelpulley.ServiceID]*assessor.Evidence
 	broken    map[dotterelpulley.EndpointID]time.Time
+
+	organisations   map[dotterelpulley.OrganisationID]dotterelpulley.OrganisationSettings
+	organisationsAt dotterelpulley.Revision
 }
 
 func (f *followed) ready() bool {
--- a/error_kind.go
+++ b/error_kind.go
@@ -29,6 +29,7 @@
 	ErrorRunFailed
 	ErrorCut
 	ErrorCancelled
+	ErrorUnauthenticated
 )
 
 // Truth is what an answer says about whether the request has run.
@@ -75,12 +76,13 @@
 	ErrorRunFailed:           {"run-failed", http.StatusBadGateway, RanAndFailed, 0},
 	ErrorCut:                 {"cut", http.StatusBadGateway, OutcomeUnknown, 0},
 	ErrorCancelled:           {"cancelled", 499, RanAndFailed, 0},
+	ErrorUnauthenticated:     {"unauthenticated", http.StatusUnauthorized, NotRun, 0},
 }
 
 // ErrorKinds returns every error kind in order.
 func ErrorKinds() []ErrorKind {
 	kinds := make([]ErrorKind, 0, len(answers))
-	for k := ErrorInvalid; k <= ErrorCancelled; k++ {
+	for k := ErrorInvalid; k <= ErrorUnauthenticated; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/loader/retry.go
+++ b/loader/retry.go
@@ -66,7 +66,8 @@
 		dotterelpulley.ErrorKeyReused,
 		dotterelpulley.ErrorKeyExpired,
 		dotterelpulley.ErrorRunFailed,
-		dotterelpulley.ErrorCancelled:
+		dotterelpulley.ErrorCancelled,
+		dotterelpulley.ErrorUnauthenticated:
 		return false
 	}
 	return false
--- a/publisher/configuration.go
+++ b/publisher/configuration.go
@@ -105,12 +105,29 @@
 			r.add(key+".weight", "%d is outside 1 to %d", weight, maxWeight)
 		}
 		organisations = append(organisations, dotterelpulley.OrganisationSettings{
-			ID: dotterelpulley.OrganisationID(w.ID), Weight: weight,
+			ID:           dotterelpulley.OrganisationID(w.ID),
+			Weight:       weight,
+			TokenDigests: r.tokenDigests(key+".token-digests", w.TokenDigests),
 		})
 	}
 	return organisations
 }
 
+func (r *report) tokenDigests(key string, from []string) (digests [dotterelpulley.TokenDigestCount]dotterelpulley.TokenDigest) {
+	if len(from) > len(digests) {
+		r.add(key, "%d digests are given, allowed are %d", len(from), len(digests))
+		return digests
+	}
+	for i, text := range from {
+		d, err := dotterelpulley.ParseTokenDigest(text)
+		if err != nil {
+			r.add(key, "%v", err)
+		}
+		digests[i] = d
+	}
+	return digests
+}
+
 func (r *report) tiers(from map[string]wireTier) [dotterelpulley.TierCount]dotterelpulley.TierSettings {
 	var tiers [dotterelpulley.TierCount]dotterelpulley.TierSettings
 	for t := range tiers {
--- a/publisher/wire.go
+++ b/publisher/wire.go
@@ -11,8 +11,9 @@
 }
 
 type wireOrganisation struct {
-	ID     string `toml:"id"`
-	Weight *int   `toml:"weight"`
+	ID           string   `toml:"id"`
+	Weight       *int     `toml:"weight"`
+	TokenDigests []string `toml:"token-digests"`
 }
 
 type wireTier struct {
--- a/recorder/from_wire.go
+++ b/recorder/from_wire.go
@@ -48,7 +48,18 @@
 }
 
 func (w wireOrganisation) fromWire() (dotterelpulley.OrganisationSettings, error) {
-	return dotterelpulley.OrganisationSettings{ID: dotterelpulley.OrganisationID(w.ID), Weight: w.Weight}, nil
+	o := dotterelpulley.OrganisationSettings{ID: dotterelpulley.OrganisationID(w.ID), Weight: w.Weight}
+	if len(w.TokenDigests) > len(o.TokenDigests) {
+		return o, fmt.Errorf("organisation %q has %d token digests, allowed are %d", w.ID, len(w.TokenDigests), len(o.TokenDigests))
+	}
+	for i, text := range w.TokenDigests {
+		d, err := dotterelpulley.ParseTokenDigest(text)
+		if err != nil {
+			return o, fmt.Errorf("organisation %q: %w", w.ID, err)
+		}
+		o.TokenDigests[i] = d
+	}
+	return o, nil
 }
 
 func (w wireTier) fromWire() (TierDelta, error) {
--- a/recorder/to_wire.go
+++ b/recorder/to_wire.go
@@ -28,7 +28,13 @@
 }
 
 func organisationToWire(o dotterelpulley.OrganisationSettings) wireOrganisation {
-	return wireOrganisation{ID: string(o.ID), Weight: o.Weight}
+	w := wireOrganisation{ID: string(o.ID), Weight: o.Weight}
+	for _, d := range o.TokenDigests {
+		if d != "" {
+			w.TokenDigests = append(w.TokenDigests, string(d))
+		}
+	}
+	return w
 }
 
 func tierToWire(t TierDelta) wireTier {
--- a/recorder/wire.go
+++ b/recorder/wire.go
@@ -23,8 +23,9 @@
 }
 
 type wireOrganisation struct {
-	ID     string `json:"id"`
-	Weight int    `json:"weight,omitempty"`
+	ID           string   `json:"id"`
+	Weight       int      `json:"weight,omitempty"`
+	TokenDigests []string `json:"token-digests,omitempty"`
 }
 
 type wireTier struct {
--- /dev/null
+++ b/token.go
@@ -0,0 +1,46 @@
+package dotterelpulley
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+)
+
+// Token is the secret by which an organisation's callers show who they are.
+type Token string
+
+// TokenDigest is the hexadecimal SHA-256 of a token; configuration carries only digests.
+type TokenDigest string
+
+// TokenDigestCount is the number of tokens that an organisation may use at once, so that one can be replaced.
+const TokenDigestCount = 2
+
+// Digest returns the token's digest.
+func (t Token) Digest() TokenDigest {
+	sum := sha256.Sum256([]byte(t))
+	return TokenDigest(hex.EncodeToString(sum[:]))
+}
+
+// ParseTokenDigest returns the digest, or an error when the text is not 64 hexadecimal digits in lower case.
+func ParseTokenDigest(text string) (TokenDigest, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != sha256.Size || hex.EncodeToString(raw) != text {
+		return "", fmt.Errorf("token digest has %d characters, allowed are %d hexadecimal digits in lower case", len(text), 2*sha256.Size)
+	}
+	return TokenDigest(text), nil
+}
+
+// Admits reports whether the token is one of the organisation's, or the organisation uses none.
+func (o OrganisationSettings) Admits(token Token) bool {
+	digest := []byte(token.Digest())
+	open, match := 1, 0
+	for _, d := range o.TokenDigests {
+		if d == "" {
+			continue
+		}
+		open = 0
+		match |= subtle.ConstantTimeCompare([]byte(d), digest)
+	}
+	return open|match == 1
+}
