--- a/internal/prover/entry.go
+++ b/internal/prover/entry.go
@@ -27,9 +27,13 @@
 	Log      proxy.Proxy
 	HostList proxy.Proxy
 
-	program  string
-	settings string
-	client   http.Client
+	// Mover is the host's mover, nil before StartMover.
+	Mover *Process
+
+	binaries      Binaries
+	settings      string
+	moverSettings string
+	client        http.Client
 }
 
 const (
@@ -50,6 +54,15 @@
 keep-entries = "1s"
 host-list-every = "100ms"
 load-every = "100ms"
+`
+
+	moverSettings = `host = %q
+zone = %q
+operator-address = %q
+log-address = %q
+host-list-address = %q
+lease = "3s"
+order-timeout = "500ms"
 `
 )
 
@@ -59,8 +72,7 @@
 	id := fmt.Sprintf("entry-%d", n)
 	e := &Entry{
 		Operators: address(ip, 7102),
-		program:   s.Binaries.path("dotterel-entry"),
-		settings:  filepath.Join(s.dir, id+".toml"),
+		binaries:  s.Binaries,
 		client:    http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	e.Callers.Target = address(ip, 7100)
@@ -82,7 +94,13 @@
 	text := fmt.Sprintf(
 		entrySettings, id, e.Host.Zone, e.Callers.Target, e.Peers.Target, e.Operators, e.Log.Address(), e.HostList.Address(),
 	)
-	return e, os.WriteFile(e.settings, []byte(text), 0o600)
+	moverText := fmt.Sprintf(moverSettings, id, e.Host.Zone, address(ip, 7103), e.Log.Address(), e.HostList.Address())
+	e.settings = filepath.Join(s.dir, id+".toml")
+	e.moverSettings = filepath.Join(s.dir, id+"-mover.toml")
+	return e, errors.Join(
+		os.WriteFile(e.settings, []byte(text), 0o600),
+		os.WriteFile(e.moverSettings, []byte(moverText), 0o600),
+	)
 }
 
 func address(ip string, port int) dotterelpulley.Address {
@@ -95,7 +113,7 @@
 
 // Start starts the host's process, a new incarnation each time.
 func (e *Entry) Start() error {
-	p, err := startProcess(string(e.Host.ID), e.program, e.settings)
+	p, err := startProcess(string(e.Host.ID), e.binaries.path("dotterel-entry"), e.settings)
 	if err != nil {
 		return err
 	}
@@ -103,6 +121,27 @@
 	return nil
 }
 
+// StartMover starts the host's mover.
+func (e *Entry) StartMover() error {
+	p, err := startProcess("mover of "+string(e.Host.ID), e.binaries.path("dotterel-mover"), e.moverSettings)
+	if err != nil {
+		return err
+	}
+	e.Mover = p
+	return nil
+}
+
+// processes returns what runs or has run on the host.
+func (e *Entry) processes() []*Process {
+	var found []*Process
+	for _, p := range []*Process{e.Process, e.Mover} {
+		if p != nil {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
 // Ready reports whether the host says that it is ready.
 func (e *Entry) Ready() bool {
 	status, _, err := e.Operator(http.MethodGet, "/readyz")
@@ -154,8 +193,8 @@
 // close kills the process and ends the proxies.
 func (e *Entry) close() error {
 	var failed []error
-	if e.Process != nil {
-		failed = append(failed, e.Close())
+	for _, p := range e.processes() {
+		failed = append(failed, p.Close())
 	}
 	for _, p := range e.proxies() {
 		failed = append(failed, p.Close())
--- a/internal/prover/site.go
+++ b/internal/prover/site.go
@@ -139,8 +139,8 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "schedule:\n%s\n", s.String())
 	for _, e := range s.Entries {
-		if e.Process != nil {
-			fmt.Fprintf(&b, "log of %s:\n%s\n", e.Name, e.Process.Log())
+		for _, p := range e.processes() {
+			fmt.Fprintf(&b, "log of %s:\n%s\n", p.Name, p.Log())
 		}
 	}
 	return b.String()
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -24,7 +24,7 @@
 	refused := s.send(plan("early", 10), e)
 	s.Check(refused.Whole, qt.IsFalse)
 	s.publish(configuration)
-	s.Assert(prover.Until(s.Context(), inForceWithin, "the host is ready", e.Ready), qt.IsNil)
+	s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, "the host is ready", e.Ready), qt.IsNil)
 }
 
 func TestNewHostLearnsFromItsPeersWhenTheLogIsDown(t *testing.T) {
@@ -49,7 +49,7 @@
 	s.Entries[2].Log.Refuse()
 	s.publish(s.edited("weight = 4", "weight = 5"))
 	for _, e := range s.Entries {
-		s.Assert(prover.Until(s.Context(), inForceWithin, string(e.Host.ID)+" has the change", func() bool {
+		s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, string(e.Host.ID)+" has the change", func() bool {
 			return e.Status().Revision > before
 		}), qt.IsNil)
 	}
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"context"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -20,6 +21,7 @@
 // load is a mix of requests that is being sent.
 type load struct {
 	site    site
+	stop    context.CancelFunc
 	tasks   conc.WaitGroup
 	results []loader.Result
 }
@@ -43,16 +45,24 @@
 		Deadline:    loadDeadline,
 	})
 	s.Note("load of %d requests over %s through %d entry hosts", len(arrivals), duration, len(through))
-	l := &load{site: s}
-	l.tasks.Go(func() { l.results = runner.Run(s.Context(), arrivals) })
+	ctx, stop := context.WithCancel(s.Context())
+	l := &load{site: s, stop: stop}
+	l.tasks.Go(func() { l.results = runner.Run(ctx, arrivals) })
 	return l
 }
 
+// end sends nothing new and waits as wait does.
+func (l *load) end() []loader.Result {
+	l.stop()
+	return l.wait()
+}
+
 // wait waits for all answers and holds them against the ledgers: none wrong, none missing, none untrue, nothing run twice.
 func (l *load) wait() []loader.Result {
 	s := l.site
 	s.Helper()
 	l.tasks.Wait()
+	l.stop()
 	s.Note("the load has ended")
 	for _, r := range l.results {
 		for _, send := range r.Sends {
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -141,7 +141,7 @@
 
 func (s site) await(what string, holds func() bool) {
 	s.Helper()
-	s.Assert(prover.Until(s.Context(), patience, what, holds), qt.IsNil)
+	s.Assert(prover.Until(s.Context(), prover.Patience{Limit: patience}, what, holds), qt.IsNil)
 }
 
 // publish publishes the file with dotterelctl.
