--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 		drain:    make(chan struct{}),
 	}
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerFiles, Protocols: []string{"http/1.1"}}
-	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2"}}
+	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2", "http/1.1"}}
 	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
 	e.queue.endpoints = &e.endpoints
 	e.queue.followed = &e.followed
@@ -136,7 +136,7 @@
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
 		Handler:           mux,
-		Protocols:         peerProtocols(),
+		Protocols:         peerListenerProtocols(),
 		ReadHeaderTimeout: callerReadTimeout,
 		HTTP2:             peerPings(),
 	}
