--- a/internal/rehearsal/table_test.go
+++ b/internal/rehearsal/table_test.go
@@ -42,11 +42,11 @@
 		count = shortCases
 	}
 	cases := rehearsal.Cases(count)
-	real, naive := runAll(cases, false), runAll(cases, true)
-	t.Logf("\n%s", table(real, naive))
+	cores, naive := runAll(cases, false), runAll(cases, true)
+	t.Logf("\n%s", table(cores, naive))
 	c := qt.New(t)
 	good, done, falseBack := 0, 0, 0
-	for _, r := range real {
+	for _, r := range cores {
 		note := qt.Commentf("%s: %s", r.Case, r.Reason)
 		c.Check(r.Done || r.Undone, qt.IsTrue, note)
 		c.Check(r.Agreed, qt.IsTrue, note)
@@ -70,12 +70,12 @@
 	c.Check(100*falseBack < good, qt.IsTrue, qt.Commentf("%d of %d good versions taken back as bad", falseBack, good))
 }
 
-func table(real, naive []rehearsal.Result) string {
+func table(cores, naive []rehearsal.Result) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "| version | mover | cases | done | undone | neither | share of the new version | harmed | to stop, median | to stop, longest |\n")
 	fmt.Fprintf(&b, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for fault := rehearsal.Good; fault <= rehearsal.SlowLater; fault++ {
-		row(&b, fault, "real", real)
+		row(&b, fault, "real", cores)
 		row(&b, fault, "naive", naive)
 	}
 	return b.String()
--- /dev/null
+++ b/recorder/codec_test.go
@@ -0,0 +1,108 @@
+package recorder_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/recorder"
+)
+
+var at = time.Date(2026, 3, 4, 5, 6, 7, 0, time.UTC)
+
+// bodies holds every variant with no field at its zero value.
+func bodies() []recorder.Body {
+	build := dotterelpulley.Build{Version: "2", Model: "m", Adapter: "a"}
+	from := dotterelpulley.Build{Version: "1", Model: "m", Adapter: "a"}
+	services := []dotterelpulley.ServiceSettings{
+		{ID: "lm", Kind: dotterelpulley.ServiceModel, Build: build, ChecksFence: true, Repeatable: true},
+		{ID: "app", Kind: dotterelpulley.ServicePlain},
+	}
+	organisations := []dotterelpulley.OrganisationSettings{{ID: "o", Weight: 3}}
+	tier := dotterelpulley.TierSettings{Deadline: time.Minute, FirstToken: time.Second, BetweenTokens: time.Millisecond}
+	note := dotterelpulley.ReleaseNote{
+		ID: "n", Deadline: at, CanaryShare: 0.1, Watch: time.Minute,
+		Changes: []dotterelpulley.Change{{
+			Action: dotterelpulley.ChangeReplace, Service: "lm", From: from, To: build,
+			After: []dotterelpulley.ServiceID{"x"},
+		}},
+	}
+	configuration := dotterelpulley.Configuration{Revision: 7, Services: services, Organisations: organisations}
+	for t := range configuration.Tiers {
+		configuration.Tiers[t] = tier
+	}
+	id := recorder.MoveID{Note: "n", Service: "lm"}
+	move := recorder.Move{
+		ID: id, Action: dotterelpulley.ChangeWithdraw, From: from, To: build, Deadline: at, Cap: 0.2,
+		Watch: time.Second, Phase: recorder.PhaseUndone, Number: 2, Share: 0.5, Since: at, Bad: true,
+		Reason: "why", Opened: 3, Ended: 9,
+	}
+	lease := recorder.Lease{Holder: "h", Duration: time.Second, Fence: 3, Newest: 5, Released: true}
+	return []recorder.Body{
+		recorder.Delta{
+			Services: services, Organisations: organisations, Tiers: []recorder.TierDelta{{Tier: 2, Settings: tier}},
+			RemoveServices: []dotterelpulley.ServiceID{"s"}, RemoveOrganisations: []dotterelpulley.OrganisationID{"p"},
+		},
+		recorder.Note{Note: note},
+		recorder.ConfigurationSnapshot{Through: 4, State: recorder.ConfigurationState{
+			Configuration: configuration, Newest: "r", Notes: []recorder.AcceptedNote{{Offset: 2, Appended: at, Note: note}},
+		}},
+		recorder.Claim{Holder: "h", Duration: time.Second, After: 4},
+		recorder.Renewal{Fence: 4},
+		recorder.Release{Fence: 4},
+		recorder.Opening{
+			Fence: 4, Move: id, Action: dotterelpulley.ChangeReplace, From: from, To: build,
+			Deadline: at, Cap: 0.2, Watch: time.Second,
+		},
+		recorder.Step{Fence: 4, Move: id, Number: 2, Share: 0.5, Reason: "why"},
+		recorder.Outcome{Fence: 4, Move: id, Done: true, Reason: "why"},
+		recorder.BadVersion{Move: id, Version: "m@2", Reason: "why", By: "h"},
+		recorder.MovesSnapshot{Through: 8, State: recorder.MovesState{
+			Lease: lease, Moves: []recorder.Move{move},
+			InForce: map[dotterelpulley.ServiceID]dotterelpulley.Build{"lm": build},
+		}},
+	}
+}
+
+func TestEveryFieldOfEveryRecordSurvivesTheCodec(t *testing.T) {
+	c := qt.New(t)
+	for _, body := range bodies() {
+		env := recorder.Envelope{ID: "id", Base: 6, Body: body}
+		data, err := recorder.Encode(env)
+		c.Assert(err, qt.IsNil)
+		back, err := recorder.Decode(data)
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", data))
+		c.Check(back, qt.DeepEquals, env)
+	}
+}
+
+func FuzzDecodeNeverPanicsAndIsStable(f *testing.F) {
+	for _, body := range bodies() {
+		data, err := recorder.Encode(recorder.Envelope{ID: "id", Body: body})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		env, err := recorder.Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := recorder.Encode(env)
+		if err != nil {
+			t.Fatalf("encode what was decoded: %v", err)
+		}
+		back, err := recorder.Decode(again)
+		if err != nil {
+			t.Fatalf("decode %s: %v", again, err)
+		}
+		third, err := recorder.Encode(back)
+		if err != nil || string(third) != string(again) {
+			t.Fatalf("%s came back as %s (%v)", again, third, err)
+		}
+	})
+}
