--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -55,14 +55,13 @@
 	return s, s.startLoad(moveTime, s.Entries)
 }
 
-// note publishes the move to the new version and returns its id.
-func (s site) note() string {
+// note publishes the move to the new version.
+func (s site) note() {
 	id := "kaasik-lm-2"
 	file := filepath.Join(s.TempDir(), "note.toml")
 	text := fmt.Sprintf(releaseNote, id, moveTime, canaryShare)
 	s.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	s.publish(file)
-	return id
 }
 
 // moves is what dotterelctl says of the moves.
