--- a/cmd/dotterel-load/cost.go
+++ b/cmd/dotterel-load/cost.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -50,15 +51,26 @@
 	return w
 }
 
+// writeBenchmark writes the mean of a process as one line of a benchmark's output.
+func (w wireCost) writeBenchmark(to io.Writer, name string) error {
+	n := float64(max(w.Processes, 1))
+	_, err := fmt.Fprintf(to, "%s 1 %.6f cores %.0f B/s %.0f private-B %.0f resident-B\n",
+		name, w.Cores/n, w.BytesPerSecond/n, float64(w.Private)/n, float64(w.Resident)/n)
+	return err
+}
+
 func newCost() *cobra.Command {
 	var pids []int
 	var over time.Duration
+	var as string
 	command := &cobra.Command{
-		Use:     "cost",
-		Short:   "Measure what running processes cost",
-		Long:    "Measures the processor time, memory and bytes of running processes and writes their sums as one JSON line.",
-		Example: "  dotterel-load cost --pid 4242 --pid 4243 --over 20s",
-		Args:    cobra.NoArgs,
+		Use:   "cost",
+		Short: "Measure what running processes cost",
+		Long: `Measures the processor time, memory and bytes of running processes and writes
+their sums as one JSON line, or with --as their means in the form of a benchmark.`,
+		Example: `  dotterel-load cost --pid 4242 --pid 4243 --over 20s
+  dotterel-load cost --pid 4242 --as BenchmarkEntryIdle/entries=1`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			first, err := takeAll(pids)
 			if err != nil {
@@ -72,10 +84,15 @@
 			if err != nil {
 				return err
 			}
-			return json.NewEncoder(command.OutOrStdout()).Encode(total(first, last))
+			sum := total(first, last)
+			if as == "" {
+				return json.NewEncoder(command.OutOrStdout()).Encode(sum)
+			}
+			return sum.writeBenchmark(command.OutOrStdout(), as)
 		},
 	}
 	command.Flags().IntSliceVar(&pids, "pid", nil, "process to measure (repeatable)")
+	command.Flags().StringVar(&as, "as", "", "name of the benchmark to write the means as")
 	command.Flags().DurationVar(&over, "over", 10*time.Second, "time to measure over")
 	if err := command.MarkFlagRequired("pid"); err != nil {
 		panic(err)
