--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -14,6 +14,7 @@
 
 const (
 	loadRate     = 30
+	loadLengths  = 0.1
 	loadDeadline = 15 * time.Second
 	loadSends    = 8
 )
@@ -28,23 +29,28 @@
 
 // startLoad sends seeded load to the entry hosts for the duration; some requests are sent twice.
 func (s site) startLoad(duration time.Duration, through []*prover.Entry) *load {
+	return s.sendLoad(through, loader.PlanSettings{
+		Duration: duration,
+		Rate:     loadRate,
+		Resend:   0.3,
+		Deadline: loadDeadline,
+	})
+}
+
+// sendLoad sends load with the settings, seeded and from the site's own profile.
+func (s site) sendLoad(through []*prover.Entry, settings loader.PlanSettings) *load {
 	profile, err := loader.ParseProfile(string(loader.ProfilePollulaotus))
 	s.Assert(err, qt.IsNil)
 	runner := loader.Runner{Retry: loader.Retry{Sends: loadSends}}
 	for _, e := range through {
 		runner.Entries = append(runner.Entries, e.Callers.Address())
 	}
-	arrivals := loader.Plan(loader.PlanSettings{
-		Profile:     profile,
-		Seed:        loader.Seed(*seed),
-		Start:       time.Now(),
-		Duration:    duration,
-		Rate:        loadRate,
-		Resend:      0.3,
-		LengthScale: 0.1,
-		Deadline:    loadDeadline,
-	})
-	s.Note("load of %d requests over %s through %d entry hosts", len(arrivals), duration, len(through))
+	settings.Profile = profile
+	settings.Seed = loader.Seed(*seed)
+	settings.Start = time.Now()
+	settings.LengthScale = loadLengths
+	arrivals := loader.Plan(settings)
+	s.Note("load of %d requests over %s through %d entry hosts", len(arrivals), settings.Duration, len(through))
 	ctx, stop := context.WithCancel(s.Context())
 	l := &load{site: s, stop: stop}
 	l.tasks.Go(func() { l.results = runner.Run(ctx, arrivals) })
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -105,7 +105,12 @@
 
 // running makes a site with a published configuration, whose entry hosts are ready and know of each other and of all endpoints.
 func running(t *testing.T) site {
-	s := place(t, nil)
+	return runningWith(t, nil)
+}
+
+// runningWith makes a running site of another shape.
+func runningWith(t *testing.T, change func(*prover.Shape)) site {
+	s := place(t, change)
 	s.publish(configuration)
 	for _, e := range s.Entries {
 		c := s.C
--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -27,7 +27,7 @@
 	// runsAfter is how much runs after a move was taken back: several times what comes in stopWithin.
 	runsAfter = 200
 
-	releaseNote = `id = %q
+	releaseNote = `id = "kaasik-lm-2"
 deadline = %q
 canary-share = %g
 watch = "1s"
@@ -55,14 +55,12 @@
 	return s, s.startLoad(moveTime, s.Entries)
 }
 
-// note publishes the move to the new version and returns its id.
-func (s site) note() string {
-	id := "kaasik-lm-2"
+// note publishes the move to the new version.
+func (s site) note() {
 	file := filepath.Join(s.TempDir(), "note.toml")
-	text := fmt.Sprintf(releaseNote, id, moveTime, canaryShare)
+	text := fmt.Sprintf(releaseNote, moveTime, canaryShare)
 	s.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	s.publish(file)
-	return id
 }
 
 // moves is what dotterelctl says of the moves.
