--- /dev/null
+++ b/cmd/dotterel-mover/peers.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
+)
+
+const (
+	certificatesEvery = time.Minute
+	maxReportBytes    = 8 << 20
+)
+
+// peers calls the entry hosts on their peer listeners, with a certificate if one is given.
+type peers struct {
+	certifier certifier.Certifier
+	client    *http.Client
+	timeout   time.Duration
+}
+
+func (p *peers) start(files certifier.Files, timeout time.Duration) error {
+	p.timeout = timeout
+	p.certifier = certifier.Certifier{Files: files, Protocols: []string{"h2"}, DialTimeout: timeout}
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(true)
+	p.client = &http.Client{Transport: &http.Transport{
+		Protocols:   &protocols,
+		DialContext: (&net.Dialer{Timeout: timeout}).DialContext,
+		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return p.certifier.Dial(ctx, network, address)
+		},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: timeout, PingTimeout: timeout},
+	}}
+	return p.reload()
+}
+
+// reload takes certificate files that were replaced.
+func (p *peers) reload() error {
+	if !p.certifier.Files.Given() {
+		return nil
+	}
+	return p.certifier.Load()
+}
+
+func (p *peers) call(ctx context.Context, method string, address dotterelpulley.Address, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	scheme := "http"
+	if p.certifier.Files.Given() {
+		scheme = "https"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+string(address)+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("call %q of entry host %q: %w", path, address, err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("call %q of entry host %q: %w", path, address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fmt.Errorf("call %q of entry host %q: status %d", path, address, resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+}
--- a/cmd/dotterel-mover/process.go
+++ b/cmd/dotterel-mover/process.go
@@ -35,6 +35,7 @@
 	client   appender.Client
 	hosts    lister.Client
 	http     fasthttp.Client
+	peers    peers
 	assessor assessor.Assessor
 
 	mu       sync.Mutex
@@ -68,9 +69,13 @@
 }
 
 func (p *process) start() error {
+	if err := p.peers.start(p.settings.PeerFiles, p.settings.OrderTimeout); err != nil {
+		return err
+	}
 	if err := p.operators.start(p); err != nil {
 		return err
 	}
+	p.wait.Go(func() { p.every(certificatesEvery, p.reloadCertificates) })
 	p.wait.Go(func() { p.follow(appender.StreamConfiguration) })
 	p.wait.Go(func() { p.follow(appender.StreamMoves) })
 	p.wait.Go(func() { p.every(pollEvery, p.poll) })
@@ -129,6 +134,13 @@
 	}
 }
 
+func (p *process) reloadCertificates() {
+	if err := p.peers.reload(); err != nil {
+		p.counters.Inc("certificate-failed")
+		p.log.Error().Str("event", "certificate-failed").Err(err).Msg("")
+	}
+}
+
 // tick asks the mover what to do and does it.
 func (p *process) tick() {
 	p.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	counters counter.Set
 
 	endpoints endpoints
+	followed  followed
 	queue     queue
 	runs      runs
 
@@ -67,9 +68,10 @@
 		drain:    make(chan struct{}),
 	}
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerFiles, Protocols: []string{"http/1.1"}}
-	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2"}}
+	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2", "http/1.1"}}
 	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
 	e.queue.endpoints = &e.endpoints
+	e.queue.followed = &e.followed
 	e.queue.limits = settings.Limits
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
@@ -98,6 +100,10 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
+	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
+	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
+	e.wait.Go(func() { e.every(assessEvery, e.assess) })
+	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
@@ -124,10 +130,13 @@
 		return fmt.Errorf("listen on %q: %w", e.settings.PeerAddress, err)
 	}
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
+	mux.HandleFunc("GET /v1/records", e.handleRecords)
+	mux.HandleFunc("POST /v1/bad-versions", e.handleBad)
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
 		Handler:           mux,
-		Protocols:         peerProtocols(),
+		Protocols:         peerListenerProtocols(),
 		ReadHeaderTimeout: callerReadTimeout,
 		HTTP2:             peerPings(),
 	}
@@ -137,7 +146,7 @@
 
 // ready reports whether callers may be sent here.
 func (e *Entry) ready() bool {
-	return e.listed.Load() && !e.draining.Load()
+	return e.listed.Load() && e.followed.ready() && !e.draining.Load()
 }
 
 // beginDrain makes the host take nothing new.
