Decide which host may dispatch a key

Keys lie in 256 ranges whose holders follow from the roster stream. A holder claims on the log before it dispatches, or from memory under its lease once another member has been told.

--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,211 @@
+package claimer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// Claimer is the decision core of one incarnation; set Self and Settings before the first event.
+type Claimer struct {
+	Self     Member
+	Settings Settings
+
+	now      time.Time
+	paused   time.Time
+	pause    pauseWatch
+	actions  []Action
+	lastID   int64
+	roster   Roster
+	index    claimIndex
+	witness  witness
+	lease    lease
+	log      rosterWriter
+	group    group
+	memory   memory
+	suspects suspects
+	held     []heldBegin
+	claiming []*run
+	forgot   time.Time
+	runs     map[dotterelpulley.Key]*run
+	tickets  map[Ticket]*run
+	// acquired are the ranges whose earlier claims have still to be read.
+	acquired map[RangeID]time.Time
+	// taken is when a range came from another holder.
+	taken   map[RangeID]time.Time
+	closing closing
+}
+
+type closing struct {
+	draining  bool
+	signedOff bool
+	expelled  bool
+	told      bool
+}
+
+type heldBegin struct {
+	Begin
+	since time.Time
+}
+
+// Step takes one event at the time and returns what is to be done.
+func (c *Claimer) Step(now time.Time, event Event) []Action {
+	c.start(now)
+	switch e := event.(type) {
+	case Tick:
+	case RosterRead:
+		c.readRoster(e)
+	case ClaimsRead:
+		c.readClaims(e)
+	case AppendEnded:
+		c.endAppend(e)
+	case Begin:
+		c.hold(e)
+	case Claim:
+		c.claim(e.Ticket)
+	case Ended:
+		c.end(e)
+	case Replied:
+		c.reply(e.Reply)
+	case HostsListed:
+		c.listHosts(e.Hosts)
+	case DrainBegun:
+		c.closing.draining = true
+	case SignOff:
+		c.closing.draining = true
+		c.closing.signedOff = true
+	}
+	c.advance()
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+func (c *Claimer) start(now time.Time) {
+	if c.runs == nil {
+		c.Settings = c.Settings.WithDefaults()
+		c.roster.settings = c.Settings
+		c.runs = map[dotterelpulley.Key]*run{}
+		c.tickets = map[Ticket]*run{}
+		c.acquired = map[RangeID]time.Time{}
+		c.taken = map[RangeID]time.Time{}
+		c.suspects.start()
+		c.lease.sent = map[RecordID]time.Time{}
+		c.now = now
+		c.paused = now
+	}
+	c.pause.step(c.now, now.Sub(c.now))
+	if now.Sub(c.now) > c.Settings.PauseLimit {
+		c.paused = now
+		c.do(ReadRoster{From: c.roster.Next()})
+	}
+	c.now = now
+}
+
+func (c *Claimer) advance() {
+	c.advanceMemory()
+	c.advanceClaims()
+	c.advanceHeld()
+	c.advanceGroup()
+	c.advanceSuspects()
+	c.advanceRosterWriter()
+	c.advanceReads()
+	c.forgetOld()
+}
+
+func (c *Claimer) do(a Action) {
+	c.actions = append(c.actions, a)
+}
+
+func (c *Claimer) nextID() RecordID {
+	c.lastID++
+	return RecordID(fmt.Sprintf("%s-%d", c.Self.Incarnation, c.lastID))
+}
+
+// Answer replies to another member's question.
+func (c *Claimer) Answer(now time.Time, q Question) Reply {
+	c.start(now)
+	accepted, unrecorded := c.witness.answer(&c.roster, q)
+	return Reply{
+		From:       c.Self.Incarnation,
+		Question:   q,
+		Accepted:   accepted && c.isMember(),
+		Unrecorded: unrecorded,
+	}
+}
+
+// MayStart reports whether the granted request's first byte may leave now, and takes it as started if so.
+func (c *Claimer) MayStart(now time.Time, ticket Ticket) bool {
+	c.start(now)
+	r, ok := c.tickets[ticket]
+	if !ok || r.state != runGranted {
+		return false
+	}
+	if !r.issued && !c.mayDispatch() {
+		return false
+	}
+	r.state = runStarted
+	return true
+}
+
+func (c *Claimer) isMember() bool {
+	_, ok := c.roster.MemberOf(c.Self.Incarnation)
+	return ok && !c.closing.expelled
+}
+
+// mayDispatch reports whether the lease holds and no pause has gone unexamined.
+func (c *Claimer) mayDispatch() bool {
+	return c.isMember() && c.paused.IsZero() && c.lease.holds(c.now, c.Settings)
+}
+
+// holds reports whether this host may dispatch new keys of the range.
+func (c *Claimer) holds(id RangeID) bool {
+	state := c.roster.Ranges[id]
+	if state.Holder != c.Self.Incarnation || state.Target != c.Self.Incarnation {
+		return false
+	}
+	_, waiting := c.acquired[id]
+	return !waiting && c.mayDispatch()
+}
+
+// ReadyRanges returns the number of ranges whose keys this host may dispatch now.
+func (c *Claimer) ReadyRanges(now time.Time) int {
+	c.start(now)
+	n := 0
+	for i := range RangeCount {
+		if c.holds(RangeID(i)) {
+			n++
+		}
+	}
+	return n
+}
+
+// InMemory reports whether this host has run claims that the log doesn't show.
+func (c *Claimer) InMemory() bool {
+	return c.unrecorded() > 0
+}
+
+// Roster returns the roster as far as it was read.
+func (c *Claimer) Roster() RosterState {
+	return c.roster.state()
+}
+
+// RosterNext returns the offset from which the roster stream is to be read.
+func (c *Claimer) RosterNext() Offset {
+	return c.roster.Next()
+}
+
+// ClaimsNext returns the offset from which the claims stream is to be read.
+func (c *Claimer) ClaimsNext() Offset {
+	return max(c.index.next, 1)
+}
+
+// NextTick returns the time at which a Tick is due.
+func (c *Claimer) NextTick() time.Time {
+	const busy, idle = 10 * time.Millisecond, 500 * time.Millisecond
+	if len(c.held) > 0 || len(c.group.waiting) > 0 || c.group.inFlight != nil || len(c.group.released) > 0 {
+		return c.now.Add(busy)
+	}
+	return c.now.Add(idle)
+}
--- /dev/null
+++ b/claimer/index.go
@@ -0,0 +1,84 @@
+package claimer
+
+import (
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+type claimEntry struct {
+	incarnation dotterelpulley.Incarnation
+	claimed     int64
+	released    int64
+}
+
+type agedHash struct {
+	hash KeyHash
+	at   time.Time
+}
+
+// claimIndex knows the claims that stand on the log, for the lifetime of a key.
+type claimIndex struct {
+	next    Offset
+	entries map[KeyHash][]claimEntry
+	ages    []agedHash
+	lastAge map[KeyHash]time.Time
+}
+
+func (x *claimIndex) apply(p PlacedClaimsRecord) {
+	if p.Offset < x.next {
+		return
+	}
+	x.next = p.Offset + 1
+	if x.entries == nil {
+		x.entries = map[KeyHash][]claimEntry{}
+		x.lastAge = map[KeyHash]time.Time{}
+	}
+	for _, h := range p.Claimed {
+		e := x.entry(h, p.Incarnation)
+		e.claimed = max(e.claimed, p.Sequence)
+		x.ages = append(x.ages, agedHash{hash: h, at: p.Appended})
+		x.lastAge[h] = p.Appended
+	}
+	for _, h := range p.Released {
+		e := x.entry(h, p.Incarnation)
+		e.released = max(e.released, p.Sequence)
+		x.ages = append(x.ages, agedHash{hash: h, at: p.Appended})
+		x.lastAge[h] = p.Appended
+	}
+}
+
+func (x *claimIndex) entry(h KeyHash, id dotterelpulley.Incarnation) *claimEntry {
+	list := x.entries[h]
+	for i := range list {
+		if list[i].incarnation == id {
+			return &list[i]
+		}
+	}
+	x.entries[h] = append(list, claimEntry{incarnation: id})
+	return &x.entries[h][len(list)]
+}
+
+// claimant returns an incarnation that may have run the key.
+func (x *claimIndex) claimant(h KeyHash) (dotterelpulley.Incarnation, bool) {
+	for _, e := range x.entries[h] {
+		if e.claimed > 0 && e.claimed >= e.released {
+			return e.incarnation, true
+		}
+	}
+	return "", false
+}
+
+// prune forgets what was claimed before the time.
+func (x *claimIndex) prune(before time.Time) {
+	n := 0
+	for n < len(x.ages) && x.ages[n].at.Before(before) {
+		h := x.ages[n].hash
+		if x.lastAge[h].Before(before) {
+			delete(x.entries, h)
+			delete(x.lastAge, h)
+		}
+		n++
+	}
+	x.ages = x.ages[n:]
+}
--- /dev/null
+++ b/claimer/lease.go
@@ -0,0 +1,227 @@
+package claimer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// lease is the right to dispatch, counted from when the last landed renewal was sent.
+type lease struct {
+	sent map[RecordID]time.Time
+	from time.Time
+}
+
+func (l *lease) holds(now time.Time, s Settings) bool {
+	return !l.from.IsZero() && now.Sub(l.from) < s.Lease-s.LeaseGuard
+}
+
+func (l *lease) landed(id RecordID) {
+	at, ok := l.sent[id]
+	if !ok {
+		return
+	}
+	delete(l.sent, id)
+	if at.After(l.from) {
+		l.from = at
+	}
+}
+
+// rosterWriter has at most one roster record under way.
+type rosterWriter struct {
+	id      RecordID
+	record  RosterRecord
+	ended   time.Time
+	renewAt time.Time
+
+	lastRead time.Time
+}
+
+func (w *rosterWriter) nextRead() time.Time {
+	return w.lastRead.Add(rereadInterval)
+}
+
+const rereadInterval = 200 * time.Millisecond
+
+func (c *Claimer) readRoster(e RosterRead) {
+	for _, p := range e.Records {
+		epoch := c.roster.Epoch
+		before := c.roster.Ranges
+		started := c.roster.started
+		counted := c.roster.Apply(p)
+		if p.ID == c.log.id {
+			c.log.id = ""
+		}
+		if counted {
+			c.heard(p)
+		}
+		if started != c.roster.started || epoch != c.roster.Epoch || before != c.roster.Ranges {
+			c.rangesChanged(before)
+		}
+	}
+	if !e.AtEnd {
+		return
+	}
+	if c.roster.Next() == 1 {
+		c.roster.started = true
+	}
+	if !c.paused.IsZero() && !e.Began.Before(c.paused) {
+		c.paused = time.Time{}
+	}
+	if c.log.id != "" && !c.log.ended.IsZero() && !e.Began.Before(c.log.ended) {
+		c.log.id = ""
+	}
+}
+
+func (c *Claimer) heard(p PlacedRosterRecord) {
+	switch rec := p.Record.(type) {
+	case Join:
+		c.suspects.heard[rec.Member.Incarnation] = c.now
+		c.lease.landed(p.ID)
+	case Renew:
+		c.suspects.heard[rec.Incarnation] = c.now
+		c.suspects.drop(rec.Incarnation)
+		if rec.Incarnation == c.Self.Incarnation {
+			c.lease.landed(p.ID)
+		}
+	case Leave:
+		c.removed(rec.Incarnation)
+	case Expire:
+		c.removed(rec.Incarnation)
+	case Drain, Yield, Snapshot:
+	}
+}
+
+// rangesChanged notes the ranges that have come to this host and must first read what was claimed in them.
+func (c *Claimer) rangesChanged(before [RangeCount]RangeState) {
+	for i := range c.roster.Ranges {
+		state := c.roster.Ranges[i]
+		id := RangeID(i)
+		if state.Holder != c.Self.Incarnation {
+			delete(c.acquired, id)
+			delete(c.taken, id)
+			continue
+		}
+		if before[i].Holder == state.Holder && before[i].Since == state.Since {
+			continue
+		}
+		c.acquired[id] = c.now
+		if before[i].Holder != "" || c.roster.LastRemoval > 0 {
+			c.taken[id] = c.now
+		}
+	}
+}
+
+func (c *Claimer) advanceRosterWriter() {
+	if c.log.id != "" || !c.roster.started || !c.paused.IsZero() || c.closing.expelled {
+		return
+	}
+	record := c.wantedRecord()
+	if record == nil {
+		return
+	}
+	id := c.nextID()
+	c.log.id, c.log.record, c.log.ended = id, record, time.Time{}
+	switch record.(type) {
+	case Join, Renew:
+		c.lease.sent[id] = c.now
+		c.log.renewAt = c.now.Add(c.Settings.RenewEvery())
+	case Drain, Leave, Yield, Expire, Snapshot:
+	}
+	c.do(AppendRoster{ID: id, Record: record})
+}
+
+// wantedRecord returns the record that this host has most need to append, if any.
+func (c *Claimer) wantedRecord() RosterRecord {
+	self := c.Self.Incarnation
+	me, joined := c.roster.MemberOf(self)
+	switch {
+	case !joined && slices.Contains(c.roster.Ended, self):
+		return nil
+	case !joined && c.closing.draining:
+		return nil
+	case !joined:
+		return Join{Member: c.Self}
+	case c.closing.draining && !me.Draining:
+		return Drain{Incarnation: self}
+	case c.mustYield():
+		return Yield{Incarnation: self, Epoch: c.roster.Epoch}
+	case c.closing.signedOff && c.allRecorded() && !c.mayStillStart():
+		return Leave{Incarnation: self}
+	}
+	if expire, ok := c.judged(); ok {
+		return expire
+	}
+	if !c.now.Before(c.log.renewAt) {
+		return Renew{Incarnation: self, Base: c.roster.View(), Unrecorded: c.unrecorded() > 0}
+	}
+	if c.roster.applied >= c.Settings.SnapshotEvery && c.roster.Members[0].Incarnation == self {
+		return Snapshot{Base: c.roster.View(), State: c.roster.state()}
+	}
+	return nil
+}
+
+// mustYield reports whether ranges are to be handed over and every claim in them is on the log.
+func (c *Claimer) mustYield() bool {
+	moving := false
+	for i := range c.roster.Ranges {
+		if !c.moving(RangeID(i)) {
+			continue
+		}
+		if c.group.touches(RangeID(i)) {
+			return false
+		}
+		moving = true
+	}
+	return moving
+}
+
+func (c *Claimer) moving(id RangeID) bool {
+	s := c.roster.Ranges[id]
+	return s.Holder == c.Self.Incarnation && s.Target != s.Holder
+}
+
+// mayStillStart reports whether a granted request has not yet sent its first byte.
+func (c *Claimer) mayStillStart() bool {
+	for _, r := range c.tickets {
+		if r.state == runClaiming || r.state == runGranted {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Claimer) removed(id dotterelpulley.Incarnation) {
+	c.suspects.drop(id)
+	c.witness.forget(id)
+	if id != c.Self.Incarnation || c.closing.told {
+		return
+	}
+	c.closing.told = true
+	if c.closing.signedOff {
+		c.do(SignedOff{})
+		return
+	}
+	c.closing.expelled = true
+	c.do(Expelled{})
+}
+
+// advanceReads repeats the reads that something waits for.
+func (c *Claimer) advanceReads() {
+	if c.now.Before(c.log.nextRead()) {
+		return
+	}
+	rosterWaits := !c.roster.started || !c.paused.IsZero() || c.log.id != ""
+	claimsWait := len(c.acquired) > 0 || c.group.waitsForRead()
+	if !rosterWaits && !claimsWait {
+		return
+	}
+	c.log.lastRead = c.now
+	if rosterWaits {
+		c.do(ReadRoster{From: c.roster.Next()})
+	}
+	if claimsWait {
+		c.do(ReadClaims{From: c.ClaimsNext()})
+	}
+}
--- /dev/null
+++ b/claimer/node_test.go
@@ -0,0 +1,264 @@
+package claimer_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
+)
+
+// node is an entry host: a decision core in a thin shell.
+type node struct {
+	w        *world
+	id       dotterelpulley.HostID
+	starts   int
+	alive    bool
+	paused   time.Time
+	logCut   time.Time
+	core     *claimer.Claimer
+	skew     time.Duration
+	drift    float64
+	ticket   claimer.Ticket
+	requests map[claimer.Ticket]*copyAtNode
+}
+
+// copyAtNode is one copy of a request at a node.
+type copyAtNode struct {
+	begin    claimer.Begin
+	core     *claimer.Claimer
+	attached []claimer.Ticket
+	reply    func(answer)
+	ended    bool
+	answer   *answer
+}
+
+type answer struct {
+	whole bool
+	kind  dotterelpulley.ErrorKind
+}
+
+func (w *world) addNode(id dotterelpulley.HostID) {
+	n := &node{w: w, id: id, skew: w.between(-150*time.Millisecond, 150*time.Millisecond), drift: 1 + (w.rand.Float64()-0.5)*0.002}
+	w.nodes = append(w.nodes, n)
+	n.boot()
+}
+
+func (n *node) boot() {
+	n.starts++
+	n.alive = true
+	n.paused = time.Time{}
+	n.requests = map[claimer.Ticket]*copyAtNode{}
+	n.newCore()
+	n.w.after(2*time.Second, func() { n.w.listed[n.id] = n.alive })
+	n.w.after(time.Second, func() { n.followHosts(n.starts) })
+}
+
+func (n *node) newCore() {
+	n.core = &claimer.Claimer{
+		Self: claimer.Member{
+			Host:        n.id,
+			Incarnation: dotterelpulley.Incarnation(fmt.Sprintf("%s-%d-%d", n.id, n.starts, n.w.now.Sub(n.w.start))),
+			Peer:        dotterelpulley.Address(n.id),
+		},
+		Settings: n.w.settings(),
+	}
+	n.tick(n.core)
+	n.readRoster(n.clock(), 1)
+}
+
+func (w *world) settings() claimer.Settings {
+	s := claimer.Settings{
+		Lease:       20 * time.Second,
+		LeaseGuard:  time.Second,
+		KeyLifetime: time.Minute,
+		ClockError:  2 * time.Second,
+		HoldLimit:   2 * time.Second,
+		Linger:      5 * time.Second,
+		PauseLimit:  2 * time.Second,
+		// Small enough for a late host to start from a snapshot.
+		SnapshotEvery: 10,
+	}
+	if w.profile.flaw == leaseUnchecked {
+		s.LeaseGuard = -time.Hour
+		s.PauseLimit = time.Hour
+	}
+	if w.profile.flaw == refusalsForgotten {
+		s.ArrivalError = -time.Hour
+	}
+	return s
+}
+
+func (n *node) clock() time.Time {
+	elapsed := n.w.now.Sub(n.w.start)
+	return n.w.start.Add(time.Duration(float64(elapsed) * n.drift)).Add(n.skew)
+}
+
+// later runs f now, or when the node's pause ends; what meant an earlier start of the node is dropped.
+func (n *node) later(f func()) {
+	starts := n.starts
+	if !n.alive {
+		return
+	}
+	if n.w.now.Before(n.paused) {
+		n.w.after(n.paused.Sub(n.w.now), func() {
+			if n.starts == starts {
+				n.later(f)
+			}
+		})
+		return
+	}
+	f()
+}
+
+func (n *node) step(core *claimer.Claimer, e claimer.Event) {
+	n.later(func() {
+		if n.core != core {
+			return
+		}
+		if begin, ok := e.(claimer.Begin); ok {
+			n.w.trace("%s begins %v", n.id, begin)
+		}
+		for _, a := range core.Step(n.clock(), e) {
+			n.w.trace("%s %T %.300v", core.Self.Incarnation, a, a)
+			n.act(core, a)
+		}
+	})
+}
+
+func (n *node) tick(core *claimer.Claimer) {
+	starts := n.starts
+	n.step(core, claimer.Tick{})
+	n.later(func() {
+		wait := max(core.NextTick().Sub(n.clock()), 20*time.Millisecond)
+		n.w.after(wait, func() {
+			if n.starts == starts && n.core == core {
+				n.tick(core)
+			}
+		})
+	})
+}
+
+func (n *node) logOut() bool {
+	return within(n.w.log.outage, n.w.now) || n.w.now.Before(n.logCut)
+}
+
+func (n *node) followHosts(starts int) {
+	if n.starts != starts || !n.alive {
+		return
+	}
+	var hosts []dotterelpulley.HostID
+	for id, listed := range n.w.listed {
+		if listed {
+			hosts = append(hosts, id)
+		}
+	}
+	n.step(n.core, claimer.HostsListed{Hosts: hosts})
+	n.w.after(2*time.Second, func() { n.followHosts(starts) })
+}
+
+func (n *node) readRoster(began time.Time, from claimer.Offset) {
+	core := n.core
+	n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() {
+		if n.logOut() {
+			return
+		}
+		records := n.w.log.roster[min(int(from)-1, len(n.w.log.roster)):]
+		first := n.w.firstRoster()
+		if len(records) > 0 && records[0].Offset < first {
+			records = n.w.log.roster[first-1:]
+		}
+		read := claimer.RosterRead{Began: began, Records: append([]claimer.PlacedRosterRecord(nil), records...), AtEnd: true}
+		n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
+	})
+}
+
+// firstRoster is the oldest roster record that the log still keeps.
+func (w *world) firstRoster() claimer.Offset {
+	const kept = 60
+	return claimer.Offset(max(len(w.log.roster)-kept, 0) + 1)
+}
+
+func (n *node) readClaims(began time.Time, from claimer.Offset) {
+	core := n.core
+	n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() {
+		if n.logOut() {
+			return
+		}
+		records := n.w.log.claims[min(int(from)-1, len(n.w.log.claims)):]
+		if n.w.profile.flaw == claimsUnread {
+			records = nil
+		}
+		read := claimer.ClaimsRead{Began: began, Records: append([]claimer.PlacedClaimsRecord(nil), records...), AtEnd: true}
+		n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
+	})
+}
+
+func (n *node) act(core *claimer.Claimer, action claimer.Action) {
+	w := n.w
+	switch a := action.(type) {
+	case claimer.AppendRoster:
+		w.appendRoster(n, a)
+	case claimer.AppendClaims:
+		w.appendClaims(n, a)
+	case claimer.ReadRoster:
+		n.readRoster(n.clock(), a.From)
+	case claimer.ReadClaims:
+		n.readClaims(n.clock(), a.From)
+	case claimer.Ask:
+		for _, m := range a.To {
+			n.ask(core, m, a.Question)
+		}
+	case claimer.Proceed:
+		n.enqueue(core, a.Ticket)
+	case claimer.Attach:
+		n.attach(a)
+	case claimer.Forward:
+		n.forward(a)
+	case claimer.Grant:
+		w.after(w.between(0, 5*time.Millisecond), func() { n.dispatch(core, a.Ticket) })
+	case claimer.Refuse:
+		n.answer(a.Ticket, answer{kind: a.Kind})
+	case claimer.Moved:
+		n.beginAgain(a.Ticket)
+	case claimer.Forget:
+	case claimer.Expelled:
+		w.after(time.Millisecond, func() { n.later(n.newCore) })
+	case claimer.SignedOff:
+		n.die()
+	}
+}
+
+func (n *node) ask(core *claimer.Claimer, m claimer.Member, q claimer.Question) {
+	peer := n.w.find(m)
+	n.w.message(func() {
+		peer.later(func() {
+			if peer.core.Self.Incarnation != m.Incarnation {
+				return
+			}
+			reply := peer.core.Answer(peer.clock(), q)
+			n.w.message(func() { n.step(core, claimer.Replied{Reply: reply}) })
+		})
+	})
+}
+
+func (w *world) find(m claimer.Member) *node {
+	for _, n := range w.nodes {
+		if n.id == m.Host {
+			return n
+		}
+	}
+	panic("no node " + m.Host)
+}
+
+// message delivers f to a peer, late now and then and not at all while hosts are cut off from each other.
+func (w *world) message(f func()) {
+	if w.now.Before(w.cutOff) && w.chance(0.7) {
+		return
+	}
+	latency := w.between(500*time.Microsecond, 3*time.Millisecond)
+	if w.profile.faults && w.chance(0.03) {
+		latency += w.between(0, 8*time.Second)
+	}
+	w.after(latency, f)
+}
--- /dev/null
+++ b/claimer/request_test.go
@@ -0,0 +1,229 @@
+package claimer_test
+
+import (
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
+)
+
+// receive takes a copy of a request at a node; reply is called at most once.
+func (n *node) receive(begin claimer.Begin, reply func(answer)) {
+	n.later(func() {
+		n.ticket++
+		begin.Ticket = n.ticket
+		if begin.Arrived.IsZero() {
+			begin.Arrived = n.clock()
+		}
+		n.requests[begin.Ticket] = &copyAtNode{begin: begin, core: n.core, reply: reply}
+		if n.w.naive {
+			n.enqueue(n.core, begin.Ticket)
+			return
+		}
+		n.step(n.core, begin)
+	})
+}
+
+// enqueue stands for the admission queue, which refuses some requests.
+func (n *node) enqueue(core *claimer.Claimer, t claimer.Ticket) {
+	n.w.after(n.w.between(0, 40*time.Millisecond), func() {
+		n.later(func() {
+			switch {
+			case n.w.profile.faults && n.w.chance(0.15):
+				n.notStarted(core, t, dotterelpulley.ErrorShed)
+			case n.w.naive:
+				n.start(core, t)
+			default:
+				n.step(core, claimer.Claim{Ticket: t})
+			}
+		})
+	})
+}
+
+func (n *node) notStarted(core *claimer.Claimer, t claimer.Ticket, kind dotterelpulley.ErrorKind) {
+	if n.w.naive {
+		n.answer(t, answer{kind: kind})
+		return
+	}
+	n.step(core, claimer.Ended{Ticket: t, Outcome: claimer.OutcomeNotStarted, Kind: kind})
+}
+
+func (n *node) dispatch(core *claimer.Claimer, t claimer.Ticket) {
+	n.later(func() {
+		if !core.MayStart(n.clock(), t) {
+			n.notStarted(core, t, dotterelpulley.ErrorNotReady)
+			return
+		}
+		n.start(core, t)
+	})
+}
+
+// start runs the request at an endpoint; the ledger is the endpoint's own.
+func (n *node) start(core *claimer.Claimer, t claimer.Ticket) {
+	c, ok := n.requests[t]
+	if !ok {
+		return
+	}
+	n.w.runs[c.begin.Key]++
+	n.w.trace("%s runs %d %s", core.Self.Incarnation, t, c.begin.Key)
+	n.w.after(n.w.between(20*time.Millisecond, 1500*time.Millisecond), func() {
+		n.later(func() {
+			broken := n.w.profile.faults && n.w.chance(0.05)
+			switch {
+			case broken && n.w.naive:
+				n.start(core, t)
+			case broken:
+				n.step(core, claimer.Ended{Ticket: t, Outcome: claimer.OutcomeUnfinished})
+				n.answer(t, answer{kind: dotterelpulley.ErrorOutcomeUnknown})
+			default:
+				n.step(core, claimer.Ended{Ticket: t})
+				n.answer(t, answer{whole: true})
+			}
+		})
+	})
+}
+
+func (n *node) attach(a claimer.Attach) {
+	run, ok := n.requests[a.Run]
+	if !ok {
+		panic("attached to a run that is not there")
+	}
+	if run.answer != nil {
+		n.answer(a.Ticket, *run.answer)
+		return
+	}
+	run.attached = append(run.attached, a.Ticket)
+}
+
+func (n *node) answer(t claimer.Ticket, a answer) {
+	c, ok := n.requests[t]
+	if !ok || c.ended {
+		return
+	}
+	c.ended = true
+	c.answer = &a
+	n.w.trace("%s answers %d %s %v", n.id, t, c.begin.Key, a)
+	if c.reply != nil {
+		c.reply(a)
+	}
+	for _, follower := range c.attached {
+		n.answer(follower, a)
+	}
+}
+
+func (n *node) beginAgain(t claimer.Ticket) {
+	c := n.requests[t]
+	for _, again := range append(c.attached, t) {
+		other := n.requests[again]
+		other.ended = true
+		n.receive(other.begin, other.reply)
+	}
+}
+
+// forward sends the copy to its holder; a broken connection is told to the caller as an unknown outcome.
+func (n *node) forward(a claimer.Forward) {
+	c := n.requests[a.Ticket]
+	begin := c.begin
+	begin.Arrived = a.Arrived
+	begin.Passed = append(append([]dotterelpulley.HostID(nil), begin.Passed...), n.id)
+	peer := n.w.find(a.To)
+	n.w.message(func() {
+		if peer.alive {
+			peer.receive(begin, func(got answer) {
+				n.w.message(func() { n.later(func() { n.answer(a.Ticket, got) }) })
+			})
+		}
+	})
+	n.w.after(6*time.Second, func() {
+		n.later(func() { n.answer(a.Ticket, answer{kind: dotterelpulley.ErrorHolderUnreachable}) })
+	})
+}
+
+func (n *node) die() {
+	n.alive = false
+	n.starts++
+}
+
+// caller sends one request, again and to other hosts, until it is content.
+type caller struct {
+	w      *world
+	key    dotterelpulley.Key
+	kind   dotterelpulley.RequestKind
+	began  time.Time
+	tries  int
+	done   bool
+	notRun bool
+	last   answer
+}
+
+func (w *world) addCaller(i int) {
+	c := &caller{w: w, key: w.newKey(i), kind: dotterelpulley.RequestKind(w.rand.IntN(3)), began: w.now}
+	w.callers = append(w.callers, c)
+	c.send()
+}
+
+func (c *caller) send() {
+	c.tries++
+	const keyInUse = 40 * time.Second
+	if c.tries > 4 || c.w.now.Sub(c.began) > keyInUse {
+		c.done = true
+		return
+	}
+	c.notRun = false
+	n := c.w.nodes[c.w.rand.IntN(len(c.w.nodes))]
+	try := c.tries
+	begin := claimer.Begin{Key: c.key, Kind: c.kind, Fingerprint: 1}
+	c.w.after(time.Millisecond, func() {
+		n.receive(begin, func(a answer) {
+			c.w.after(time.Millisecond, func() { c.hear(try, a) })
+		})
+	})
+	patience := c.w.between(200*time.Millisecond, 7*time.Second)
+	if !c.w.profile.faults {
+		patience = 15 * time.Second
+	}
+	c.w.after(patience, func() {
+		if !c.done && c.tries == try {
+			c.again(c.w.between(0, 5*time.Second))
+		}
+	})
+}
+
+func (c *caller) again(wait time.Duration) {
+	try := c.tries
+	c.w.after(wait, func() {
+		if !c.done && c.tries == try {
+			c.send()
+		}
+	})
+}
+
+// hear takes an answer; the caller takes "not run" at its word.
+func (c *caller) hear(try int, a answer) {
+	if c.done || try != c.tries {
+		return
+	}
+	c.last = a
+	c.w.trace("caller of %s hears %v", c.key, a)
+	if a.whole {
+		c.done = true
+		return
+	}
+	if a.kind.Answer().Truth != dotterelpulley.NotRun {
+		if !c.w.profile.faults || c.w.chance(0.2) {
+			c.done = true
+			return
+		}
+		c.again(c.w.between(0, 10*time.Second))
+		return
+	}
+	c.notRun = true
+	if c.w.runs[c.key] > 0 {
+		c.w.falseNo++
+	}
+	if c.w.chance(0.5) {
+		c.done = true
+		return
+	}
+	c.again(c.w.between(time.Second, 8*time.Second))
+}
--- /dev/null
+++ b/claimer/roster.go
@@ -0,0 +1,288 @@
+package claimer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// endedKept is the number of ended incarnations whose late records are known as such.
+const endedKept = 2048
+
+// RosterMember is a member with what its records have said.
+type RosterMember struct {
+	Member
+	Joined     Offset
+	Renewed    Offset
+	RenewBase  Offset
+	Unrecorded bool
+	Draining   bool
+}
+
+// RangeState tells who holds a range and who shall hold it next.
+type RangeState struct {
+	Holder dotterelpulley.Incarnation
+	Target dotterelpulley.Incarnation
+	// Previous is the holder that yielded the range, empty after a takeover.
+	Previous dotterelpulley.Incarnation
+	// Since is the offset at which the holder got the range.
+	Since Offset
+	// UncertainBefore is the birth time before which a key may have run unrecorded.
+	UncertainBefore time.Time
+	// UncertainUntil is the time from which no such key is alive any more.
+	UncertainUntil time.Time
+}
+
+// RosterState is all that the records of the roster stream add up to.
+type RosterState struct {
+	Members     []RosterMember
+	Ended       []dotterelpulley.Incarnation
+	Ranges      [RangeCount]RangeState
+	Epoch       Offset
+	LastRemoval Offset
+}
+
+// Roster folds the roster stream; every host that has read the same records holds the same roster.
+type Roster struct {
+	RosterState
+	next     Offset
+	started  bool
+	buffered []PlacedRosterRecord
+	applied  int
+	settings Settings
+}
+
+// Next returns the offset to read from next.
+func (r *Roster) Next() Offset {
+	return max(r.next, 1)
+}
+
+// Started reports whether the roster is known from its first record or from a snapshot.
+func (r *Roster) Started() bool {
+	return r.started
+}
+
+// View returns the last offset that was folded.
+func (r *Roster) View() Offset {
+	return r.Next() - 1
+}
+
+// Apply folds one record; records before the expected offset are ignored, and it reports whether the record counted.
+func (r *Roster) Apply(p PlacedRosterRecord) bool {
+	if p.Offset < r.Next() {
+		return false
+	}
+	first := r.next == 0
+	gap := !first && p.Offset > r.next
+	r.next = p.Offset + 1
+	if gap {
+		r.RosterState, r.started, r.buffered = RosterState{}, false, nil
+	}
+	if first && p.Offset == 1 {
+		r.started = true
+	}
+	if !r.started {
+		return r.start(p)
+	}
+	return r.fold(p)
+}
+
+// start waits for a snapshot whose following records have all been read.
+func (r *Roster) start(p PlacedRosterRecord) bool {
+	r.buffered = append(r.buffered, p)
+	snapshot, ok := p.Record.(Snapshot)
+	if !ok || snapshot.Base < r.buffered[0].Offset-1 {
+		return false
+	}
+	r.RosterState = snapshot.State
+	r.RosterState = r.state()
+	r.started = true
+	buffered := r.buffered
+	r.buffered = nil
+	for _, b := range buffered {
+		if b.Offset > snapshot.Base {
+			r.fold(b)
+		}
+	}
+	return true
+}
+
+func (r *Roster) fold(p PlacedRosterRecord) bool {
+	r.applied++
+	switch rec := p.Record.(type) {
+	case Join:
+		return r.join(p.Offset, rec)
+	case Renew:
+		return r.renew(p.Offset, rec)
+	case Drain:
+		return r.drain(p.Offset, rec)
+	case Leave:
+		return r.leave(p, rec)
+	case Yield:
+		return r.yield(p.Offset, rec)
+	case Expire:
+		return r.expire(p, rec)
+	case Snapshot:
+		r.applied = 0
+		return true
+	}
+	return false
+}
+
+func (r *Roster) join(at Offset, rec Join) bool {
+	id := rec.Member.Incarnation
+	if slices.Contains(r.Ended, id) || r.index(id) >= 0 {
+		return false
+	}
+	r.Members = append(r.Members, RosterMember{Member: rec.Member, Joined: at, Renewed: at, RenewBase: at})
+	r.retarget(at)
+	for i := range r.Ranges {
+		if r.Ranges[i].Holder == "" {
+			r.Ranges[i].Holder = r.Ranges[i].Target
+			r.Ranges[i].Since = at
+		}
+	}
+	return true
+}
+
+func (r *Roster) renew(at Offset, rec Renew) bool {
+	i := r.index(rec.Incarnation)
+	if i < 0 {
+		return false
+	}
+	m := &r.Members[i]
+	if rec.Base < m.RenewBase {
+		return false
+	}
+	m.Renewed = at
+	m.RenewBase = rec.Base
+	m.Unrecorded = rec.Unrecorded
+	return true
+}
+
+func (r *Roster) drain(at Offset, rec Drain) bool {
+	i := r.index(rec.Incarnation)
+	if i < 0 || r.Members[i].Draining {
+		return false
+	}
+	r.Members[i].Draining = true
+	r.retarget(at)
+	return true
+}
+
+func (r *Roster) leave(p PlacedRosterRecord, rec Leave) bool {
+	if r.index(rec.Incarnation) < 0 {
+		return false
+	}
+	r.remove(p, rec.Incarnation, true)
+	return true
+}
+
+func (r *Roster) yield(at Offset, rec Yield) bool {
+	if rec.Epoch != r.Epoch || r.index(rec.Incarnation) < 0 {
+		return false
+	}
+	for i := range r.Ranges {
+		s := &r.Ranges[i]
+		if s.Holder == rec.Incarnation && s.Target != s.Holder {
+			s.Previous = s.Holder
+			s.Holder = s.Target
+			s.Since = at
+		}
+	}
+	return true
+}
+
+func (r *Roster) expire(p PlacedRosterRecord, rec Expire) bool {
+	i := r.index(rec.Incarnation)
+	if i < 0 || r.Members[i].Renewed > rec.Base {
+		return false
+	}
+	r.remove(p, rec.Incarnation, rec.Clean && r.witnessed(i, rec.Base))
+	return true
+}
+
+// witnessed reports whether every host that may know of the member's unrecorded claims is still a member and was asked.
+func (r *Roster) witnessed(i int, base Offset) bool {
+	m := r.Members[i]
+	if m.Unrecorded || r.LastRemoval > m.RenewBase || r.Epoch > base {
+		return false
+	}
+	for _, other := range r.Members {
+		if other.Incarnation != m.Incarnation && other.Joined <= m.RenewBase {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Roster) remove(p PlacedRosterRecord, id dotterelpulley.Incarnation, clean bool) {
+	r.Members = slices.DeleteFunc(r.Members, func(m RosterMember) bool { return m.Incarnation == id })
+	r.Ended = append(r.Ended, id)
+	if len(r.Ended) > endedKept {
+		r.Ended = slices.Delete(r.Ended, 0, len(r.Ended)-endedKept)
+	}
+	r.LastRemoval = p.Offset
+	r.retarget(p.Offset)
+	for i := range r.Ranges {
+		s := &r.Ranges[i]
+		if s.Holder != id {
+			continue
+		}
+		s.Previous = ""
+		s.Holder = s.Target
+		s.Since = p.Offset
+		if !clean {
+			s.UncertainBefore = p.Appended.Add(r.settings.ClockError)
+			s.UncertainUntil = p.Appended.Add(r.settings.KeyLifetime + r.settings.ClockError)
+		}
+	}
+}
+
+func (r *Roster) index(id dotterelpulley.Incarnation) int {
+	return slices.IndexFunc(r.Members, func(m RosterMember) bool { return m.Incarnation == id })
+}
+
+// MemberOf returns the member of that incarnation.
+func (r *Roster) MemberOf(id dotterelpulley.Incarnation) (RosterMember, bool) {
+	i := r.index(id)
+	if i < 0 {
+		return RosterMember{}, false
+	}
+	return r.Members[i], true
+}
+
+func (r *Roster) retarget(at Offset) {
+	r.Epoch = at
+	for i := range r.Ranges {
+		r.Ranges[i].Target = r.target(RangeID(i))
+	}
+}
+
+// target picks the range's holder by rendezvous hashing on host ids; of two incarnations of a host the later one counts.
+func (r *Roster) target(id RangeID) dotterelpulley.Incarnation {
+	var best RosterMember
+	var bestScore uint64
+	for _, m := range r.Members {
+		score := xxhash.Sum64(append([]byte{byte(id)}, m.Host...))
+		better := score >= bestScore
+		if m.Draining != best.Draining {
+			better = best.Draining
+		}
+		if best.Incarnation == "" || better {
+			best, bestScore = m, score
+		}
+	}
+	return best.Incarnation
+}
+
+// state returns a copy that later records don't change.
+func (r *Roster) state() RosterState {
+	s := r.RosterState
+	s.Members = slices.Clone(s.Members)
+	s.Ended = slices.Clone(s.Ended)
+	return s
+}
--- /dev/null
+++ b/claimer/schedule_test.go
@@ -0,0 +1,211 @@
+package claimer_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
+)
+
+var (
+	schedules = flag.Uint64("schedules", 2000, "number of seeded schedules")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first schedule")
+)
+
+type score struct {
+	duplicates int
+	falseNo    int
+	whole      int
+	notRun     int
+	unknown    int
+	runs       int
+}
+
+func newWorld(seed uint64, p profile) *world {
+	start := time.UnixMilli(1_800_000_000_000)
+	w := &world{
+		rand:    rand.New(rand.NewPCG(seed, 1)),
+		start:   start,
+		now:     start,
+		profile: p,
+		listed:  map[dotterelpulley.HostID]bool{},
+		runs:    map[dotterelpulley.Key]int{},
+	}
+	for _, id := range []dotterelpulley.HostID{"a", "b", "c"} {
+		w.addNode(id)
+	}
+	return w
+}
+
+const (
+	scheduleLength = 70 * time.Second
+	faultsUntil    = 45 * time.Second
+)
+
+func schedule(seed uint64, p profile, naive bool) score {
+	w := newWorld(seed, p)
+	w.naive = naive
+	if p.faults {
+		for range 1 + w.rand.IntN(5) {
+			w.after(w.between(2*time.Second, faultsUntil), w.fault)
+		}
+	}
+	if p.cut {
+		w.after(w.between(3*time.Second, 8*time.Second), func() { w.nodes[0].logCut = w.now.Add(faultsUntil) })
+	}
+	if p.slow {
+		w.log.slow = append(w.log.slow, [2]time.Time{w.now.Add(3 * time.Second), w.now.Add(time.Hour)})
+	}
+	if p.out {
+		w.log.outage = append(w.log.outage, [2]time.Time{w.now.Add(3 * time.Second), w.now.Add(time.Hour)})
+	}
+	for i := range p.callers {
+		w.after(w.between(4*time.Second, p.length), func() { w.addCaller(i) })
+	}
+	w.run(scheduleLength)
+	return w.score()
+}
+
+func (w *world) fault() {
+	n := w.nodes[w.rand.IntN(len(w.nodes))]
+	windows := [2]time.Time{w.now, w.now.Add(w.between(time.Second, 30*time.Second))}
+	fault := w.rand.IntN(10)
+	w.trace("fault %d at %s %v", fault, n.id, windows)
+	switch fault {
+	case 0:
+		n.die()
+		w.after(w.between(time.Second, 6*time.Second), n.boot)
+	case 1:
+		n.die()
+		w.after(w.between(time.Second, 5*time.Second), func() { delete(w.listed, n.id) })
+	case 2:
+		n.die()
+	case 3:
+		n.paused = w.now.Add(w.between(100*time.Millisecond, 30*time.Second))
+	case 4:
+		w.log.outage = append(w.log.outage, windows)
+	case 5:
+		w.log.slow = append(w.log.slow, windows)
+	case 6:
+		w.cutOff = windows[1]
+	case 7, 8:
+		n.logCut = w.now.Add(w.between(time.Second, 40*time.Second))
+		if w.chance(0.3) {
+			w.after(w.between(time.Second, 20*time.Second), n.die)
+		}
+	case 9:
+		w.joinOrLeave(n)
+	}
+	if w.chance(0.3) {
+		w.after(w.between(0, 300*time.Millisecond), w.fault)
+	}
+}
+
+func (w *world) score() score {
+	s := score{falseNo: w.falseNo}
+	for key, n := range w.runs {
+		if n > 1 {
+			w.trace("%s ran %d times", key, n)
+		}
+		s.runs += n
+		s.duplicates += max(n-1, 0)
+	}
+	for _, c := range w.callers {
+		switch {
+		case c.last.whole:
+			s.whole++
+		case c.notRun:
+			s.notRun++
+			if c.done && w.runs[c.key] > 0 {
+				w.trace("%s was said not to run", c.key)
+				s.falseNo++
+			}
+		default:
+			s.unknown++
+		}
+	}
+	return s
+}
+
+func runSchedules(p profile, naive bool, first, count uint64, each func(uint64, score)) score {
+	var total [6]atomic.Int64
+	workers := pool.New().WithMaxGoroutines(min(4, runtime.GOMAXPROCS(0)))
+	for seed := first; seed < first+count; seed++ {
+		workers.Go(func() {
+			s := schedule(seed, p, naive)
+			for i, v := range []int{s.duplicates, s.falseNo, s.whole, s.notRun, s.unknown, s.runs} {
+				total[i].Add(int64(v))
+			}
+			each(seed, s)
+		})
+	}
+	workers.Wait()
+	v := func(i int) int { return int(total[i].Load()) }
+	return score{duplicates: v(0), falseNo: v(1), whole: v(2), notRun: v(3), unknown: v(4), runs: v(5)}
+}
+
+func TestEachSafeguardIsNeeded(t *testing.T) {
+	const count = 300
+	p := profile{faults: true, cut: true, callers: 24, length: faultsUntil}
+	for name, f := range map[string]flaw{
+		"lease unchecked":       leaseUnchecked,
+		"takeover always clean": takeoverAlwaysClean,
+		"claims unread":         claimsUnread,
+		"refusals forgotten":    refusalsForgotten,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.flaw = f
+			got := runSchedules(p, false, 1, count, func(uint64, score) {})
+			t.Logf("%+v", got)
+			qt.Check(t, got.duplicates+got.falseNo > 0, qt.IsTrue)
+		})
+	}
+}
+
+func TestNoKeyRunsTwiceAndNotRunIsTrue(t *testing.T) {
+	c := qt.New(t)
+	count := *schedules
+	if testing.Short() {
+		count = min(count, 500)
+	}
+	p := profile{faults: true, callers: 24, length: faultsUntil}
+	got := runSchedules(p, false, *firstSeed, count, func(seed uint64, s score) {
+		if s.duplicates+s.falseNo > 0 {
+			t.Errorf("seed %d: %d duplicates, %d false not-run", seed, s.duplicates, s.falseNo)
+		}
+	})
+	naive := runSchedules(p, true, *firstSeed, count, func(uint64, score) {})
+	t.Logf("schedules %d from seed %d", count, *firstSeed)
+	t.Logf("claimer %+v", got)
+	t.Logf("naive   %+v", naive)
+	c.Check(got.duplicates, qt.Equals, 0)
+	c.Check(got.falseNo, qt.Equals, 0)
+	const enough = 100
+	if count < enough {
+		return
+	}
+	c.Check(naive.duplicates > 0, qt.IsTrue)
+	c.Check(naive.falseNo > 0, qt.IsTrue)
+}
+
+// joinOrLeave brings in a new host or drains one.
+func (w *world) joinOrLeave(n *node) {
+	if len(w.nodes) < 5 && w.chance(0.5) {
+		w.addNode(dotterelpulley.HostID([]string{"d", "e"}[len(w.nodes)-3]))
+		return
+	}
+	if !n.alive {
+		return
+	}
+	core := n.core
+	n.step(core, claimer.DrainBegun{})
+	w.after(w.between(500*time.Millisecond, 3*time.Second), func() { n.step(core, claimer.SignOff{}) })
+}
--- /dev/null
+++ b/claimer/witness.go
@@ -0,0 +1,87 @@
+package claimer
+
+import "github.com/dotterelpulley/dotterelpulley"
+
+// QuestionKind tells what a question is about.
+type QuestionKind int
+
+// The kinds of question.
+const (
+	// DeclareUnrecorded says that the incarnation may run claims which the log doesn't show.
+	DeclareUnrecorded QuestionKind = iota
+	// DeclareRecorded says that all claims of the incarnation are on the log again.
+	DeclareRecorded
+	// AskUnrecorded asks whether the incarnation has declared unrecorded claims.
+	AskUnrecorded
+)
+
+// Question is put by one member to another.
+type Question struct {
+	Kind     QuestionKind
+	About    dotterelpulley.Incarnation
+	Revision int64
+	// Base is the roster offset that the asker judges from.
+	Base Offset
+}
+
+// Reply answers a question.
+type Reply struct {
+	From     dotterelpulley.Incarnation
+	Question Question
+	// Accepted tells that a declaration is kept in memory.
+	Accepted bool
+	// Unrecorded tells that a declaration of unrecorded claims is known.
+	Unrecorded bool
+}
+
+type declaration struct {
+	revision   int64
+	unrecorded bool
+}
+
+// witness remembers what other members have declared.
+type witness struct {
+	declared map[dotterelpulley.Incarnation]declaration
+	sealed   map[dotterelpulley.Incarnation]Offset
+}
+
+func (w *witness) answer(roster *Roster, q Question) (accepted, unrecorded bool) {
+	if w.declared == nil {
+		w.declared = map[dotterelpulley.Incarnation]declaration{}
+		w.sealed = map[dotterelpulley.Incarnation]Offset{}
+	}
+	have := w.declared[q.About]
+	switch q.Kind {
+	case DeclareUnrecorded:
+		if w.isSealed(roster, q.About) {
+			return false, have.unrecorded
+		}
+		if q.Revision >= have.revision {
+			w.declared[q.About] = declaration{revision: q.Revision, unrecorded: true}
+		}
+		return true, true
+	case DeclareRecorded:
+		if q.Revision >= have.revision {
+			w.declared[q.About] = declaration{revision: q.Revision}
+		}
+		return true, false
+	case AskUnrecorded:
+		w.sealed[q.About] = max(w.sealed[q.About], q.Base)
+		return true, have.unrecorded
+	}
+	return false, have.unrecorded
+}
+
+// isSealed reports whether a takeover of the incarnation has been judged after its last renewal.
+func (w *witness) isSealed(roster *Roster, id dotterelpulley.Incarnation) bool {
+	base, sealed := w.sealed[id]
+	if !sealed {
+		return false
+	}
+	m, ok := roster.MemberOf(id)
+	return !ok || m.Renewed <= base
+}
+
+func (w *witness) forget(id dotterelpulley.Incarnation) {
+	delete(w.declared, id)
+}
