--- a/claimer/schedule_test.go
+++ b/claimer/schedule_test.go
@@ -89,7 +89,9 @@
 	case 2:
 		n.die()
 	case 3:
-		n.paused = w.now.Add(w.between(100*time.Millisecond, 30*time.Second))
+		if until := w.now.Add(w.between(100*time.Millisecond, 30*time.Second)); until.After(n.paused) {
+			n.paused = until
+		}
 	case 4:
 		w.log.outage = append(w.log.outage, windows)
 	case 5:
