Dispatch each key on its range's holder only

Entry hosts join the roster, forward a key to its holder, claim before the first byte and check the lease right before it. A plan without a key gets one that names its host, which needs no claim. A lost holder is looked for again; a refusal says not-run only while no other host can have run the request.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -56,6 +56,8 @@
 	case Tick:
 	case RosterRead:
 		c.readRoster(e)
+	case RosterTold:
+		c.roster.adopt(e.Snapshot)
 	case ClaimsRead:
 		c.readClaims(e)
 	case AppendEnded:
@@ -135,11 +137,12 @@
 	}
 }
 
-// MayStart reports whether the granted request's first byte may leave now, and takes it as started if so.
+// MayStart reports whether the granted request's first byte may leave now, and takes it as started if so;
+// a further attempt after proof that the one before did not start asks again.
 func (c *Claimer) MayStart(now time.Time, ticket Ticket) bool {
 	c.start(now)
 	r, ok := c.tickets[ticket]
-	if !ok || r.state != runGranted {
+	if !ok || r.state != runGranted && r.state != runStarted {
 		return false
 	}
 	if !r.issued && !c.mayDispatch() {
@@ -169,6 +172,16 @@
 	return !waiting && c.mayDispatch()
 }
 
+// Ready reports whether this host knows the roster, so that every key finds its way.
+func (c *Claimer) Ready() bool {
+	return c.roster.started && len(c.roster.Members) > 0 && !c.closing.draining && !c.closing.expelled
+}
+
+// Snapshot returns the roster for a host that can't read the log, once it is known here.
+func (c *Claimer) Snapshot() (Snapshot, bool) {
+	return Snapshot{Base: c.roster.View(), State: c.roster.state()}, c.roster.started
+}
+
 // ReadyRanges returns the number of ranges whose keys this host may dispatch now.
 func (c *Claimer) ReadyRanges(now time.Time) int {
 	c.start(now)
--- a/claimer/event.go
+++ b/claimer/event.go
@@ -26,6 +26,11 @@
 	AtEnd bool
 }
 
+// RosterTold brings the roster as another member knows it, for a host that can't read the log.
+type RosterTold struct {
+	Snapshot Snapshot
+}
+
 // ClaimsRead brings records of the claims stream.
 type ClaimsRead struct {
 	Began   time.Time
@@ -98,6 +103,7 @@
 
 func (Tick) event()        {}
 func (RosterRead) event()  {}
+func (RosterTold) event()  {}
 func (ClaimsRead) event()  {}
 func (AppendEnded) event() {}
 func (Begin) event()       {}
--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -89,7 +89,7 @@
 		c.removed(rec.Incarnation)
 	case Expire:
 		c.removed(rec.Incarnation)
-	case Drain, Yield, Snapshot:
+	case Drain, Yield, Snapshot, Void:
 	}
 }
 
@@ -127,7 +127,7 @@
 	case Join, Renew:
 		c.lease.sent[id] = c.now
 		c.log.renewAt = c.now.Add(c.Settings.RenewEvery())
-	case Drain, Leave, Yield, Expire, Snapshot:
+	case Drain, Leave, Yield, Expire, Snapshot, Void:
 	}
 	c.do(AppendRoster{ID: id, Record: record})
 }
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -81,6 +81,10 @@
 	State RosterState
 }
 
+// Void stands for a record that can't be read and changes nothing.
+type Void struct{}
+
+func (Void) rosterRecord()     {}
 func (Join) rosterRecord()     {}
 func (Renew) rosterRecord()    {}
 func (Drain) rosterRecord()    {}
--- a/claimer/roster.go
+++ b/claimer/roster.go
@@ -110,6 +110,18 @@
 	return true
 }
 
+// adopt takes another member's roster while none is known here.
+func (r *Roster) adopt(s Snapshot) {
+	if r.started || s.Base < r.View() {
+		return
+	}
+	r.RosterState = s.State
+	r.RosterState = r.state()
+	r.next = s.Base + 1
+	r.started = true
+	r.buffered = nil
+}
+
 func (r *Roster) fold(p PlacedRosterRecord) bool {
 	r.applied++
 	switch rec := p.Record.(type) {
@@ -128,6 +140,7 @@
 	case Snapshot:
 		r.applied = 0
 		return true
+	case Void:
 	}
 	return false
 }
--- a/claimer/wire.go
+++ b/claimer/wire.go
@@ -77,6 +77,8 @@
 		w.Proof, w.Clean = int(rec.Proof), rec.Clean
 	case Snapshot:
 		w.snapshotToWire(rec)
+	case Void:
+		w.Kind = "void"
 	}
 	data, err := json.Marshal(w)
 	if err != nil {
@@ -116,6 +118,8 @@
 		return Yield{Incarnation: id, Epoch: Offset(w.Epoch)}, nil
 	case "expire":
 		return Expire{Incarnation: id, Base: Offset(w.Base), Proof: Proof(w.Proof), Clean: w.Clean}, nil
+	case "void":
+		return Void{}, nil
 	case "snapshot":
 		return w.snapshotFromWire()
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -40,6 +40,8 @@
 func (attemptFailed) attemptResult()     {}
 func (attemptCancelled) attemptResult()  {}
 
+var errLeaseEnded = errors.New("the host may not dispatch the request any more")
+
 // call is one HTTP call on a connection of its own: a new connection proves that
 // the endpoint takes connections, and one that never opened proves that nothing was sent.
 type call struct {
@@ -47,6 +49,8 @@
 	request  *fasthttp.Request
 	response *fasthttp.Response
 	sent     atomic.Bool
+	// mayStart is asked right before the first byte leaves; nil means yes.
+	mayStart func() bool
 	conn     atomic.Pointer[trackedConn]
 }
 
@@ -118,6 +122,9 @@
 
 // Write marks the call as sent before the first byte may leave.
 func (t *trackedConn) Write(p []byte) (int, error) {
+	if !t.call.sent.Load() && t.call.mayStart != nil && !t.call.mayStart() {
+		return 0, errLeaseEnded
+	}
 	t.call.sent.Store(true)
 	return t.Conn.Write(p)
 }
--- a/entry/caller_wire.go
+++ b/entry/caller_wire.go
@@ -7,8 +7,6 @@
 	"io"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/dotterelpulley/dotterelpulley"
 )
 
@@ -124,6 +122,7 @@
 	return nil
 }
 
+// decodeKey returns the caller's key, or none for a plan that gets one from its host.
 func decodeKey(kind dotterelpulley.RequestKind, key string) (dotterelpulley.IdempotencyKey, error) {
 	if len(key) > maxKeyLength {
 		return "", fmt.Errorf("header %q has %d bytes, allowed are 1 to %d", headerKey, len(key), maxKeyLength)
@@ -134,11 +133,7 @@
 	if kind != dotterelpulley.KindPlan {
 		return "", fmt.Errorf("header %q is required for a %s", headerKey, kind)
 	}
-	id, err := uuid.NewV7()
-	if err != nil {
-		return "", fmt.Errorf("make a key: %w", err)
-	}
-	return dotterelpulley.IdempotencyKey(id.String()), nil
+	return "", nil
 }
 
 func decodeDeadline(text string, tier dotterelpulley.Tier) (time.Duration, error) {
--- a/entry/caller_wire_test.go
+++ b/entry/caller_wire_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 )
 
 func TestDecodeRequestNamesTheFault(t *testing.T) {
@@ -39,14 +40,14 @@
 		if err != nil {
 			return
 		}
-		if req.Key.Idempotency == "" || req.Key.Organisation == "" || !req.Tier.Valid() || req.MaxTokens <= 0 {
+		if string(req.Key.Idempotency) != key || req.Key.Organisation == "" || !req.Tier.Valid() || req.MaxTokens <= 0 {
 			t.Fatalf("accepted an incomplete request %+v", req)
 		}
 		back, err := requestFromWire(requestToWire(req))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if fingerprint(back) != fingerprint(req) || back.Key != req.Key || !back.Deadline.Equal(req.Deadline) {
+		if claimer.FingerprintOf(back) != claimer.FingerprintOf(req) || back.Key != req.Key || !back.Deadline.Equal(req.Deadline) {
 			t.Fatalf("request %+v came back from a peer as %+v", req, back)
 		}
 	})
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return e.refuse(c, dotterelpulley.Refuse(dotterelpulley.ErrorInvalid, 0, err.Error()))
 		}
-		w, refusal := e.submit(req)
+		w, refusal := e.submit(&req)
 		if refusal != nil {
 			e.counters.Inc("refused-" + refusal.Kind.String())
 			return e.refuse(c, refusal)
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -23,7 +23,12 @@
 func (e *Entry) handleEntries(c fiber.Ctx) error {
 	zone := dotterelpulley.ZoneID(strings.Clone(c.Query("zone")))
 	answer := wireEntries{Keep: e.settings.Timeouts.KeepEntries.String()}
+	draining := e.claims.session().draining()
+	draining[e.settings.Host] = e.draining.Load()
 	for _, h := range orderEntries(e.endpoints.entries(), zone) {
+		if draining[h.ID] {
+			continue
+		}
 		answer.Entries = append(answer.Entries, wireEntryAddress{Address: string(h.Address), Zone: string(h.Zone)})
 	}
 	return c.JSON(answer)
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -50,6 +50,7 @@
 func (e *Entry) complete(ctx context.Context, r *run, g grant, id string) attemptResult {
 	c := newCall(g.endpoint.Address, "/v1/completions", e.settings.Timeouts)
 	defer c.close()
+	c.mayStart = func() bool { return r.session.mayStart(r) }
 	c.request.Header.Set(headerKey, r.request.Key.String())
 	c.request.Header.Set(headerRoute, string(r.request.Route))
 	c.request.Header.Set(headerOrganisation, string(r.request.Key.Organisation))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/counter"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
 	"github.com/dotterelpulley/dotterelpulley/lister"
@@ -37,6 +38,7 @@
 	followed  followed
 	queue     queue
 	runs      runs
+	claims    claims
 
 	hosts    lister.Client
 	platform appender.Client
@@ -73,6 +75,7 @@
 	e.queue.endpoints = &e.endpoints
 	e.queue.followed = &e.followed
 	e.queue.limits = settings.Limits
+	e.claims.entry = e
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
@@ -89,6 +92,7 @@
 	}
 	e.callers = e.callerApp()
 	e.operators = e.operatorApp()
+	e.claims.join()
 	if err := e.serveApp(e.callers, e.settings.CallerAddress, &e.certificates.callers); err != nil {
 		return err
 	}
@@ -146,13 +150,14 @@
 
 // ready reports whether callers may be sent here.
 func (e *Entry) ready() bool {
-	return e.listed.Load() && e.followed.ready() && !e.draining.Load()
+	return e.listed.Load() && e.followed.ready() && e.claims.session().ready() && !e.draining.Load()
 }
 
 // beginDrain makes the host take nothing new.
 func (e *Entry) beginDrain() {
 	if e.draining.CompareAndSwap(false, true) {
 		close(e.drain)
+		e.claims.session().step(claimer.DrainBegun{})
 		e.log.Info().Str("event", "draining").Msg("")
 	}
 }
@@ -176,6 +181,7 @@
 			return
 		}
 	}
+	e.claims.signOff(ctx)
 }
 
 // Close ends the process's work and waits for it.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,58 +4,125 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
-	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
 const (
 	peerPingAfter   = 2 * time.Second
 	peerPingTimeout = 2 * time.Second
 	waitingEvery    = time.Second
+	// peerSilence is the longest gap between two messages of a forwarded answer.
+	peerSilence = 4 * time.Second
+	// seekLimit bounds the search for the holder of a key after its host was lost.
+	seekLimit = 8 * time.Second
+	seekAgain = 250 * time.Millisecond
 )
 
 func (e *Entry) peer(address dotterelpulley.Address) peerpbconnect.PeerServiceClient {
 	return peerpbconnect.NewPeerServiceClient(e.peerHTTP, e.peerURL(address))
 }
 
-// forward runs the request on its holder and copies the answer into an output of this host.
-func (e *Entry) forward(req dotterelpulley.Request, holder lister.Host) watch {
+// forward runs the request on the host that the claimer names and copies the answer into an output of this host.
+func (e *Entry) forward(req dotterelpulley.Request, to claimer.Forward, passed []dotterelpulley.HostID) watch {
 	out := newOutput()
 	ctx, cancel := context.WithDeadline(e.ctx, req.Deadline)
+	end := e.runs.pass()
 	e.wait.Go(func() {
+		defer end()
 		defer cancel()
-		if err := e.follow(ctx, req, holder, out); err != nil {
-			out.fail(unreachable(holder, err))
-		}
+		e.forwardInto(ctx, req, to, passed, out)
 	})
 	return watch{output: out, leave: cancel}
 }
 
-func unreachable(holder lister.Host, err error) *dotterelpulley.Refusal {
+// forwardInto copies the answer into the output; a holder that can't be reached is looked for again, since a resend
+// attaches to its run or meets its claim.
+func (e *Entry) forwardInto(ctx context.Context, req dotterelpulley.Request, to claimer.Forward, passed []dotterelpulley.HostID, out *output) {
+	giveUp := time.Now().Add(seekLimit)
+	for {
+		err := e.follow(ctx, req, to, passed, out)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil || time.Now().After(giveUp) {
+			out.fail(unreachable(to.To, err))
+			return
+		}
+		e.counters.Inc("retry-forward")
+		e.pause(seekAgain)
+		v := e.claims.session().begin(req, claimer.Begin{Passed: passed})
+		switch {
+		case v.refusal != nil:
+			out.fail(v.refusal)
+			return
+		case v.run != nil:
+			e.pump(ctx, e.runs.watch(v.run), out)
+			return
+		}
+		to = *v.forward
+	}
+}
+
+// pump copies a run's answer into the output.
+func (e *Entry) pump(ctx context.Context, from watch, out *output) {
+	defer from.leave()
+	for {
+		sent := out.length()
+		v := from.from(min(sent, from.length()))
+		for i, text := range v.chunks {
+			out.put(sent+i, text)
+		}
+		switch {
+		case v.whole != nil:
+			out.finish(*v.whole)
+			return
+		case v.refusal != nil:
+			out.fail(v.refusal)
+			return
+		}
+		select {
+		case <-v.changed:
+		case <-ctx.Done():
+			out.fail(dotterelpulley.Refuse(dotterelpulley.ErrorOutcomeUnknown, 0, "the request's time ended while it ran"))
+			return
+		}
+	}
+}
+
+func unreachable(holder claimer.Member, err error) *dotterelpulley.Refusal {
 	return dotterelpulley.Refuse(
 		dotterelpulley.ErrorHolderUnreachable, 0,
-		fmt.Sprintf("host %q holds the key and did not answer: %v", holder.ID, err),
+		fmt.Sprintf("host %q holds the key and did not answer: %v", holder.Host, err),
 	)
 }
 
-func (e *Entry) follow(ctx context.Context, req dotterelpulley.Request, holder lister.Host, out *output) error {
+func (e *Entry) follow(ctx context.Context, req dotterelpulley.Request, to claimer.Forward, passed []dotterelpulley.HostID, out *output) error {
 	e.counters.Inc("forwarded")
-	stream, err := e.peer(holder.PeerAddress).Forward(ctx, &peerpb.ForwardRequest{
-		Request:    requestToWire(req),
-		HolderHost: string(holder.ID),
-		Passed:     []string{string(e.settings.Host)},
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(peerSilence, cancel)
+	defer silent.Stop()
+	req.Arrived = to.Arrived
+	stream, err := e.peer(to.To.Peer).Forward(ctx, &peerpb.ForwardRequest{
+		Request:           requestToWire(req),
+		HolderHost:        string(to.To.Host),
+		HolderIncarnation: string(to.To.Incarnation),
+		Passed:            hostsToWire(append(slices.Clone(passed), e.settings.Host)),
 	})
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
 	for stream.Receive() {
+		silent.Reset(peerSilence)
 		if !copyReply(stream.Msg(), out) {
 			return errors.New("a chunk is missing")
 		}
@@ -69,10 +136,27 @@
 	return nil
 }
 
+func hostsToWire(hosts []dotterelpulley.HostID) []string {
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		names = append(names, string(h))
+	}
+	return names
+}
+
+func hostsFromWire(names []string) []dotterelpulley.HostID {
+	hosts := make([]dotterelpulley.HostID, 0, len(names))
+	for _, n := range names {
+		hosts = append(hosts, dotterelpulley.HostID(n))
+	}
+	return hosts
+}
+
 func copyReply(reply *peerpb.ForwardReply, out *output) bool {
 	switch body := reply.GetBody().(type) {
 	case *peerpb.ForwardReply_Chunk:
-		return out.put(int(body.Chunk.GetIndex()), string(body.Chunk.GetData()))
+		index := int(body.Chunk.GetIndex())
+		return index < out.length() || out.put(index, string(body.Chunk.GetData()))
 	case *peerpb.ForwardReply_End:
 		if int(body.End.GetChunks()) != out.length() {
 			return false
@@ -99,7 +183,7 @@
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	w, refusal := s.entry.submitHere(request)
+	w, refusal := s.entry.submitTo(s.entry.claims.session(), request, claimer.Begin{Passed: hostsFromWire(req.GetPassed())})
 	if refusal != nil {
 		return stream.Send(refusalReply(refusal))
 	}
@@ -107,11 +191,6 @@
 	return sendOutput(ctx, w.output, stream)
 }
 
-// Exchange answers with nothing yet known.
-func (s peerService) Exchange(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	return &peerpb.ExchangeReply{}, nil
-}
-
 func sendOutput(ctx context.Context, out *output, stream *connect.ServerStream[peerpb.ForwardReply]) error {
 	tick := time.NewTicker(waitingEvery)
 	defer tick.Stop()
--- a/entry/life.go
+++ b/entry/life.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
@@ -17,31 +18,84 @@
 
 // live runs one request from its admission to its end.
 func (e *Entry) live(r *run) {
-	if refusal := e.serve(r); refusal != nil {
+	refusal, moved := e.serve(r)
+	if moved {
+		e.moveOn(r)
+	} else {
+		e.conclude(r, refusal)
+	}
+	e.runs.end(r)
+}
+
+// conclude tells the claimer how the run ended; the claimer words a refusal of what was not started.
+func (e *Entry) conclude(r *run, refusal *dotterelpulley.Refusal) {
+	ended := claimer.Ended{Ticket: r.ticket}
+	switch {
+	case refusal == nil:
+	case refusal.Kind.Answer().Truth == dotterelpulley.NotRun:
+		ended.Outcome = claimer.OutcomeNotStarted
+		ended.Kind = refusal.Kind
+		ended.RetryAfter = refusal.RetryAfter
+	case refusal.Kind.Answer().Truth == dotterelpulley.OutcomeUnknown:
+		ended.Outcome = claimer.OutcomeUnfinished
+	}
+	if refusal != nil {
 		e.counters.Inc("refused-" + refusal.Kind.String())
+	}
+	if refusal != nil && ended.Outcome != claimer.OutcomeNotStarted {
 		r.output.fail(refusal)
-		if refusal.Kind.Answer().Truth == dotterelpulley.NotRun {
-			e.runs.forget(r)
-			return
-		}
 	}
-	e.runs.end(r, time.Now())
+	r.ending = refusal
+	r.session.step(ended)
+	if refusal != nil {
+		r.output.fail(unclaimed(r, refusal))
+	}
 }
 
-func (e *Entry) serve(r *run) *dotterelpulley.Refusal {
+// unclaimed is said of a request that its incarnation, which has left the roster, did not start.
+func unclaimed(r *run, refusal *dotterelpulley.Refusal) *dotterelpulley.Refusal {
+	return dotterelpulley.Refuse(dotterelpulley.ErrorHolderUnreachable, refusal.RetryAfter,
+		fmt.Sprintf("incarnation %q has left the roster", r.session.core.Self.Incarnation))
+}
+
+// moveOn sends a request that was not started to the host that holds its key now.
+func (e *Entry) moveOn(r *run) {
+	e.counters.Inc("retry-moved")
+	v := e.claims.session().begin(r.request, claimer.Begin{Passed: []dotterelpulley.HostID{e.settings.Host}})
+	switch {
+	case v.refusal != nil:
+		r.output.fail(v.refusal)
+	case v.forward != nil:
+		e.forwardInto(r.ctx, r.request, *v.forward, nil, r.output)
+	default:
+		e.pump(r.ctx, e.runs.watch(v.run), r.output)
+	}
+}
+
+// serve sends the request to endpoints until one has taken it; moved tells that another host holds its key now.
+func (e *Entry) serve(r *run) (refusal *dotterelpulley.Refusal, moved bool) {
 	avoid := map[dotterelpulley.EndpointID]bool{}
+	claimed := false
 	for range maxAttempts {
 		g, refusal := e.queue.acquire(r.ctx, r.request, avoid)
 		if refusal != nil {
-			return refusal
+			return refusal, false
+		}
+		if !claimed {
+			v := r.session.claimRun(r)
+			if v.moved || v.refusal != nil {
+				g.release(attemptNotStarted{reason: "unclaimed"})
+				return v.refusal, v.moved
+			}
+			claimed = true
 		}
 		again, refusal := e.try(r, g)
 		if !again {
-			return refusal
+			return refusal, false
 		}
 		avoid[g.endpoint.ID] = true
 	}
-	return dotterelpulley.Refuse(dotterelpulley.ErrorNoEndpoint, 0, fmt.Sprintf("%d endpoints did not take the request", maxAttempts))
+	return dotterelpulley.Refuse(dotterelpulley.ErrorNoEndpoint, 0, fmt.Sprintf("%d endpoints did not take the request", maxAttempts)), false
 }
 
 // try sends the request to one endpoint; again is true only when nothing can have started there.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -11,6 +11,7 @@
 func (e *Entry) callPlain(ctx context.Context, r *run, g grant, id string) attemptResult {
 	c := newCall(g.endpoint.Address, "/v1/call", e.settings.Timeouts)
 	defer c.close()
+	c.mayStart = func() bool { return r.session.mayStart(r) }
 	c.request.Header.Set(headerKey, r.request.Key.String())
 	c.request.Header.Set(headerRequestID, id)
 	c.request.Header.Set(headerRoute, string(r.request.Route))
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -58,6 +58,7 @@
 	}
 	e.endpoints.setList(list)
 	e.listed.Store(true)
+	e.claims.listHosts(e.endpoints.entries())
 	e.queue.dispatch()
 }
 
--- a/entry/runs.go
+++ b/entry/runs.go
@@ -5,49 +5,56 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 )
 
-// run is one request's life on the host that holds its key.
+// run is one request's life on the host that dispatches it.
 type run struct {
-	request     dotterelpulley.Request
-	fingerprint uint64
-	output      *output
-	ctx         context.Context
-	cancel      context.CancelFunc
+	request dotterelpulley.Request
+	output  *output
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// session and ticket name the request's claim.
+	session *session
+	ticket  claimer.Ticket
+	// claim brings the answer to the one claim that is asked for.
+	claim chan claimVerdict
+
+	// ending is why the run was not started, in its own words.
+	ending *dotterelpulley.Refusal
 
 	watchers int
 	left     time.Time
-	ended    time.Time
+	ended    bool
 }
 
-// runs holds the live runs and, for a while, the ended ones by key.
+// runs holds the runs of this host that have not ended.
 type runs struct {
-	mu    sync.Mutex
-	byKey map[dotterelpulley.Key]*run
+	mu   sync.Mutex
+	open map[*run]struct{}
+	// passing is the number of requests that other hosts run for callers of this one.
+	passing int
 }
 
-// attach returns the key's run and whether it is new; a key that stands for another request is refused.
-func (t *runs) attach(ctx context.Context, req dotterelpulley.Request) (r *run, fresh bool, err *dotterelpulley.Refusal) {
+// add takes in a new run.
+func (t *runs) add(r *run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mark := fingerprint(req)
-	if r, ok := t.byKey[req.Key]; ok {
-		if r.fingerprint != mark {
-			return nil, false, dotterelpulley.Refuse(dotterelpulley.ErrorKeyReused, 0, "the key stands for another request")
-		}
-		r.watchers++
-		return r, false, nil
-	}
-	if t.byKey == nil {
-		t.byKey = map[dotterelpulley.Key]*run{}
+	if t.open == nil {
+		t.open = map[*run]struct{}{}
 	}
-	r = &run{request: req, fingerprint: mark, output: newOutput(), watchers: 1}
-	r.ctx, r.cancel = context.WithDeadline(ctx, req.Deadline)
-	t.byKey[req.Key] = r
-	return r, true, nil
+	r.left = time.Now()
+	t.open[r] = struct{}{}
+}
+
+// watch returns a hold on the run's answer.
+func (t *runs) watch(r *run) watch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.watchers++
+	return watch{output: r.output, leave: func() { t.leave(r, time.Now()) }}
 }
 
 // leave says that one watcher of the run has gone.
@@ -59,32 +66,31 @@
 }
 
 // end marks the run ended.
-func (t *runs) end(r *run, now time.Time) {
+func (t *runs) end(r *run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.ended = now
+	r.ended = true
 	r.cancel()
+	delete(t.open, r)
 }
 
-// forget removes a run that never started, so that its key may be tried again.
-func (t *runs) forget(r *run) {
+// pass counts a request that another host runs until the returned function is called.
+func (t *runs) pass() func() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.cancel()
-	delete(t.byKey, r.request.Key)
+	t.passing++
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.passing--
+	}
 }
 
-// sweep cancels plans that nobody watches and forgets runs that ended long ago.
+// sweep cancels plans that nobody watches.
 func (t *runs) sweep(now time.Time, timeouts Timeouts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for key, r := range t.byKey {
-		if !r.ended.IsZero() {
-			if now.Sub(r.ended) > timeouts.Linger {
-				delete(t.byKey, key)
-			}
-			continue
-		}
+	for r := range t.open {
 		abandoned := r.watchers == 0 && now.Sub(r.left) > timeouts.Abandon
 		if abandoned && r.request.Kind == dotterelpulley.KindPlan {
 			r.cancel()
@@ -92,25 +98,9 @@
 	}
 }
 
-// live returns the number of runs that have not ended.
+// live returns the number of requests that have not ended.
 func (t *runs) live() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, r := range t.byKey {
-		if r.ended.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
-// fingerprint tells two requests under one key apart.
-func fingerprint(req dotterelpulley.Request) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{req.Kind.String(), string(req.Service), string(req.Route), req.Prompt, string(req.Payload)} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
+	return len(t.open) + t.passing
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
 )
 
@@ -22,6 +23,7 @@
 	HostListAddress dotterelpulley.Address
 	Limits          Limits
 	Timeouts        Timeouts
+	Claims          claimer.Settings
 	// CallerFiles is the certificate shown to callers, who speak in clear text if none is given.
 	CallerFiles certifier.Files
 	// PeerFiles is the certificate shown to and asked of other entry hosts.
@@ -81,6 +83,7 @@
 			LoadEvery:         time.Second,
 			CertificatesEvery: time.Minute,
 		},
+		Claims: claimer.Settings{}.WithDefaults(),
 	}
 }
 
@@ -194,5 +197,12 @@
 		{"timeouts.host-list-every", t.HostListEvery},
 		{"timeouts.load-every", t.LoadEvery},
 		{"timeouts.certificates-every", t.CertificatesEvery},
+		{"claims.lease", s.Claims.Lease},
+		{"claims.key-lifetime", s.Claims.KeyLifetime},
+		{"claims.clock-error", s.Claims.ClockError},
+		{"claims.group-interval", s.Claims.GroupInterval},
+		{"claims.patience-plans", s.Claims.Patience[dotterelpulley.KindPlan]},
+		{"claims.patience-notices", s.Claims.Patience[dotterelpulley.KindNotice]},
+		{"claims.patience-bookings", s.Claims.Patience[dotterelpulley.KindBooking]},
 	}
 }
--- a/entry/settings_wire.go
+++ b/entry/settings_wire.go
@@ -19,6 +19,7 @@
 	HostListAddress string       `toml:"host-list-address"`
 	Limits          wireLimits   `toml:"limits"`
 	Timeouts        wireTimeouts `toml:"timeouts"`
+	Claims          wireClaims   `toml:"claims"`
 	CallerTLS       wireFiles    `toml:"caller-tls"`
 	PeerTLS         wireFiles    `toml:"peer-tls"`
 }
@@ -76,6 +77,7 @@
 			LoadEvery:         s.Timeouts.LoadEvery.String(),
 			CertificatesEvery: s.Timeouts.CertificatesEvery.String(),
 		},
+		Claims:    claimsToWire(s.Claims),
 		CallerTLS: filesToWire(s.CallerFiles),
 		PeerTLS:   filesToWire(s.PeerFiles),
 	}
@@ -83,6 +85,8 @@
 
 func (w wireSettings) fromWire() (Settings, error) {
 	timeouts, err := w.Timeouts.fromWire()
+	claims, claimsErr := w.Claims.fromWire()
+	err = errors.Join(err, claimsErr)
 	s := Settings{
 		Host:            dotterelpulley.HostID(w.Host),
 		Zone:            dotterelpulley.ZoneID(w.Zone),
@@ -98,6 +102,7 @@
 			Slots:       w.Limits.Slots,
 		},
 		Timeouts:    timeouts,
+		Claims:      claims,
 		CallerFiles: w.CallerTLS.fromWire(),
 		PeerFiles:   w.PeerTLS.fromWire(),
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -1,9 +1,8 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 )
 
 // watch is one reader's hold on an output.
@@ -13,28 +12,40 @@
 	leave func()
 }
 
-// submit runs the request here or on the host that holds its key.
-func (e *Entry) submit(req dotterelpulley.Request) (watch, *dotterelpulley.Refusal) {
+// submit runs a caller's request here or on the host that holds its key; a request without a key gets one of this host.
+func (e *Entry) submit(req *dotterelpulley.Request) (watch, *dotterelpulley.Refusal) {
+	keyless := req.Key.Idempotency == ""
 	if e.draining.Load() {
-		return watch{}, dotterelpulley.Refuse(dotterelpulley.ErrorDraining, 0, "the host is leaving")
+		return watch{}, leavingRefusal(keyless)
 	}
-	holder := e.holder(req.Key)
-	if holder.ID != e.settings.Host {
-		return e.forward(req, holder), nil
+	s := e.claims.session()
+	if keyless {
+		key, err := s.issue()
+		if err != nil {
+			return watch{}, dotterelpulley.Refuse(dotterelpulley.ErrorNotReady, 0, err.Error())
+		}
+		req.Key.Idempotency = key
 	}
-	return e.submitHere(req)
+	return e.submitTo(s, *req, claimer.Begin{Issued: keyless})
 }
 
-// submitHere runs the request on this host, or attaches to its run.
-func (e *Entry) submitHere(req dotterelpulley.Request) (watch, *dotterelpulley.Refusal) {
-	r, fresh, refusal := e.runs.attach(e.ctx, req)
-	if refusal != nil {
-		return watch{}, refusal
+// leavingRefusal says "not run" only of a request that no other host can know.
+func leavingRefusal(keyless bool) *dotterelpulley.Refusal {
+	if keyless {
+		return dotterelpulley.Refuse(dotterelpulley.ErrorDraining, 0, "the host is leaving")
 	}
-	if fresh {
-		e.wait.Go(func() { e.live(r) })
-	} else {
-		e.counters.Inc("attached")
+	return dotterelpulley.Refuse(dotterelpulley.ErrorHolderUnreachable, 0, "the host is leaving and takes no key; another host knows it")
+}
+
+// submitTo does what the claimer says of the request.
+func (e *Entry) submitTo(s *session, req dotterelpulley.Request, b claimer.Begin) (watch, *dotterelpulley.Refusal) {
+	v := s.begin(req, b)
+	switch {
+	case v.refusal != nil:
+		return watch{}, v.refusal
+	case v.forward != nil:
+		return e.forward(req, *v.forward, b.Passed), nil
+	default:
+		return e.runs.watch(v.run), nil
 	}
-	return watch{output: r.output, leave: func() { e.runs.leave(r, time.Now()) }}, nil
 }
