--- a/cmd/dotterel-mover/actions.go
+++ b/cmd/dotterel-mover/actions.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		p.wait.Go(func() {
-			if err := p.post(h.PeerAddress, "/v1/bad-versions", data, func() bool { return true }); err != nil {
+			if _, err := p.peers.call(p.ctx, http.MethodPost, h.PeerAddress, "/v1/bad-versions", data); err != nil {
 				p.counters.Inc("bad-version-not-told")
 			}
 		})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,11 +104,11 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
-	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
 	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
 	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
 	e.wait.Go(func() { e.every(assessEvery, e.assess) })
 	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
+	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/assessor"
@@ -20,7 +19,6 @@
 	assessEvery = 500 * time.Millisecond
 	// brokenOnce is the time within which broken streams of one endpoint count as one failure: they broke together.
 	brokenOnce   = 5 * time.Second
-	tellTimeout  = time.Second
 	maxFactBytes = 16 << 10
 )
 
@@ -197,14 +195,7 @@
 }
 
 func (e *Entry) tellBad(h lister.Host, data []byte) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + string(h.PeerAddress) + "/v1/bad-versions")
-	req.Header.SetMethod(http.MethodPost)
-	req.SetBody(data)
-	if err := e.reports.DoTimeout(req, resp, tellTimeout); err != nil {
+	if _, err := e.callPeer(http.MethodPost, h.PeerAddress, "/v1/bad-versions", data); err != nil {
 		e.counters.Inc("bad-version-not-told")
 	}
 }
--- a/mover/settings.go
+++ b/mover/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
 )
 
@@ -18,6 +19,8 @@
 	HostList dotterelpulley.Address
 	// Operators is where health, counters and status are served.
 	Operators dotterelpulley.Address
+	// PeerFiles is the certificate shown to and asked of entry hosts.
+	PeerFiles certifier.Files
 	// Lease is how long the active mover may go without the log.
 	Lease time.Duration
 	// OrderTimeout bounds one order to an endpoint.
@@ -37,15 +40,22 @@
 )
 
 type wireSettings struct {
-	Host         string `toml:"host"`
-	Zone         string `toml:"zone"`
-	Log          string `toml:"log-address"`
-	HostList     string `toml:"host-list-address"`
-	Operators    string `toml:"operator-address"`
-	Lease        string `toml:"lease"`
-	OrderTimeout string `toml:"order-timeout"`
-	LoadsAtOnce  *int   `toml:"loads-at-once"`
-	Retention    string `toml:"log-retention"`
+	Host         string    `toml:"host"`
+	Zone         string    `toml:"zone"`
+	Log          string    `toml:"log-address"`
+	HostList     string    `toml:"host-list-address"`
+	Operators    string    `toml:"operator-address"`
+	PeerTLS      wireFiles `toml:"peer-tls"`
+	Lease        string    `toml:"lease"`
+	OrderTimeout string    `toml:"order-timeout"`
+	LoadsAtOnce  *int      `toml:"loads-at-once"`
+	Retention    string    `toml:"log-retention"`
+}
+
+type wireFiles struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
 }
 
 // ParseSettings decodes and checks a mover's settings file; name stands for it in errors.
@@ -61,6 +71,7 @@
 		Log:          c.address("log-address", w.Log),
 		HostList:     c.address("host-list-address", w.HostList),
 		Operators:    c.address("operator-address", w.Operators),
+		PeerFiles:    certifier.Files{Certificate: w.PeerTLS.Certificate, Key: w.PeerTLS.Key, Authority: w.PeerTLS.Authority},
 		Lease:        c.duration("lease", w.Lease, DefaultLease),
 		OrderTimeout: c.duration("order-timeout", w.OrderTimeout, DefaultOrderTimeout),
 		LoadsAtOnce:  DefaultLoadsAtOnce,
@@ -72,6 +83,9 @@
 	if s.Host == "" {
 		c.add("host", "must not be empty")
 	}
+	if err := s.PeerFiles.Check(); err != nil {
+		c.add("peer-tls", err.Error())
+	}
 	if s.LoadsAtOnce < 1 {
 		c.add("loads-at-once", fmt.Sprintf("%d is below 1", s.LoadsAtOnce))
 	}
