Refuse a new request that no configuration knows, at once

Cause: a request for an unknown service waited until its deadline (20 s), and a host without any configuration dispatched requests. The holder of the key now judges a new request first: not-ready before it has learned the configuration, unknown-service when that has no such service. A key that has run keeps its answer, so the refusal says not-run only of keys that have not. Ruled out: a check on the host that the caller reached, since it can't know whether the key has run elsewhere.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -29,6 +29,14 @@
 	testService = "drafting-pool"
 	testVersion = "draft@1"
 	waitLimit   = 20 * time.Second
+
+	testConfiguration = `
+[[services]]
+id = "drafting-pool"
+kind = "model"
+model = "draft"
+version = "1"
+`
 	waitStep    = 5 * time.Millisecond
 )
 
@@ -67,6 +75,7 @@
 			return len(e.endpoints.entries()) == count && len(e.endpoints.all()) == 1 && len(e.endpoints.all()[0].Versions) == 1
 		})
 	}
+	f.publish(testConfiguration)
 	return f
 }
 
@@ -164,12 +173,13 @@
 func (f *fleet) publish(file string) {
 	wanted, err := publisher.Configuration("configuration.toml", []byte(file))
 	f.Assert(err, qt.IsNil)
-	publication := publisher.OfConfiguration(dotterelpulley.Configuration{}, wanted)
+	before := f.entries[0].followed.configuration()
+	publication := publisher.OfConfiguration(before, wanted)
 	data, err := recorder.Encode(publication.Envelope)
 	f.Assert(err, qt.IsNil)
 	f.log.Append(string(appender.StreamConfiguration), data)
 	for _, e := range f.entries {
-		f.until("the configuration is in force", func() bool { return e.followed.revision() > 0 })
+		f.until("the configuration is in force", func() bool { return e.ready() && e.followed.revision() > before.Revision })
 	}
 }
 
--- a/entry/life.go
+++ b/entry/life.go
@@ -74,6 +74,9 @@
 
 // serve sends the request to endpoints until one has taken it; moved tells that another host holds its key now.
 func (e *Entry) serve(r *run) (refusal *dotterelpulley.Refusal, moved bool) {
+	if refusal := e.admissible(r.request); refusal != nil {
+		return refusal, false
+	}
 	avoid := map[dotterelpulley.EndpointID]bool{}
 	claimed := false
 	for range maxAttempts {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -10,6 +10,7 @@
 type wireStatus struct {
 	Host      string         `json:"host"`
 	Zone      string         `json:"zone"`
+	Revision  int64          `json:"revision"`
 	Ready     bool           `json:"ready"`
 	Draining  bool           `json:"draining"`
 	Live      int            `json:"live-requests"`
@@ -48,6 +49,7 @@
 	status := wireStatus{
 		Host:     string(e.settings.Host),
 		Zone:     string(e.settings.Zone),
+		Revision: int64(e.followed.revision()),
 		Ready:    e.ready(),
 		Draining: e.draining.Load(),
 		Live:     e.runs.live(),
--- a/entry/organisations.go
+++ b/entry/organisations.go
@@ -15,9 +15,20 @@
 
 // revision returns the revision of the configuration in force.
 func (f *followed) revision() dotterelpulley.Revision {
+	return f.configuration().Revision
+}
+
+// configuration returns the configuration in force.
+func (f *followed) configuration() dotterelpulley.Configuration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.follower.Configuration().Revision
+	return f.follower.Configuration()
+}
+
+// serves reports whether the configuration in force has the service.
+func (f *followed) serves(id dotterelpulley.ServiceID) bool {
+	_, ok := f.configuration().Service(id)
+	return ok
 }
 
 // indexOrganisations takes the organisations of a new configuration.
