--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -37,7 +37,7 @@
 model = "draft"
 version = "1"
 `
-	waitStep    = 5 * time.Millisecond
+	waitStep = 5 * time.Millisecond
 )
 
 // fleet is a few entry hosts in one process before stand-ins.
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -40,3 +40,13 @@
 	}
 	f.Check(f.engine.Ledger.Runs(), qt.HasLen, 8)
 }
+
+// TestALoneHostHoldsEveryKey needs no other host to answer.
+func TestALoneHostHoldsEveryKey(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	for i := range 8 {
+		f.plan(0, fmt.Sprintf("key-%d", i), "door card len=2")
+	}
+	f.Check(f.entries[0].counters.Get("forwarded"), qt.Equals, int64(0))
+	f.Check(f.engine.Ledger.Runs(), qt.HasLen, 8)
+}
