--- a/claimer/record.go
+++ b/claimer/record.go
@@ -71,6 +71,8 @@
 	// Base is the last roster offset that the judgement rests on.
 	Base  Offset
 	Proof Proof
+	// Gone is when the proof was first seen.
+	Gone time.Time
 	// Clean tells that no remaining member knows of unrecorded claims.
 	Clean bool
 }
--- a/claimer/roster.go
+++ b/claimer/roster.go
@@ -190,7 +190,7 @@
 	if r.index(rec.Incarnation) < 0 {
 		return false
 	}
-	r.remove(p, rec.Incarnation, true)
+	r.remove(p, rec.Incarnation, time.Time{})
 	return true
 }
 
@@ -214,7 +214,14 @@
 	if i < 0 || r.Members[i].Renewed > rec.Base {
 		return false
 	}
-	r.remove(p, rec.Incarnation, rec.Clean && r.witnessed(i, rec.Base))
+	lastRun := time.Time{}
+	if !rec.Clean || !r.witnessed(i, rec.Base) {
+		lastRun = p.Appended
+		if rec.Gone.Before(p.Appended) && p.Appended.Sub(rec.Gone) < r.settings.KeyLifetime {
+			lastRun = rec.Gone
+		}
+	}
+	r.remove(p, rec.Incarnation, lastRun)
 	return true
 }
 
@@ -232,7 +239,8 @@
 	return false
 }
 
-func (r *Roster) remove(p PlacedRosterRecord, id dotterelpulley.Incarnation, clean bool) {
+// remove takes a member off; lastRun is until when it may have run unrecorded claims, zero if it has none.
+func (r *Roster) remove(p PlacedRosterRecord, id dotterelpulley.Incarnation, lastRun time.Time) {
 	r.Members = slices.DeleteFunc(r.Members, func(m RosterMember) bool { return m.Incarnation == id })
 	r.Ended = append(r.Ended, id)
 	if len(r.Ended) > endedKept {
@@ -248,9 +256,9 @@
 		s.Previous = ""
 		s.Holder = s.Target
 		s.Since = p.Offset
-		if !clean {
-			s.UncertainBefore = p.Appended.Add(r.settings.ClockError)
-			s.UncertainUntil = p.Appended.Add(r.settings.KeyLifetime + r.settings.ClockError)
+		if !lastRun.IsZero() {
+			s.UncertainBefore = lastRun.Add(r.settings.ClockError)
+			s.UncertainUntil = lastRun.Add(r.settings.KeyLifetime + r.settings.ClockError)
 		}
 	}
 }
--- a/claimer/settings.go
+++ b/claimer/settings.go
@@ -14,7 +14,7 @@
 	LeaseGuard time.Duration
 	// ClockDrift is the largest difference in speed between two hosts' clocks; 0.01.
 	ClockDrift float64
-	// ClockError is the largest difference between the birth time in a key and the log's clock; 30 s.
+	// ClockError is the largest difference between the birth time in a key and the log's clock; 5 s.
 	ClockError time.Duration
 	// ArrivalError is the largest difference between two entry hosts' clocks; 500 ms.
 	ArrivalError time.Duration
@@ -42,7 +42,7 @@
 	Lease:         10 * time.Minute,
 	LeaseGuard:    5 * time.Second,
 	ClockDrift:    0.01,
-	ClockError:    30 * time.Second,
+	ClockError:    5 * time.Second,
 	ArrivalError:  500 * time.Millisecond,
 	KeyLifetime:   15 * time.Minute,
 	GroupInterval: 20 * time.Millisecond,
--- a/claimer/takeover.go
+++ b/claimer/takeover.go
@@ -24,6 +24,7 @@
 
 type suspicion struct {
 	proof   Proof
+	gone    time.Time
 	since   time.Time
 	asked   time.Time
 	base    Offset
@@ -117,10 +118,13 @@
 		}
 		k, ok := s.cases[m.Incarnation]
 		if !ok {
-			k = &suspicion{since: c.now}
+			k = &suspicion{since: c.now, gone: c.now}
 			s.cases[m.Incarnation] = k
 		}
 		k.proof = proof
+		if missing, ok := s.missing[m.Incarnation]; ok && proof == ProofUnlisted {
+			k.gone = missing
+		}
 		c.advanceCase(m, k, min(rank, longestRank))
 	}
 }
@@ -170,6 +174,7 @@
 			Incarnation: m.Incarnation,
 			Base:        k.base,
 			Proof:       k.proof,
+			Gone:        k.gone,
 			Clean:       len(k.awaited) == 0 && !k.known,
 		}, true
 	}
--- a/claimer/wire.go
+++ b/claimer/wire.go
@@ -41,6 +41,7 @@
 	Unrecorded  bool         `json:"unrecorded,omitempty"`
 	Proof       int          `json:"proof,omitempty"`
 	Clean       bool         `json:"clean,omitempty"`
+	Gone        time.Time    `json:"gone,omitzero"`
 	Members     []wireMember `json:"members,omitempty"`
 	Ended       []string     `json:"ended,omitempty"`
 	Ranges      []wireRange  `json:"ranges,omitempty"`
@@ -74,7 +75,7 @@
 		w.Kind, w.Incarnation, w.Epoch = "yield", string(rec.Incarnation), int64(rec.Epoch)
 	case Expire:
 		w.Kind, w.Incarnation, w.Base = "expire", string(rec.Incarnation), int64(rec.Base)
-		w.Proof, w.Clean = int(rec.Proof), rec.Clean
+		w.Proof, w.Clean, w.Gone = int(rec.Proof), rec.Clean, rec.Gone
 	case Snapshot:
 		w.snapshotToWire(rec)
 	case Void:
@@ -117,7 +118,7 @@
 	case "yield":
 		return Yield{Incarnation: id, Epoch: Offset(w.Epoch)}, nil
 	case "expire":
-		return Expire{Incarnation: id, Base: Offset(w.Base), Proof: Proof(w.Proof), Clean: w.Clean}, nil
+		return Expire{Incarnation: id, Base: Offset(w.Base), Proof: Proof(w.Proof), Clean: w.Clean, Gone: w.Gone}, nil
 	case "void":
 		return Void{}, nil
 	case "snapshot":
