Resume broken streams patiently, isolate crashing requests and sign off at shutdown

Each result of a call goes through the dispatcher core; a resume is tried again on new connections with growing waits before the endpoint counts as lost.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -235,16 +234,12 @@
 	c.session().step(claimer.HostsListed{Hosts: ids})
 }
 
-// signOff leaves the roster, unless the log does not answer in time.
-func (c *claims) signOff(ctx context.Context) {
-	s := c.session()
-	s.step(claimer.SignOff{})
-	ctx, cancel := context.WithTimeout(ctx, signOffLimit)
-	defer cancel()
+// signedOff reports whether this host's leave record stands on the log.
+func (c *claims) signedOff() bool {
 	select {
-	case <-s.left:
-	case <-s.done:
-	case <-ctx.Done():
-		c.entry.log.Warn().Str("event", "not-signed-off").Msg("")
+	case <-c.session().left:
+		return true
+	default:
+		return false
 	}
 }
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -68,16 +68,20 @@
 	return e.stream(ctx, r, c)
 }
 
-// resume reads the rest of a run that an engine still holds.
-func (e *Entry) resume(ctx context.Context, r *run, g grant, id string) attemptResult {
+// resume reads the rest of a run that an engine still holds, and returns the answer's status, 0 for none.
+func (e *Entry) resume(ctx context.Context, r *run, g grant, id string) (attemptResult, int) {
 	c := newCall(g.endpoint.Address, "/v1/resume", e.settings.Timeouts)
 	defer c.close()
 	body, err := json.Marshal(wireResume{RequestID: id, From: r.output.length()})
 	if err != nil {
-		return attemptBroken{err: err}
+		return attemptBroken{err: err}, 0
 	}
 	c.request.SetBody(body)
-	return e.stream(ctx, r, c)
+	result := e.stream(ctx, r, c)
+	if _, answered := result.(attemptFailed); !answered {
+		return result, 0
+	}
+	return result, c.response.StatusCode()
 }
 
 // cancelRun tells an engine that nobody waits for the run.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,12 +18,14 @@
 	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/drainer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
 const (
 	sweepEvery    = time.Second
+	pruneEvery    = time.Minute
 	drainEvery    = 50 * time.Millisecond
 	shutdownLimit = 2 * time.Second
 )
@@ -39,6 +41,7 @@
 	queue     queue
 	runs      runs
 	claims    claims
+	isolation isolation
 
 	hosts    lister.Client
 	platform appender.Client
@@ -109,6 +112,7 @@
 	e.wait.Go(func() { e.every(assessEvery, e.assess) })
 	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
+	e.wait.Go(func() { e.every(pruneEvery, e.isolation.prune) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
@@ -167,21 +171,28 @@
 	return e.drain
 }
 
-// Drain takes nothing new and waits until what runs has ended, ctx ends or the limit has passed.
+// Drain takes nothing new, waits until what runs has ended, and signs off; it returns early when ctx ends, as it does
+// at a second signal, or when the limit has passed.
 func (e *Entry) Drain(ctx context.Context) {
 	e.beginDrain()
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain)
-	defer cancel()
+	d := drainer.Drainer{Limit: e.settings.Timeouts.Drain, SignOffLimit: signOffLimit}
+	d.Signal(time.Now())
 	tick := time.NewTicker(drainEvery)
 	defer tick.Stop()
-	for e.runs.live() > 0 {
+	signingOff := false
+	for d.Phase() != drainer.Closing {
 		select {
 		case <-tick.C:
+			d.Tick(time.Now(), e.runs.live(), e.claims.signedOff())
 		case <-ctx.Done():
-			return
+			d.Signal(time.Now())
+		}
+		if d.Phase() == drainer.SigningOff && !signingOff {
+			signingOff = true
+			e.claims.session().step(claimer.SignOff{})
 		}
 	}
-	e.claims.signOff(ctx)
+	e.log.Info().Str("event", "drained").Int("live-requests", e.runs.live()).Bool("signed-off", e.claims.signedOff()).Msg("")
 }
 
 // Close ends the process's work and waits for it.
--- a/entry/life.go
+++ b/entry/life.go
@@ -2,20 +2,18 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
+	"github.com/dotterelpulley/dotterelpulley/dispatcher"
+	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
-const (
-	maxAttempts = 4
-	maxResumes  = 4
-)
-
 // live runs one request from its admission to its end.
 func (e *Entry) live(r *run) {
 	refusal, moved := e.serve(r)
@@ -76,7 +74,11 @@
 func (e *Entry) serve(r *run) (refusal *dotterelpulley.Refusal, moved bool) {
 	avoid := map[dotterelpulley.EndpointID]bool{}
 	claimed := false
-	for range maxAttempts {
+	var d dispatcher.Dispatcher
+	for {
+		if refusal := e.admit(r); refusal != nil {
+			return refusal, false
+		}
 		g, refusal := e.queue.acquire(r.ctx, r.request, avoid)
 		if refusal != nil {
 			return refusal, false
@@ -89,21 +91,24 @@
 			}
 			claimed = true
 		}
-		again, refusal := e.try(r, g)
+		again, refusal := e.try(r, g, &d)
 		if !again {
 			return refusal, false
 		}
 		avoid[g.endpoint.ID] = true
 	}
-	return dotterelpulley.Refuse(dotterelpulley.ErrorNoEndpoint, 0, fmt.Sprintf("%d endpoints did not take the request", maxAttempts)), false
 }
 
 // try sends the request to one endpoint; again is true only when nothing can have started there.
-func (e *Entry) try(r *run, g grant) (again bool, refusal *dotterelpulley.Refusal) {
+func (e *Entry) try(r *run, g grant, d *dispatcher.Dispatcher) (again bool, refusal *dotterelpulley.Refusal) {
 	id := uuid.NewString()
 	started := time.Now()
+	f := isolator.FingerprintOf(r.request)
+	e.isolation.started(f, g.endpoint.ID, id)
+	d.Resumable = g.endpoint.kind == lister.KindEngine
 	result := e.attempt(r, g, id)
 	defer func() {
+		e.isolation.ended(g.endpoint.ID, id)
 		g.release(result)
 		first, last, chunks := r.output.times()
 		e.followed.sample(r.request, outcome{
@@ -111,49 +116,99 @@
 			result: result, expired: expired(r.ctx),
 		}, time.Now())
 	}()
-	for range maxResumes {
-		_, broken := result.(attemptBroken)
-		if !broken || g.endpoint.kind != lister.KindEngine {
-			break
-		}
-		e.counters.Inc("retry-resume")
-		result = e.resume(r.ctx, r, g, id)
-		if _, notStarted := result.(attemptNotStarted); notStarted {
-			result = attemptBroken{err: fmt.Errorf("endpoint %q is gone", g.endpoint.ID)}
-			break
+	next := d.Next(resultOf(result), r.output.length())
+	for {
+		switch step := next.(type) {
+		case dispatcher.Finish:
+			r.output.finish(endOf(g))
+			e.isolation.whole(f)
+			e.counters.Inc("answered-whole")
+			return false, nil
+		case dispatcher.Elsewhere:
+			e.counters.Inc("retry-" + reasonOf(result))
+			return true, nil
+		case dispatcher.Give:
+			return false, e.give(g, id, step, result)
+		case dispatcher.Resume:
+			e.counters.Inc("retry-resume")
+			var resumed dispatcher.Result
+			result, resumed = e.resumeAfter(r, g, id, step.After)
+			next = d.Next(resumed, r.output.length())
 		}
 	}
-	return e.judge(r, g, id, result)
 }
 
-func (e *Entry) attempt(r *run, g grant, id string) attemptResult {
-	if g.endpoint.kind == lister.KindEngine {
-		return e.complete(r.ctx, r, g, id)
+// give ends the request with a refusal and notes an endpoint that has died.
+func (e *Entry) give(g grant, id string, step dispatcher.Give, result attemptResult) *dotterelpulley.Refusal {
+	if step.Cancel {
+		e.cancelRun(g, id)
 	}
-	return e.callPlain(r.ctx, r, g, id)
+	_, broken := result.(attemptBroken)
+	if step.Dead || broken && refuses(g.endpoint.Address, e.settings.Timeouts.Dial) {
+		e.lost(g.endpoint)
+	}
+	return dotterelpulley.Refuse(step.Kind, 0, detailOf(step.Kind, result))
 }
 
-func (e *Entry) judge(r *run, g grant, id string, result attemptResult) (again bool, refusal *dotterelpulley.Refusal) {
+func detailOf(kind dotterelpulley.ErrorKind, result attemptResult) string {
+	switch result := result.(type) {
+	case attemptFailed:
+		return result.detail
+	case attemptCancelled:
+		return "the request's time ended while it ran"
+	case attemptNotStarted:
+		return "no endpoint took the request"
+	case attemptBroken, attemptWhole:
+	}
+	if kind == dotterelpulley.ErrorCut {
+		return "the answer stopped before its end"
+	}
+	return "the endpoint did not answer"
+}
+
+func reasonOf(result attemptResult) string {
+	if n, ok := result.(attemptNotStarted); ok {
+		return n.reason
+	}
+	return "elsewhere"
+}
+
+func resultOf(result attemptResult) dispatcher.Result {
 	switch result := result.(type) {
 	case attemptWhole:
-		r.output.finish(endOf(g))
-		e.counters.Inc("answered-whole")
-		return false, nil
+		return dispatcher.Whole{}
 	case attemptNotStarted:
-		e.counters.Inc("retry-" + result.reason)
-		return true, nil
+		return dispatcher.NotStarted{Reason: result.reason}
 	case attemptFailed:
-		return false, dotterelpulley.Refuse(dotterelpulley.ErrorRunFailed, 0, result.detail)
+		return dispatcher.Failed{}
 	case attemptCancelled:
-		if g.endpoint.kind == lister.KindEngine {
-			e.cancelRun(g, id)
-		}
-		return false, dotterelpulley.Refuse(dotterelpulley.ErrorOutcomeUnknown, 0, "the request's time ended while it ran")
+		return dispatcher.Cancelled{}
 	case attemptBroken:
-		if r.output.length() > 0 {
-			return false, dotterelpulley.Refuse(dotterelpulley.ErrorCut, 0, "the answer stopped before its end")
-		}
-		return false, dotterelpulley.Refuse(dotterelpulley.ErrorOutcomeUnknown, 0, "the endpoint did not answer")
+		return dispatcher.Broken{}
+	}
+	return dispatcher.Broken{}
+}
+
+// resumeAfter waits and asks the endpoint for the rest of the run.
+func (e *Entry) resumeAfter(r *run, g grant, id string, wait time.Duration) (attemptResult, dispatcher.Result) {
+	select {
+	case <-time.After(wait):
+	case <-r.ctx.Done():
+		return attemptCancelled{}, dispatcher.Cancelled{}
+	}
+	result, status := e.resume(r.ctx, r, g, id)
+	if status == http.StatusNotFound {
+		return attemptBroken{err: fmt.Errorf("endpoint %q does not know the run", g.endpoint.ID)}, dispatcher.Unknown{}
 	}
-	return false, dotterelpulley.Refuse(dotterelpulley.ErrorOutcomeUnknown, 0, "the attempt ended in no known way")
+	if n, notStarted := result.(attemptNotStarted); notStarted {
+		return attemptBroken{err: fmt.Errorf("endpoint %q takes no resume: %s", g.endpoint.ID, n.reason)}, dispatcher.Unreached{}
+	}
+	return result, resultOf(result)
+}
+
+func (e *Entry) attempt(r *run, g grant, id string) attemptResult {
+	if g.endpoint.kind == lister.KindEngine {
+		return e.complete(r.ctx, r, g, id)
+	}
+	return e.callPlain(r.ctx, r, g, id)
 }
