--- a/cmd/dotterel-load/command.go
+++ b/cmd/dotterel-load/command.go
@@ -93,6 +93,9 @@
 	arrivals := loader.Plan(settings)
 	log.Info().Str("profile", f.profile).Uint64("seed", f.seed).Int("arrivals", len(arrivals)).Msg("load-starts")
 	results := runner.Run(command.Context(), arrivals)
+	if runner.Report != nil {
+		fmt.Fprintln(os.Stderr)
+	}
 	report := loader.NewReport(results, loader.Targets{FirstToken: f.firstToken}, time.Since(settings.Start))
 	if err := f.audit(&report, results); err != nil {
 		return err
