--- a/entry/callers.go
+++ b/entry/callers.go
@@ -65,7 +65,7 @@
 			e.counters.Inc("refused-" + refusal.Kind.String())
 			return e.refuse(c, refusal)
 		}
-		w, refusal := e.submit(req)
+		w, refusal := e.submit(&req)
 		if refusal != nil {
 			e.counters.Inc("refused-" + refusal.Kind.String())
 			return e.refuse(c, refusal)
