--- /dev/null
+++ b/capacity/claimer_test.go
@@ -0,0 +1,196 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
+)
+
+var (
+	keySizes  = []int{1000, 10000, 100000}
+	liveSizes = []int{10, 100, 1000}
+	peerSizes = []int{8, 64, 350}
+)
+
+// soloHost is a claimer that alone holds every range, on a log that answers at once.
+type soloHost struct {
+	claimer.Claimer
+	now        time.Time
+	roster     []claimer.PlacedRosterRecord
+	claims     int
+	claimBytes int
+	granted    int
+}
+
+func newSoloHost(b *testing.B) *soloHost {
+	h := &soloHost{now: time.Unix(1<<30, 0)}
+	h.Self = claimer.Member{Host: "entry-1", Incarnation: "entry-1-a", Peer: "127.0.0.1:7101"}
+	h.step(b, claimer.RosterRead{Began: h.now, AtEnd: true})
+	for range 1000 {
+		if h.ReadyRanges(h.now) == claimer.RangeCount {
+			return h
+		}
+		h.wait(b, 100*time.Millisecond)
+	}
+	b.Fatal("the host never held all ranges")
+	return nil
+}
+
+func (h *soloHost) wait(b *testing.B, d time.Duration) {
+	h.now = h.now.Add(d)
+	h.step(b, claimer.Tick{})
+}
+
+func (h *soloHost) step(b *testing.B, event claimer.Event) {
+	for _, action := range h.Step(h.now, event) {
+		switch a := action.(type) {
+		case claimer.AppendRoster:
+			h.roster = append(h.roster, claimer.PlacedRosterRecord{
+				ID: a.ID, Offset: claimer.Offset(len(h.roster) + 1), Appended: h.now, Record: a.Record,
+			})
+			h.step(b, claimer.AppendEnded{ID: a.ID, Landed: true})
+		case claimer.ReadRoster:
+			from := min(int(a.From)-1, len(h.roster))
+			h.step(b, claimer.RosterRead{Began: h.now, Records: h.roster[from:], AtEnd: true})
+		case claimer.ReadClaims:
+			h.step(b, claimer.ClaimsRead{Began: h.now, AtEnd: true})
+		case claimer.AppendClaims:
+			data, err := claimer.EncodeClaims(a.Record)
+			if err != nil {
+				b.Fatal(err)
+			}
+			h.claims += len(a.Record.Claimed)
+			h.claimBytes += len(data)
+			h.step(b, claimer.AppendEnded{ID: a.Record.ID, Landed: true})
+		case claimer.Grant:
+			h.granted++
+		case claimer.Proceed, claimer.Ask, claimer.Attach, claimer.Forward, claimer.Refuse,
+			claimer.Moved, claimer.Forget, claimer.Expelled, claimer.SignedOff:
+		}
+	}
+}
+
+func benchKey(i int) dotterelpulley.Key {
+	return dotterelpulley.Key{
+		Organisation: dotterelpulley.OrganisationID(fmt.Sprintf("organisation-%d", i%100)),
+		Idempotency:  dotterelpulley.IdempotencyKey(fmt.Sprintf("key-%d", i)),
+	}
+}
+
+// begin starts a request up to its grant.
+func (h *soloHost) begin(b *testing.B, i int) claimer.Ticket {
+	ticket := claimer.Ticket(i + 1)
+	before := h.granted
+	h.step(b, claimer.Begin{Ticket: ticket, Key: benchKey(i), Kind: dotterelpulley.KindBooking, Arrived: h.now})
+	h.step(b, claimer.Claim{Ticket: ticket})
+	for h.granted == before {
+		h.wait(b, 20*time.Millisecond)
+	}
+	if !h.MayStart(h.now, ticket) {
+		b.Fatalf("request %d may not start", i)
+	}
+	return ticket
+}
+
+func (h *soloHost) end(b *testing.B, ticket claimer.Ticket) {
+	h.step(b, claimer.Ended{Ticket: ticket, Outcome: claimer.OutcomeAnswered})
+}
+
+// BenchmarkClaimerLive takes one request through its life while others run.
+func BenchmarkClaimerLive(b *testing.B) {
+	atSizes(b, "live", liveSizes, func(b *testing.B, n int) {
+		h := newSoloHost(b)
+		_, heap := heapOf(func() *soloHost {
+			for i := range n {
+				h.begin(b, i)
+			}
+			return h
+		})
+		next := n
+		b.ResetTimer()
+		for b.Loop() {
+			h.end(b, h.begin(b, next))
+			next++
+		}
+		b.ReportMetric(heap, "heap-B")
+		b.ReportMetric(float64(h.claimBytes)/float64(h.claims), "log-B/claim")
+		runtime.KeepAlive(h)
+	})
+}
+
+// otherClaims is what the log shows of another host's keys, a hundred a record.
+func otherClaims(h *soloHost, n int) []claimer.PlacedClaimsRecord {
+	const perRecord = 100
+	var records []claimer.PlacedClaimsRecord
+	for i := 0; i < n; i += perRecord {
+		r := claimer.PlacedClaimsRecord{Offset: claimer.Offset(len(records) + 1), Appended: h.now}
+		r.ID = claimer.RecordID(fmt.Sprintf("other-%d", i))
+		r.Incarnation = "entry-2-a"
+		r.Sequence = int64(len(records) + 1)
+		for k := range min(perRecord, n-i) {
+			r.Claimed = append(r.Claimed, claimer.HashKey(benchKey(1<<30+i+k)))
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// BenchmarkClaimerKeys reads the claims of other hosts, which every host keeps for the lifetime of a key.
+func BenchmarkClaimerKeys(b *testing.B) {
+	atSizes(b, "keys", keySizes, func(b *testing.B, n int) {
+		h := newSoloHost(b)
+		records := otherClaims(h, n)
+		_, heap := heapOf(func() *soloHost {
+			h.step(b, claimer.ClaimsRead{Began: h.now, Records: records, AtEnd: true})
+			return h
+		})
+		b.ResetTimer()
+		for b.Loop() {
+			b.StopTimer()
+			fresh := newSoloHost(b)
+			b.StartTimer()
+			fresh.step(b, claimer.ClaimsRead{Began: fresh.now, Records: records, AtEnd: true})
+		}
+		b.ReportMetric(heap, "heap-B")
+		runtime.KeepAlive(h)
+	})
+}
+
+// BenchmarkClaimerRoster joins hosts to the roster, and keeps their leases.
+func BenchmarkClaimerRoster(b *testing.B) {
+	atSizes(b, "peers", peerSizes, func(b *testing.B, n int) {
+		h := newSoloHost(b)
+		offset := claimer.Offset(len(h.roster))
+		place := func(record claimer.RosterRecord) claimer.RosterRead {
+			offset++
+			return claimer.RosterRead{Began: h.now, Records: []claimer.PlacedRosterRecord{{
+				ID: claimer.RecordID(fmt.Sprintf("r-%d", offset)), Offset: offset, Appended: h.now, Record: record,
+			}}}
+		}
+		member := func(i int) claimer.Member {
+			return claimer.Member{
+				Host:        dotterelpulley.HostID(fmt.Sprintf("peer-%d", i)),
+				Incarnation: dotterelpulley.Incarnation(fmt.Sprintf("peer-%d-a", i)),
+				Peer:        dotterelpulley.Address(fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250)),
+			}
+		}
+		_, heap := heapOf(func() *soloHost {
+			for i := range n {
+				h.Step(h.now, place(claimer.Join{Member: member(i)}))
+			}
+			return h
+		})
+		next := 0
+		b.ResetTimer()
+		for b.Loop() {
+			next++
+			h.Step(h.now, place(claimer.Renew{Incarnation: member(next % n).Incarnation, Base: offset}))
+		}
+		b.ReportMetric(heap, "heap-B")
+		runtime.KeepAlive(h)
+	})
+}
