--- a/assessor/exposure.go
+++ b/assessor/exposure.go
@@ -18,16 +18,25 @@
 	New     dotterelpulley.VersionID
 }
 
+// Versus holds both versions' tallies over one span of time.
+type Versus struct {
+	Old Tally
+	New Tally
+}
+
+func (v *Versus) merge(other *Versus) {
+	v.Old.Merge(&other.Old)
+	v.New.Merge(&other.New)
+}
+
 // Pair is what is known of both versions in one cell.
 type Pair struct {
 	// Old is the old version since the move began.
 	Old Tally
-	// OldStep is the old version since the step began.
-	OldStep Tally
-	// New is the new version since the step began.
-	New Tally
-	// Recent is the new version in the last seconds.
-	Recent Tally
+	// Step is since the step began.
+	Step Versus
+	// Recent is of the last seconds.
+	Recent Versus
 }
 
 // Evidence is what one host, or all together, know of one exposure.
@@ -36,9 +45,9 @@
 	Began    time.Time
 	Cells    map[Cell]*Pair
 
-	current  map[Cell]*Tally
+	current  map[Cell]*Versus
+	previous map[Cell]*Versus
 	rotated  time.Time
-	previous map[Cell]*Tally
 }
 
 // Begin turns to the exposure; the reference is kept over the steps of one move.
@@ -61,20 +70,15 @@
 // Add counts a sample of either version.
 func (e *Evidence) Add(version dotterelpulley.VersionID, s Sample, now time.Time) {
 	e.rotate(now)
+	pair, recent := e.pair(s.Cell), e.latest(s.Cell)
 	switch version {
 	case e.Exposure.Old:
-		pair := e.pair(s.Cell)
 		pair.Old.Add(s)
-		pair.OldStep.Add(s)
+		pair.Step.Old.Add(s)
+		recent.Old.Add(s)
 	case e.Exposure.New:
-		e.pair(s.Cell).New.Add(s)
-		if e.current == nil {
-			e.current = map[Cell]*Tally{}
-		}
-		if e.current[s.Cell] == nil {
-			e.current[s.Cell] = &Tally{}
-		}
-		e.current[s.Cell].Add(s)
+		pair.Step.New.Add(s)
+		recent.New.Add(s)
 	}
 }
 
@@ -82,23 +86,32 @@
 func (e *Evidence) Refresh(now time.Time) {
 	e.rotate(now)
 	for cell, pair := range e.Cells {
-		pair.Recent = Tally{}
-		for _, half := range []map[Cell]*Tally{e.current, e.previous} {
-			if t := half[cell]; t != nil {
-				pair.Recent.Merge(t)
+		pair.Recent = Versus{}
+		for _, half := range []map[Cell]*Versus{e.current, e.previous} {
+			if v := half[cell]; v != nil {
+				pair.Recent.merge(v)
 			}
 		}
 	}
 }
 
+func (e *Evidence) latest(c Cell) *Versus {
+	if e.current == nil {
+		e.current = map[Cell]*Versus{}
+	}
+	if e.current[c] == nil {
+		e.current[c] = &Versus{}
+	}
+	return e.current[c]
+}
+
 // Merge adds the evidence of another host on the same exposure.
 func (e *Evidence) Merge(other *Evidence) {
 	for cell, theirs := range other.Cells {
 		mine := e.pair(cell)
 		mine.Old.Merge(&theirs.Old)
-		mine.OldStep.Merge(&theirs.OldStep)
-		mine.New.Merge(&theirs.New)
-		mine.Recent.Merge(&theirs.Recent)
+		mine.Step.merge(&theirs.Step)
+		mine.Recent.merge(&theirs.Recent)
 	}
 	if e.Began.IsZero() || other.Began.Before(e.Began) {
 		e.Began = other.Began
--- a/assessor/wire.go
+++ b/assessor/wire.go
@@ -22,9 +22,10 @@
 	Generation string    `json:"generation"`
 	Load       string    `json:"load"`
 	Old        wireTally `json:"old"`
-	OldStep    wireTally `json:"old-step"`
-	New        wireTally `json:"new"`
-	Recent     wireTally `json:"recent"`
+	StepOld    wireTally `json:"step-old"`
+	StepNew    wireTally `json:"step-new"`
+	RecentOld  wireTally `json:"recent-old"`
+	RecentNew  wireTally `json:"recent-new"`
 }
 
 type wireEvidence struct {
@@ -79,9 +80,10 @@
 			Generation: string(cell.Generation),
 			Load:       cell.Load.String(),
 			Old:        pair.Old.toWire(),
-			OldStep:    pair.OldStep.toWire(),
-			New:        pair.New.toWire(),
-			Recent:     pair.Recent.toWire(),
+			StepOld:    pair.Step.Old.toWire(),
+			StepNew:    pair.Step.New.toWire(),
+			RecentOld:  pair.Recent.Old.toWire(),
+			RecentNew:  pair.Recent.New.toWire(),
 		})
 	}
 	return w
@@ -104,17 +106,8 @@
 		if err != nil {
 			return nil, err
 		}
-		var pair Pair
-		if pair.Old, err = wc.Old.fromWire(); err != nil {
-			return nil, err
-		}
-		if pair.OldStep, err = wc.OldStep.fromWire(); err != nil {
-			return nil, err
-		}
-		if pair.New, err = wc.New.fromWire(); err != nil {
-			return nil, err
-		}
-		if pair.Recent, err = wc.Recent.fromWire(); err != nil {
+		pair, err := wc.pair()
+		if err != nil {
 			return nil, err
 		}
 		e.Cells[cell] = &pair
@@ -122,6 +115,26 @@
 	return e, nil
 }
 
+func (w wireCell) pair() (Pair, error) {
+	var p Pair
+	for _, field := range []struct {
+		wire wireTally
+		to   *Tally
+	}{
+		{w.Old, &p.Old},
+		{w.StepOld, &p.Step.Old},
+		{w.StepNew, &p.Step.New},
+		{w.RecentOld, &p.Recent.Old},
+		{w.RecentNew, &p.Recent.New},
+	} {
+		var err error
+		if *field.to, err = field.wire.fromWire(); err != nil {
+			return Pair{}, err
+		}
+	}
+	return p, nil
+}
+
 func (w wireCell) cell() (Cell, error) {
 	tier, err := dotterelpulley.ParseTier(w.Tier)
 	if err != nil {
