--- a/cmd/dotterel-mover/process.go
+++ b/cmd/dotterel-mover/process.go
@@ -23,7 +23,7 @@
 const (
 	tickEvery     = 100 * time.Millisecond
 	pollEvery     = time.Second
-	readWait      = 400 * time.Millisecond
+	readWait      = 600 * time.Millisecond
 	readRetry     = 200 * time.Millisecond
 	shutdownLimit = 2 * time.Second
 )
--- a/entry/followed.go
+++ b/entry/followed.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	logReadWait  = 400 * time.Millisecond
+	logReadWait  = time.Second
 	logReadRetry = 500 * time.Millisecond
+	// logReadPause keeps a host that waits for a snapshot from asking all the time.
+	logReadPause = 100 * time.Millisecond
 )
 
 // followed is what the log, or a peer in its place, says is in force.
@@ -36,10 +38,14 @@
 	return f.follower.Ready()
 }
 
-func (f *followed) next(stream appender.Stream) appender.Offset {
+// next returns where to read the stream from, and how long to wait there for a record: not at all before its end was reached.
+func (f *followed) next(stream appender.Stream) (appender.Offset, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.follower.Next(stream)
+	if !f.follower.Reached(stream) {
+		return f.follower.Next(stream), 0
+	}
+	return f.follower.Next(stream), logReadWait
 }
 
 func (f *followed) applyPage(stream appender.Stream, page appender.Page) []follower.Change {
@@ -51,13 +57,17 @@
 // followLog reads the stream until the process ends.
 func (e *Entry) followLog(stream appender.Stream) {
 	for e.ctx.Err() == nil {
-		page, err := e.platform.Read(stream, e.followed.next(stream), logReadWait)
+		next, wait := e.followed.next(stream)
+		page, err := e.platform.Read(stream, next, wait)
 		if err != nil {
 			e.counters.Inc("retry-log-read")
 			e.pause(logReadRetry)
 			continue
 		}
 		e.inForce(e.followed.applyPage(stream, page))
+		if len(page.Records) == 0 && wait == 0 {
+			e.pause(logReadPause)
+		}
 	}
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -102,7 +102,8 @@
 func (e *Entry) fetchRelay(address dotterelpulley.Address) (wireRelay, error) {
 	query := url.Values{}
 	for _, stream := range relayedStreams() {
-		query.Set(string(stream), strconv.FormatInt(int64(e.followed.next(stream)-1), 10))
+		next, _ := e.followed.next(stream)
+		query.Set(string(stream), strconv.FormatInt(int64(next-1), 10))
 	}
 	data, err := e.callPeer(http.MethodGet, address, "/v1/records?"+query.Encode(), nil)
 	if err != nil {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -89,6 +89,12 @@
 	return f.configurationTrack.reached && f.movesTrack.reached
 }
 
+// Reached reports whether the stream has been folded up to its end at some source of its newest record.
+func (f *Follower) Reached(stream appender.Stream) bool {
+	t, _ := f.track(stream)
+	return t != nil && t.reached
+}
+
 // Configuration returns the configuration in force.
 func (f *Follower) Configuration() dotterelpulley.Configuration {
 	return f.configuration.state.Configuration
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -213,3 +213,31 @@
 		c.Check(w.MaySend(o, noon.Add(time.Minute)), qt.IsTrue)
 	}
 }
+
+func TestSnapshotsAreMadeInTimeAndAccepted(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		tail Tail
+		due  bool
+	}{
+		{"a short and young tail", Tail{Records: 10, Oldest: noon}, false},
+		{"a long tail", Tail{Records: snapshotEvery + 1, Oldest: noon}, true},
+		{"an old tail", Tail{Records: 1, Oldest: noon.Add(-DefaultRetention / 3)}, true},
+		{"no tail", Tail{}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			w.Configuration.Notes = nil
+			w.tick(noon)
+			w.Tails.Moves = row.tail
+			w.Tails.Moves.Through = recorder.Place{Offset: appender.Offset(w.appended)}
+			records, _ := w.tick(noon.Add(time.Second))
+			want := []string(nil)
+			if row.due {
+				want = []string{"recorder.MovesSnapshot"}
+			}
+			c.Check(records, qt.DeepEquals, want)
+		})
+	}
+}
--- a/mover/records.go
+++ b/mover/records.go
@@ -26,7 +26,7 @@
 			}
 		}
 	}
-	if opening, found := m.opening(view); found {
+	if opening, found := m.opening(now, view); found {
 		return appender.StreamMoves, opening, true
 	}
 	return m.snapshot(now, view)
@@ -181,10 +181,16 @@
 	return now.Sub(move.Since) >= move.Watch && a.Step == move.Number && a.Enough && !a.Bad
 }
 
+// openLate is how long after its deadline a note that was never opened still gets its outcome written down.
+const openLate = 24 * time.Hour
+
 // opening returns the opening of the next queued change: those of one service run in the order of acceptance.
-func (m *Mover) opening(view *View) (recorder.Body, bool) {
+func (m *Mover) opening(now time.Time, view *View) (recorder.Body, bool) {
 	waiting := map[dotterelpulley.ServiceID]bool{}
 	for _, n := range view.Configuration.Notes {
+		if now.Sub(n.Note.Deadline) > openLate {
+			continue
+		}
 		for _, change := range n.Note.Changes {
 			id := recorder.MoveID{Note: n.Note.ID, Service: change.Service}
 			move, opened := view.Moves.Move(id)
--- a/recorder/configuration_state.go
+++ b/recorder/configuration_state.go
@@ -63,7 +63,7 @@
 	if reason != "" {
 		return refused(at, env, "%s", reason)
 	}
-	if reason := s.openNoteUsesRemoved(next); reason != "" {
+	if reason := s.openNoteUses(next, at.Appended); reason != "" {
 		return refused(at, env, "%s", reason)
 	}
 	next.Revision = dotterelpulley.Revision(at.Offset)
@@ -72,8 +72,12 @@
 	return accepted(at, env)
 }
 
-func (s *ConfigurationState) openNoteUsesRemoved(next dotterelpulley.Configuration) string {
+// openNoteUses returns why the next configuration takes away what a release note still needs, if it does.
+func (s *ConfigurationState) openNoteUses(next dotterelpulley.Configuration, now time.Time) string {
 	for _, n := range s.Notes {
+		if now.After(n.Note.Deadline) {
+			continue
+		}
 		for _, change := range n.Note.Changes {
 			_, before := s.Configuration.Service(change.Service)
 			_, after := next.Service(change.Service)
--- a/recorder/delta.go
+++ b/recorder/delta.go
@@ -22,10 +22,8 @@
 			return c, reason
 		}
 	}
-	for _, o := range d.Organisations {
-		if reason := setOrganisation(&c, o); reason != "" {
-			return c, reason
-		}
+	if reason := setOrganisations(&c, d.Organisations); reason != "" {
+		return c, reason
 	}
 	for _, t := range d.Tiers {
 		if !t.Tier.Valid() {
@@ -52,19 +50,29 @@
 	return ""
 }
 
-func setOrganisation(c *dotterelpulley.Configuration, o dotterelpulley.OrganisationSettings) string {
-	if o.ID == "" {
-		return "an organisation has no id"
+func setOrganisations(c *dotterelpulley.Configuration, changed []dotterelpulley.OrganisationSettings) string {
+	if len(changed) == 0 {
+		return ""
 	}
-	if o.Weight < 0 {
-		return fmt.Sprintf("organisation %q: weight %d is below 0", o.ID, o.Weight)
+	places := make(map[dotterelpulley.OrganisationID]int, len(c.Organisations)+len(changed))
+	for i, o := range c.Organisations {
+		places[o.ID] = i
 	}
-	i := slices.IndexFunc(c.Organisations, func(p dotterelpulley.OrganisationSettings) bool { return p.ID == o.ID })
-	if i < 0 {
+	for _, o := range changed {
+		if o.ID == "" {
+			return "an organisation has no id"
+		}
+		if o.Weight < 0 {
+			return fmt.Sprintf("organisation %q: weight %d is below 0", o.ID, o.Weight)
+		}
+		i, known := places[o.ID]
+		if known {
+			c.Organisations[i] = o
+			continue
+		}
+		places[o.ID] = len(c.Organisations)
 		c.Organisations = append(c.Organisations, o)
-		return ""
 	}
-	c.Organisations[i] = o
 	return ""
 }
 
