--- a/cmd/dotterel-mover/poll.go
+++ b/cmd/dotterel-mover/poll.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -32,13 +33,16 @@
 	if !leading {
 		return
 	}
+	due := p.evidenceDue(time.Now())
 	var polls conc.WaitGroup
 	for _, h := range hosts {
 		switch h.Kind {
 		case lister.KindEngine:
 			polls.Go(func() { p.pollEndpoint(h) })
 		case lister.KindEntry:
-			polls.Go(func() { p.pollEvidence(h) })
+			if due {
+				polls.Go(func() { p.pollEvidence(h) })
+			}
 		case lister.KindPlain:
 		}
 	}
@@ -48,6 +52,19 @@
 	p.assessAll(time.Now())
 }
 
+// evidenceDue reports whether a move runs and the entry hosts' evidence was not asked for lately.
+func (p *process) evidenceDue(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.follower.MovesState()
+	running := slices.ContainsFunc(state.Moves, recorder.Move.Running)
+	if !running || now.Sub(p.evidenceAt) < evidenceEvery-pollEvery/2 {
+		return false
+	}
+	p.evidenceAt = now
+	return true
+}
+
 type wireOrderState struct {
 	Fence    int64    `json:"fence"`
 	OrderID  string   `json:"order_id"`
--- a/cmd/dotterel-mover/process.go
+++ b/cmd/dotterel-mover/process.go
@@ -23,6 +23,7 @@
 const (
 	tickEvery     = 100 * time.Millisecond
 	pollEvery     = time.Second
+	evidenceEvery = 2 * time.Second
 	readWait      = 600 * time.Millisecond
 	readRetry     = 200 * time.Millisecond
 	shutdownLimit = 2 * time.Second
@@ -43,10 +44,11 @@
 	follower follower.Follower
 	mover    mover.Mover
 	// read is when the newest read of each stream that met its end was begun.
-	read      map[appender.Stream]time.Time
-	list      lister.List
-	endpoints map[dotterelpulley.EndpointID]mover.Endpoint
-	evidence  map[dotterelpulley.HostID][]*assessor.Evidence
+	read       map[appender.Stream]time.Time
+	list       lister.List
+	endpoints  map[dotterelpulley.EndpointID]mover.Endpoint
+	evidence   map[dotterelpulley.HostID][]*assessor.Evidence
+	evidenceAt time.Time
 	// assessments are of the newest poll.
 	assessments map[recorder.MoveID]mover.Assessment
 
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"io"
@@ -208,7 +209,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	w.Header().Set("Content-Encoding", "gzip")
+	packed := gzip.NewWriter(w)
+	_, err = packed.Write(data)
+	if err = errors.Join(err, packed.Close()); err != nil {
+		e.counters.Inc("evidence-cut")
+	}
 }
 
 // handleBad takes a verdict and passes it on once.
