--- a/entry/queue.go
+++ b/entry/queue.go
@@ -33,6 +33,9 @@
 
 type waiter struct {
 	request dotterelpulley.Request
+	// chosen is the version that the request's place in the count gave it.
+	chosen dotterelpulley.VersionID
+	// version is the one to run on, or "" for any.
 	version dotterelpulley.VersionID
 	avoid   map[dotterelpulley.EndpointID]bool
 	granted chan grant
@@ -117,11 +120,12 @@
 // choose returns the waiter's version, or "" for any when no endpoint has the one in force.
 func (q *queue) choose(w *waiter, all []known) dotterelpulley.VersionID {
 	now := time.Now()
-	version := q.followed.version(w.request, w.version, now)
-	if served(w, all, version) {
-		return version
+	w.chosen = q.followed.version(w.request, w.chosen, now)
+	if served(w, all, w.chosen) {
+		return w.chosen
 	}
-	if version = q.followed.fallback(w.request.Service, now); served(w, all, version) {
+	version := q.followed.fallback(w.request.Service, now)
+	if served(w, all, version) {
 		return version
 	}
 	return ""
--- a/recorder/moves_state.go
+++ b/recorder/moves_state.go
@@ -230,6 +230,7 @@
 		}
 		m.Phase = PhaseDone
 		if m.Action == dotterelpulley.ChangeReplace {
+			m.Share = 1
 			s.putInForce(m)
 		}
 	} else {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -44,13 +44,6 @@
 	return share.Version
 }
 
-// Undo takes back the last choice of the version, for a request that was not sent to it.
-func (s *Splitter) Undo(version dotterelpulley.VersionID) {
-	if len(s.shares) == 2 && s.second > 0 && version == s.shares[1].Version {
-		s.second--
-	}
-}
-
 // stickyPart is the part of a share that conversations are spread over; the rest is slack,
 // so that an uneven run of them seldom meets the bound and changes versions.
 const stickyPart = 0.9
