--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -41,7 +41,7 @@
 func (i *isolation) started(f isolator.Fingerprint, endpoint dotterelpulley.EndpointID, id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.core.Started(f, endpoint, isolator.AttemptID(id))
+	i.core.Started(time.Now(), f, endpoint, isolator.AttemptID(id))
 }
 
 func (i *isolation) ended(endpoint dotterelpulley.EndpointID, id string) {
@@ -131,11 +131,12 @@
 type wireDeath struct {
 	Endpoint string    `json:"endpoint"`
 	Attempt  string    `json:"attempt"`
+	Started  time.Time `json:"started"`
 	At       time.Time `json:"at"`
 }
 
 func deathToWire(d isolator.Death) (*peerpb.Fact, error) {
-	value, err := json.Marshal(wireDeath{Endpoint: string(d.Endpoint), Attempt: string(d.Attempt), At: d.At})
+	value, err := json.Marshal(wireDeath{Endpoint: string(d.Endpoint), Attempt: string(d.Attempt), Started: d.Started, At: d.At})
 	if err != nil {
 		return nil, err
 	}
@@ -158,6 +159,7 @@
 			Fingerprint: isolator.Fingerprint(fingerprint),
 			Endpoint:    dotterelpulley.EndpointID(w.Endpoint),
 			Attempt:     isolator.AttemptID(w.Attempt),
+			Started:     w.Started,
 			At:          w.At,
 		}) {
 			e.counters.Inc("crash-facts-heard")
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -30,6 +30,7 @@
 	Fingerprint Fingerprint
 	Endpoint    dotterelpulley.EndpointID
 	Attempt     AttemptID
+	Started     time.Time
 	At          time.Time
 }
 
@@ -42,8 +43,6 @@
 }
 
 const (
-	// crashWindow is the time in which two hosts notice one crash.
-	crashWindow     = 10 * time.Second
 	defaultLimit    = 2
 	defaultLifetime = time.Hour
 )
@@ -78,6 +77,7 @@
 type flight struct {
 	fingerprint Fingerprint
 	attempt     AttemptID
+	started     time.Time
 }
 
 // Isolator is the decision core of one host; the zero value works.
@@ -121,11 +121,11 @@
 }
 
 // Started notes that an attempt begins.
-func (i *Isolator) Started(f Fingerprint, endpoint dotterelpulley.EndpointID, attempt AttemptID) {
+func (i *Isolator) Started(now time.Time, f Fingerprint, endpoint dotterelpulley.EndpointID, attempt AttemptID) {
 	if i.running == nil {
 		i.running = map[dotterelpulley.EndpointID][]flight{}
 	}
-	i.running[endpoint] = append(i.running[endpoint], flight{fingerprint: f, attempt: attempt})
+	i.running[endpoint] = append(i.running[endpoint], flight{fingerprint: f, attempt: attempt, started: now})
 }
 
 // Ended notes that an attempt is over without the endpoint's death.
@@ -154,7 +154,7 @@
 	delete(i.running, endpoint)
 	var blamed, others []Death
 	for _, fl := range flights {
-		d := Death{Fingerprint: fl.fingerprint, Endpoint: endpoint, Attempt: fl.attempt, At: now}
+		d := Death{Fingerprint: fl.fingerprint, Endpoint: endpoint, Attempt: fl.attempt, Started: fl.started, At: now}
 		if i.count(now, fl.fingerprint) > 0 {
 			blamed = append(blamed, d)
 		} else {
@@ -209,7 +209,7 @@
 	return len(counted)
 }
 
-// sameCrash reports whether two attempts were lost in one crash of an endpoint.
+// sameCrash reports whether two attempts ran on an endpoint at once, and so were lost in one crash.
 func (d Death) sameCrash(other Death) bool {
-	return d.Endpoint == other.Endpoint && d.At.Sub(other.At).Abs() < crashWindow
+	return d.Endpoint == other.Endpoint && d.Started.Before(other.At) && other.Started.Before(d.At)
 }
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -35,7 +35,7 @@
 
 // run sends the request through a host, which loses its endpoint if it is the killer.
 func (b *bench) run(host int, f isolator.Fingerprint, endpoint dotterelpulley.EndpointID) isolator.Verdict {
-	b.now = b.now.Add(20 * time.Second)
+	b.now = b.now.Add(time.Second)
 	h := &b.hosts[host]
 	verdict, avoid := h.Judge(b.now, f)
 	if verdict == isolator.Isolated {
@@ -47,12 +47,13 @@
 		}
 	}
 	attempt := b.attempt()
-	h.Started(f, endpoint, attempt)
+	h.Started(b.now, f, endpoint, attempt)
 	if f != killer {
 		b.beside[endpoint] = append(b.beside[endpoint], attempt)
 		return verdict
 	}
 	b.lost[f]++
+	b.now = b.now.Add(time.Millisecond)
 	delete(b.beside, endpoint)
 	for _, d := range h.Died(b.now, endpoint) {
 		for i := range b.hosts {
@@ -100,13 +101,13 @@
 			if v, _ := i.Judge(now, f); v == isolator.Suspect && f != killer {
 				continue
 			}
-			i.Started(f, endpoint, isolator.AttemptID(fmt.Sprint(death, "-", f)))
+			i.Started(now, f, endpoint, isolator.AttemptID(fmt.Sprint(death, "-", f)))
 		}
 		for f := isolator.Fingerprint(1); f <= 3; f++ {
 			naive[f]++
 		}
-		i.Died(now, endpoint)
 		now = now.Add(time.Second)
+		i.Died(now, endpoint)
 	}
 	c.Check(naive[2] >= 2, qt.IsTrue)
 	v, _ := i.Judge(now, 1)
@@ -119,7 +120,7 @@
 	c := qt.New(t)
 	var i isolator.Isolator
 	now := time.Unix(1_800_000_000, 0)
-	i.Started(7, "e1", "a")
+	i.Started(now.Add(-time.Second), 7, "e1", "a")
 	c.Assert(i.Died(now, "e1"), qt.HasLen, 1)
 	v, _ := i.Judge(now, 7)
 	c.Check(v, qt.Equals, isolator.Suspect)
@@ -127,7 +128,7 @@
 	v, _ = i.Judge(now.Add(time.Second), 7)
 	c.Check(v, qt.Equals, isolator.Free)
 	for _, attempt := range []isolator.AttemptID{"b", "c"} {
-		c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: dotterelpulley.EndpointID("e" + attempt), Attempt: attempt, At: now}), qt.IsTrue)
+		c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: dotterelpulley.EndpointID("e" + attempt), Attempt: attempt, Started: now.Add(-time.Second), At: now}), qt.IsTrue)
 	}
 	c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: "e2", Attempt: "c", At: now}), qt.IsFalse)
 	v, _ = i.Judge(now, 8)
