--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -40,7 +40,7 @@
 		c.moved(r)
 	case !r.grouped && c.holds(r.hash.Range()):
 		r.grouped = true
-		c.group.add(r, c.now)
+		c.group.add(r)
 	case !r.grouped && c.waited(r) > c.Settings.HoldLimit:
 		c.refuse(r, dotterelpulley.ErrorHolderUnreachable, 0)
 	case !r.grouped:
@@ -88,7 +88,7 @@
 		kind = dotterelpulley.ErrorHolderUnreachable
 	}
 	if r.grouped {
-		c.group.release(r, c.now)
+		c.group.release(r)
 	}
 	r.state = runRefused
 	r.ended = c.now
--- a/claimer/group.go
+++ b/claimer/group.go
@@ -11,7 +11,8 @@
 	// waiting are the claims for the next append.
 	waiting  []*run
 	released []KeyHash
-	opened   time.Time
+	// sent is when the last append was sent.
+	sent     time.Time
 	inFlight *sentGroup
 	// overdue is when the oldest claim that is not on the log was first sent; zero when the log has answered.
 	overdue time.Time
@@ -46,22 +47,16 @@
 	return len(g.waiting) == 0 && len(g.released) == 0 && g.inFlight == nil
 }
 
-func (g *group) add(r *run, now time.Time) {
-	if len(g.waiting) == 0 && len(g.released) == 0 {
-		g.opened = now
-	}
+func (g *group) add(r *run) {
 	g.waiting = append(g.waiting, r)
 }
 
 // release takes back the claim of a request that was not started.
-func (g *group) release(r *run, now time.Time) {
+func (g *group) release(r *run) {
 	if i := slices.Index(g.waiting, r); i >= 0 {
 		g.waiting = slices.Delete(g.waiting, i, i+1)
 		return
 	}
-	if len(g.waiting) == 0 && len(g.released) == 0 {
-		g.opened = now
-	}
 	g.released = append(g.released, r.hash)
 }
 
@@ -70,10 +65,11 @@
 	if g.inFlight != nil || len(g.waiting)+len(g.released) == 0 || c.closing.expelled {
 		return
 	}
-	if c.now.Sub(g.opened) < c.Settings.GroupInterval {
+	if c.now.Sub(g.sent) < c.Settings.GroupInterval {
 		return
 	}
 	g.sequence++
+	g.sent = c.now
 	record := ClaimsRecord{
 		ID:          c.nextID(),
 		Incarnation: c.Self.Incarnation,
--- a/claimer/node_test.go
+++ b/claimer/node_test.go
@@ -16,6 +16,7 @@
 	alive    bool
 	paused   time.Time
 	logCut   time.Time
+	armed    time.Time
 	core     *claimer.Claimer
 	skew     time.Duration
 	drift    float64
@@ -29,6 +30,7 @@
 	core     *claimer.Claimer
 	attached []claimer.Ticket
 	reply    func(answer)
+	claimed  time.Time
 	ended    bool
 	answer   *answer
 }
@@ -63,6 +65,7 @@
 		},
 		Settings: n.w.settings(),
 	}
+	n.armed = time.Time{}
 	n.tick(n.core)
 	n.readRoster(n.clock(), 1)
 }
@@ -79,6 +82,9 @@
 		// Small enough for a late host to start from a snapshot.
 		SnapshotEvery: 10,
 	}
+	if !w.profile.faults {
+		s.Lease = 0
+	}
 	if w.profile.flaw == leaseUnchecked {
 		s.LeaseGuard = -time.Hour
 		s.PauseLimit = time.Hour
@@ -116,6 +122,7 @@
 		if n.core != core {
 			return
 		}
+		defer n.arm(core)
 		if begin, ok := e.(claimer.Begin); ok {
 			n.w.trace("%s begins %v", n.id, begin)
 		}
@@ -128,14 +135,27 @@
 
 func (n *node) tick(core *claimer.Claimer) {
 	starts := n.starts
+	n.armed = time.Time{}
 	n.step(core, claimer.Tick{})
-	n.later(func() {
-		wait := max(core.NextTick().Sub(n.clock()), 20*time.Millisecond)
-		n.w.after(wait, func() {
-			if n.starts == starts && n.core == core {
-				n.tick(core)
-			}
-		})
+	if n.starts != starts || n.core != core {
+		return
+	}
+	n.later(func() { n.arm(core) })
+}
+
+// arm has the core told the time when it wants to know it.
+func (n *node) arm(core *claimer.Claimer) {
+	wait := max(core.NextTick().Sub(n.clock()), 10*time.Millisecond)
+	at := n.w.now.Add(wait)
+	if !n.armed.IsZero() && !at.Before(n.armed) {
+		return
+	}
+	starts := n.starts
+	n.armed = at
+	n.w.after(wait, func() {
+		if n.starts == starts && n.core == core && n.armed.Equal(at) {
+			n.tick(core)
+		}
 	})
 }
 
@@ -216,6 +236,8 @@
 	case claimer.Forward:
 		n.forward(a)
 	case claimer.Grant:
+		c := n.requests[a.Ticket]
+		w.waits[c.begin.Kind] = append(w.waits[c.begin.Kind], w.now.Sub(c.claimed))
 		w.after(w.between(0, 5*time.Millisecond), func() { n.dispatch(core, a.Ticket) })
 	case claimer.Refuse:
 		n.answer(a.Ticket, answer{kind: a.Kind})
--- a/claimer/request_test.go
+++ b/claimer/request_test.go
@@ -34,6 +34,7 @@
 			case n.w.naive:
 				n.start(core, t)
 			default:
+				n.requests[t].claimed = n.w.now
 				n.step(core, claimer.Claim{Ticket: t})
 			}
 		})
--- a/claimer/schedule_test.go
+++ b/claimer/schedule_test.go
@@ -48,9 +48,15 @@
 const (
 	scheduleLength = 70 * time.Second
 	faultsUntil    = 45 * time.Second
+	deathAt        = 20 * time.Second
+	deathSeen      = 2 * time.Second
 )
 
 func schedule(seed uint64, p profile, naive bool) score {
+	return runWorld(seed, p, naive).score()
+}
+
+func runWorld(seed uint64, p profile, naive bool) *world {
 	w := newWorld(seed, p)
 	w.naive = naive
 	if p.faults {
@@ -61,6 +67,12 @@
 	if p.cut {
 		w.after(w.between(3*time.Second, 8*time.Second), func() { w.nodes[0].logCut = w.now.Add(faultsUntil) })
 	}
+	if p.death {
+		w.after(deathAt, func() {
+			w.nodes[0].die()
+			w.after(deathSeen, func() { delete(w.listed, w.nodes[0].id) })
+		})
+	}
 	if p.slow {
 		w.log.slow = append(w.log.slow, [2]time.Time{w.now.Add(3 * time.Second), w.now.Add(time.Hour)})
 	}
@@ -71,7 +83,7 @@
 		w.after(w.between(4*time.Second, p.length), func() { w.addCaller(i) })
 	}
 	w.run(scheduleLength)
-	return w.score()
+	return w
 }
 
 func (w *world) fault() {
--- a/claimer/settings.go
+++ b/claimer/settings.go
@@ -20,7 +20,7 @@
 	ArrivalError time.Duration
 	// KeyLifetime is how long a key is remembered; 15 min.
 	KeyLifetime time.Duration
-	// GroupInterval is how long claims are gathered into one append; 20 ms.
+	// GroupInterval is the least time between two appends of claims, which gather meanwhile; 20 ms.
 	GroupInterval time.Duration
 	// Patience is how long a claim of each kind waits for the log before memory will do; 300 ms, 1 s and 2 s.
 	Patience [dotterelpulley.KindBooking + 1]time.Duration
--- /dev/null
+++ b/claimer/share_test.go
@@ -0,0 +1,80 @@
+package claimer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// TestSharesByKind reports what each kind of request gets with the log up, slow and out, without and with a host's death.
+func TestSharesByKind(t *testing.T) {
+	const callers, seeds = 300, 5
+	for _, p := range []struct {
+		name string
+		profile
+		mostUnserved float64
+	}{
+		{"up", profile{}, 0},
+		{"slow", profile{slow: true}, 0},
+		{"out", profile{out: true}, 0},
+		{"up, one host of three dies", profile{death: true}, 0.25},
+		{"slow, one host of three dies", profile{slow: true, death: true}, 0.25},
+		{"out, one host of three dies", profile{out: true, death: true}, 0.5},
+	} {
+		p.callers, p.length = callers, faultsUntil
+		var rows [dotterelpulley.KindBooking + 1][3]int
+		var waits [dotterelpulley.KindBooking + 1][]time.Duration
+		appends, bytes, claims := 0, 0, 0
+		for seed := range uint64(seeds) {
+			w := runWorld(seed+1, p.profile, false)
+			c := w.score()
+			qt.Check(t, c.duplicates+c.falseNo, qt.Equals, 0)
+			for _, caller := range w.callers {
+				rows[caller.kind][caller.outcome()]++
+			}
+			for kind := range waits {
+				waits[kind] = append(waits[kind], w.waits[kind]...)
+				claims += len(w.waits[kind])
+			}
+			appends += len(w.log.claims)
+			bytes += w.bytes
+		}
+		for kind, row := range rows {
+			total := row[0] + row[1] + row[2]
+			t.Logf("%-30s %-8s served %5.1f%% not-run %5.1f%% unknown %5.1f%%  claim %s", p.name, dotterelpulley.RequestKind(kind),
+				share(row[0], total), share(row[1], total), share(row[2], total), percentiles(waits[kind]))
+			qt.Check(t, share(total-row[0], total) <= 100*p.mostUnserved, qt.IsTrue)
+		}
+		t.Logf("%-30s %d claims in %d records of %d bytes", p.name, claims, appends, bytes)
+	}
+}
+
+func share(n, total int) float64 {
+	const percent = 100
+	return percent * float64(n) / float64(max(total, 1))
+}
+
+func percentiles(d []time.Duration) string {
+	if len(d) == 0 {
+		return "none"
+	}
+	slices.Sort(d)
+	const half, most = 2, 20
+	return fmt.Sprintf("median %s, 95%% %s", d[len(d)/half].Round(time.Millisecond), d[len(d)-1-len(d)/most].Round(time.Millisecond))
+}
+
+// outcome is 0 for a whole answer, 1 for "not run" and 2 for "outcome unknown".
+func (c *caller) outcome() int {
+	switch {
+	case c.last.whole:
+		return 0
+	case c.notRun:
+		return 1
+	}
+	return 2
+}
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -27,6 +27,7 @@
 	runs    map[dotterelpulley.Key]int
 	falseNo int
 	callers []*caller
+	waits   [dotterelpulley.KindBooking + 1][]time.Duration
 	appends int
 	bytes   int
 }
@@ -36,7 +37,9 @@
 	slow   bool
 	out    bool
 	// cut parts one host from the log for longer than its lease.
-	cut     bool
+	cut bool
+	// death kills one host in the middle and drops it from the host list.
+	death   bool
 	flaw    flaw
 	callers int
 	length  time.Duration
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -11,6 +11,9 @@
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
+// busyTick is the longest wait of a claimer that has work under way.
+const busyTick = 50 * time.Millisecond
+
 // signOffLimit bounds the wait for the leave record.
 const signOffLimit = 3 * time.Second
 
@@ -55,6 +58,8 @@
 	begun   map[claimer.Ticket]*begun
 	runs    map[claimer.Ticket]*run
 	reading map[string]bool
+	// sooner tells the ticker that the claimer wants the time earlier than it did.
+	sooner chan struct{}
 }
 
 // begun is a request that waits for the claimer's word.
@@ -95,6 +100,7 @@
 		begun:   map[claimer.Ticket]*begun{},
 		runs:    map[claimer.Ticket]*run{},
 		reading: map[string]bool{},
+		sooner:  make(chan struct{}, 1),
 	}
 	s.core.Self = claimer.Member{
 		Host:        e.settings.Host,
@@ -114,13 +120,15 @@
 
 // tick tells the claimer the time whenever it wants to know it.
 func (s *session) tick() {
+	s.step(claimer.Tick{})
 	for {
-		s.step(claimer.Tick{})
 		s.mu.Lock()
 		wait := s.core.NextTick().Sub(s.claims.clock.now())
 		s.mu.Unlock()
 		select {
 		case <-time.After(wait):
+			s.step(claimer.Tick{})
+		case <-s.sooner:
 		case <-s.done:
 			return
 		case <-s.entry.ctx.Done():
@@ -137,9 +145,17 @@
 }
 
 func (s *session) stepLocked(event claimer.Event) {
-	for _, action := range s.core.Step(s.claims.clock.now(), event) {
+	now := s.claims.clock.now()
+	for _, action := range s.core.Step(now, event) {
 		s.act(action)
 	}
+	if _, tick := event.(claimer.Tick); tick || s.core.NextTick().Sub(now) > busyTick {
+		return
+	}
+	select {
+	case s.sooner <- struct{}{}:
+	default:
+	}
 }
 
 // begin asks what to do with the request; issued says that this host has just made its key.
