--- a/capacity/claimer_test.go
+++ b/capacity/claimer_test.go
@@ -11,9 +11,10 @@
 )
 
 var (
-	keySizes  = []int{1000, 10000, 100000}
-	liveSizes = []int{10, 100, 1000}
-	peerSizes = []int{8, 64, 350}
+	keySizes   = []int{1000, 10000, 100000}
+	liveSizes  = []int{10, 100, 1000}
+	peerSizes  = []int{8, 64, 350}
+	groupSizes = []int{1, 20, 200}
 )
 
 // soloHost is a claimer that alone holds every range, on a log that answers at once.
@@ -160,6 +161,25 @@
 	})
 }
 
+// BenchmarkClaimsRecord encodes one append of a host's claims.
+func BenchmarkClaimsRecord(b *testing.B) {
+	atSizes(b, "claims", groupSizes, func(b *testing.B, n int) {
+		record := claimer.ClaimsRecord{ID: "entry-1-a-1000", Incarnation: "entry-1-a", Sequence: 1000}
+		for i := range n {
+			record.Claimed = append(record.Claimed, claimer.HashKey(benchKey(i)))
+		}
+		size := 0
+		for b.Loop() {
+			data, err := claimer.EncodeClaims(record)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+		}
+		b.ReportMetric(float64(size), "record-B")
+	})
+}
+
 // BenchmarkClaimerRoster joins hosts to the roster, and keeps their leases.
 func BenchmarkClaimerRoster(b *testing.B) {
 	atSizes(b, "peers", peerSizes, func(b *testing.B, n int) {
@@ -184,6 +204,10 @@
 			}
 			return h
 		})
+		renewal, err := claimer.EncodeRoster("entry-1-a-1000", claimer.Renew{Incarnation: member(0).Incarnation, Base: offset})
+		if err != nil {
+			b.Fatal(err)
+		}
 		next := 0
 		b.ResetTimer()
 		for b.Loop() {
@@ -191,6 +215,7 @@
 			h.Step(h.now, place(claimer.Renew{Incarnation: member(next % n).Incarnation, Base: offset}))
 		}
 		b.ReportMetric(heap, "heap-B")
+		b.ReportMetric(float64(len(renewal)), "renewal-B")
 		runtime.KeepAlive(h)
 	})
 }
