--- a/cmd/dotterel-mover/view.go
+++ b/cmd/dotterel-mover/view.go
@@ -44,8 +44,11 @@
 	}
 }
 
-// caughtUp returns when both streams were last read to their end.
+// caughtUp returns when both streams were last read to their end, and the zero time while earlier records are missing.
 func (p *process) caughtUp() time.Time {
+	if !p.follower.Ready() {
+		return time.Time{}
+	}
 	configuration, moves := p.read[appender.StreamConfiguration], p.read[appender.StreamMoves]
 	if configuration.Before(moves) {
 		return configuration
