--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -14,18 +14,21 @@
 
 	"github.com/dotterelpulley/dotterelpulley/internal/prover"
 	"github.com/dotterelpulley/dotterelpulley/internal/standin"
+	"github.com/dotterelpulley/dotterelpulley/loader"
 )
 
 const (
 	newVersion = "kaasik-lm@2"
 	moveTime   = 45 * time.Second
+	// moveRate gives the new version enough requests to be judged by.
+	moveRate = 90
 	// ctlEvery is the time between two runs of dotterelctl.
 	ctlEvery    = 250 * time.Millisecond
 	canaryShare = 0.2
 	// stopWithin is the time after which a version that was found bad gets no new request.
 	stopWithin = 2 * time.Second
 	// runsAfter is how much runs after a move was taken back: several times what comes in stopWithin.
-	runsAfter = 200
+	runsAfter = 3 * moveRate * int(stopWithin/time.Second)
 
 	releaseNote = `id = "kaasik-lm-2"
 deadline = %q
@@ -52,7 +55,7 @@
 	for _, e := range s.Entries {
 		s.Assert(e.StartMover(), qt.IsNil)
 	}
-	return s, s.startLoad(moveTime, s.Entries)
+	return s, s.sendLoad(s.Entries, loader.PlanSettings{Duration: 2 * moveTime, Rate: moveRate, Resend: 0.1, Deadline: loadDeadline})
 }
 
 // note publishes the move to the new version.
