--- a/internal/prover/entry.go
+++ b/internal/prover/entry.go
@@ -190,6 +190,18 @@
 	return s
 }
 
+// Counter returns a counter of the host's process; 0 if it says nothing.
+func (e *Entry) Counter(name string) int {
+	var vars struct {
+		Counters map[string]int `json:"dotterel"`
+	}
+	_, body, err := e.Operator(http.MethodGet, "/debug/vars")
+	if err != nil || json.Unmarshal(body, &vars) != nil {
+		return 0
+	}
+	return vars.Counters[name]
+}
+
 // close kills the process and ends the proxies.
 func (e *Entry) close() error {
 	var failed []error
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -27,6 +27,26 @@
 	s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, "the host is ready", e.Ready), qt.IsNil)
 }
 
+func TestNewHostThatReachesNoSourceIsNotReady(t *testing.T) {
+	const failedReads = 3
+	s := running(t)
+	for _, e := range s.Entries {
+		e.Peers.Refuse()
+	}
+	e, err := s.AddEntry()
+	s.Assert(err, qt.IsNil)
+	e.Log.Refuse()
+	s.Note("start %s without log and peers", e.Host.ID)
+	s.Assert(e.Start(), qt.IsNil)
+	s.await("the new host has tried the log", func() bool { return e.Counter("retry-log-read") >= failedReads })
+	s.Check(e.Ready(), qt.IsFalse)
+	for _, other := range s.Entries[:3] {
+		s.Assert(other.Peers.Accept(), qt.IsNil)
+	}
+	s.Assert(e.Log.Accept(), qt.IsNil)
+	s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, "the host is ready", e.Ready), qt.IsNil)
+}
+
 func TestNewHostLearnsFromItsPeersWhenTheLogIsDown(t *testing.T) {
 	s := running(t)
 	newest := s.Entries[0].Status().Revision
