--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -37,7 +37,7 @@
 	r := &routed{world: w, waiting: map[admitter.ID]*request{}, jobs: map[*request]sent{}, hosts: hosts}
 	r.admitter.Seed = seed
 	r.picker.Seed = seed
-	r.picker.Peers = hosts
+	r.picker.SetPeers(service, hosts)
 	var endpoints []dotterelpulley.Endpoint
 	for _, e := range w.engines {
 		endpoints = append(endpoints, dotterelpulley.Endpoint{ID: e.id, Service: service, Versions: []dotterelpulley.VersionID{"v1"}})
@@ -177,7 +177,7 @@
 
 func (h *routed) peers(n int) {
 	h.hosts = n
-	h.picker.Peers = n
+	h.picker.SetPeers(service, n)
 }
 
 func (h *routed) die() {
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -30,8 +30,8 @@
 	Prefixes     []PrefixHash
 	// Reserve is the share of each limit that the request's tier leaves free.
 	Reserve float64
-	// Except names an endpoint that an attempt has already failed on.
-	Except dotterelpulley.EndpointID
+	// Except names the endpoints that an attempt has already failed on.
+	Except map[dotterelpulley.EndpointID]bool
 }
 
 // Choice is the endpoint and version that a request goes to.
@@ -101,7 +101,7 @@
 	if found.count == 0 {
 		return Choice{}, verdict
 	}
-	best := p.best(&ask, &found)
+	best := p.best(s, &ask, &found)
 	return p.choice(&ask, version, best), Chosen
 }
 
@@ -119,10 +119,10 @@
 // consider returns the endpoint as a candidate if it may take the request.
 func (p *Picker) consider(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, place int32) (candidate, Verdict) {
 	e := p.endpoints[place]
-	if !e.usable(now, version) || e.ID == ask.Except || e.Service != ask.Service {
+	if !e.usable(now, version) || ask.Except[e.ID] || e.Service != ask.Service {
 		return candidate{}, NoEndpoint
 	}
-	load := e.load(now, p.peers())
+	load := e.load(now, s.peers)
 	s.fill += fillWeight * (load/math.Max(e.limit, 1) - s.fill)
 	if !e.room(load, ask.Reserve) {
 		return candidate{}, NoRoom
@@ -207,13 +207,13 @@
 	return verdict
 }
 
-func (p *Picker) best(ask *Ask, found *candidates) candidate {
+func (p *Picker) best(s *pool, ask *Ask, found *candidates) candidate {
 	tokens := p.Expect(ask.Route, ask.MaxTokens)
 	var best candidate
 	least := math.Inf(1)
 	for _, one := range found.list[:found.count] {
 		e := p.endpoints[one.place]
-		score := e.seconds(one.load, tokens, p.uncached(ask, one), p.peers())
+		score := e.seconds(one.load, tokens, p.uncached(ask, one), s.peers)
 		if e.Zone != p.Zone {
 			score += 2 * p.zoneLatency().Seconds()
 		}
@@ -249,6 +249,6 @@
 		Inflight:     one.load,
 		Prefill:      p.uncached(ask, one),
 		prefixes:     ask.Prefixes,
-		ahead:        e.ownPrefill * float64(p.peers()),
+		ahead:        e.ownPrefill * float64(p.pool(ask.Service).peers),
 	}
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -21,8 +21,6 @@
 	Zone dotterelpulley.ZoneID
 	// ZoneLatency is the time to an endpoint of another zone; 1 ms if zero.
 	ZoneLatency time.Duration
-	// Peers is how many entry hosts use the same endpoints, this one included; 1 if zero.
-	Peers int
 	// Candidates is how many random endpoints are compared; 2 if zero.
 	Candidates int
 
@@ -42,6 +40,8 @@
 type pool struct {
 	members []int32
 	shares  shares
+	// peers is how many entry hosts use an endpoint of the service, this one included.
+	peers int
 	// largest is the highest limit of a member, at least 1.
 	largest float64
 	stale   bool
@@ -59,15 +59,11 @@
 	p.pools = map[dotterelpulley.ServiceID]*pool{}
 }
 
-func (p *Picker) peers() int {
-	return max(p.Peers, 1)
-}
-
 func (p *Picker) pool(id dotterelpulley.ServiceID) *pool {
 	p.init()
 	s, ok := p.pools[id]
 	if !ok {
-		s = &pool{}
+		s = &pool{peers: 1}
 		p.pools[id] = s
 	}
 	return s
@@ -147,6 +143,11 @@
 	p.pool(e.Service).stale = true
 }
 
+// SetPeers tells how many entry hosts use each endpoint of the service, this one included.
+func (p *Picker) SetPeers(id dotterelpulley.ServiceID, hosts int) {
+	p.pool(id).peers = max(hosts, 1)
+}
+
 // SetShares tells which fractions of the service's requests its versions get.
 func (p *Picker) SetShares(id dotterelpulley.ServiceID, want []dotterelpulley.Share) {
 	p.pool(id).shares.set(want)
@@ -179,7 +180,7 @@
 	if e == nil {
 		return 0
 	}
-	return e.load(now, p.peers())
+	return e.load(now, p.pool(e.Service).peers)
 }
 
 // Slots returns the sum of the limits of the service's usable endpoints.
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -226,7 +226,8 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{10, 300, 2200} {
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
-			p := &picker.Picker{Seed: 1, Peers: 8}
+			p := &picker.Picker{Seed: 1}
+			p.SetPeers(service, 8)
 			used := picker.Subset(endpoints(n), picker.Place{Rank: 1, Of: max(7, n/7)}, 0)
 			p.SetEndpoints(service, used)
 			for _, e := range used {
