Queue at the entry by the admitter, the picker and the limiter

The FIFO that went round the endpoints gives way to the decision cores: the queue hands them arrivals, reports, cache events and what runs showed. A retry takes from the service's budget. A host reads the reports of its part of the endpoints only.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,6 +22,9 @@
 // attemptWhole says that the answer came whole.
 type attemptWhole struct{}
 
+// notAdmitted is the reason of an attempt that its endpoint refused.
+const notAdmitted = "not-admitted"
+
 // attemptNotStarted says that the endpoint provably started nothing.
 type attemptNotStarted struct{ reason string }
 
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -100,7 +100,7 @@
 	switch status := c.response.StatusCode(); status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
-		return attemptNotStarted{reason: "not-admitted"}
+		return attemptNotStarted{reason: notAdmitted}
 	case http.StatusNotFound:
 		return attemptFailed{detail: "the engine does not know the run or the version"}
 	default:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,8 @@
 		drain:    make(chan struct{}),
 	}
 	e.queue.endpoints = &e.endpoints
-	e.queue.limits = settings.Limits
+	e.queue.counters = &e.counters
+	e.queue.settings = settings
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
@@ -89,6 +90,8 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
+	e.wait.Go(func() { e.every(queueEvery, func() { e.queue.tick(time.Now()) }) })
+	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollCaches) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
--- a/entry/life.go
+++ b/entry/life.go
@@ -47,8 +47,9 @@
 // try sends the request to one endpoint; again is true only when nothing can have started there.
 func (e *Entry) try(r *run, g grant) (again bool, refusal *dotterelpulley.Refusal) {
 	id := uuid.NewString()
+	r.output.onBegin(g.begun)
 	result := e.attempt(r, g, id)
-	defer func() { g.release(result) }()
+	defer func() { g.release(result, r.output.paceSoFar()) }()
 	for range maxResumes {
 		_, broken := result.(attemptBroken)
 		if !broken || g.endpoint.kind != lister.KindEngine {
--- a/entry/output.go
+++ b/entry/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
 )
@@ -20,6 +21,25 @@
 	whole   *end
 	refusal *dotterelpulley.Refusal
 	changed chan struct{}
+
+	// begun is called once, when the next chunk comes.
+	begun func()
+	pace  pace
+}
+
+// pace is how an output's chunks came.
+type pace struct {
+	chunks int
+	first  time.Time
+	last   time.Time
+}
+
+// between returns the mean gap between chunks.
+func (p pace) between() time.Duration {
+	if p.chunks < 2 {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.chunks-1)
 }
 
 func newOutput() *output {
@@ -34,10 +54,37 @@
 		return false
 	}
 	o.chunks = append(o.chunks, text)
+	o.note(time.Now())
 	o.wake()
 	return true
 }
 
+func (o *output) note(now time.Time) {
+	if o.pace.chunks == 0 {
+		o.pace.first = now
+	}
+	o.pace.chunks++
+	o.pace.last = now
+	if o.begun != nil {
+		o.begun()
+		o.begun = nil
+	}
+}
+
+// onBegin has do called when the next chunk comes; do must not use the output.
+func (o *output) onBegin(do func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.begun = do
+}
+
+// paceSoFar returns how the chunks have come.
+func (o *output) paceSoFar() pace {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pace
+}
+
 // finish marks the answer whole.
 func (o *output) finish(e end) {
 	o.mu.Lock()
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -35,9 +35,9 @@
 }
 
 func plainRefusal(c *call, status int) attemptResult {
-	notAdmitted := string(c.response.Header.Peek(headerNotAdmitted)) == "true"
-	if status == http.StatusServiceUnavailable && notAdmitted {
-		return attemptNotStarted{reason: "not-admitted"}
+	proved := string(c.response.Header.Peek(headerNotAdmitted)) == "true"
+	if status == http.StatusServiceUnavailable && proved {
+		return attemptNotStarted{reason: notAdmitted}
 	}
 	return attemptFailed{detail: fmt.Sprintf("the service answered status %d", status)}
 }
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -58,11 +58,11 @@
 	}
 	e.endpoints.setList(list)
 	e.listed.Store(true)
-	e.queue.dispatch()
+	e.queue.refresh(time.Now())
 }
 
 func (e *Entry) pollLoads() {
-	for _, k := range e.endpoints.all() {
+	for _, k := range e.queue.used() {
 		e.wait.Go(func() { e.pollLoad(k) })
 	}
 }
@@ -74,7 +74,7 @@
 		return
 	}
 	e.endpoints.setReport(k.ID, load)
-	e.queue.dispatch()
+	e.queue.report(time.Now(), k, load)
 }
 
 func (e *Entry) fetchLoad(address dotterelpulley.Address) (report, error) {
--- /dev/null
+++ b/entry/pool.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/picker"
+)
+
+// refresh takes over the endpoints and entry hosts that the host list gives.
+func (q *queue) refresh(now time.Time) {
+	all := q.endpoints.all()
+	place := q.placeAmong(q.endpoints.entries())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	q.place = place
+	q.known = map[dotterelpulley.EndpointID]known{}
+	q.sharers = map[dotterelpulley.ServiceID]int{}
+	before := q.kinds
+	q.kinds = map[dotterelpulley.ServiceID]lister.HostKind{}
+	byService := map[dotterelpulley.ServiceID][]dotterelpulley.Endpoint{}
+	for _, k := range all {
+		q.kinds[k.Service] = k.kind
+		q.known[k.ID] = k
+		byService[k.Service] = append(byService[k.Service], k.Endpoint)
+	}
+	for service := range before {
+		if _, still := q.kinds[service]; !still {
+			q.picker.SetEndpoints(service, nil)
+		}
+	}
+	for service := range q.kinds {
+		q.usePart(service, byService[service])
+		q.dispatch(now, service)
+	}
+}
+
+// usePart hands the picker this host's part of the service's endpoints.
+func (q *queue) usePart(service dotterelpulley.ServiceID, all []dotterelpulley.Endpoint) {
+	part := picker.Subset(all, q.place, 0)
+	if len(part) < len(all) {
+		used := map[dotterelpulley.EndpointID]bool{}
+		for _, e := range part {
+			used[e.ID] = true
+		}
+		for _, e := range all {
+			if !used[e.ID] {
+				delete(q.known, e.ID)
+			}
+		}
+	}
+	q.sharers[service] = q.sharing(len(part), len(all))
+	q.picker.SetPeers(service, q.sharers[service])
+	q.picker.SetEndpoints(service, slices.DeleteFunc(slices.Clone(part), func(e dotterelpulley.Endpoint) bool {
+		return q.kinds[service] == lister.KindEngine && len(e.Versions) == 0
+	}))
+}
+
+// sharing returns how many hosts use an endpoint when each uses a part of all.
+func (q *queue) sharing(part, all int) int {
+	if all == 0 {
+		return 1
+	}
+	return max(1, (q.place.Of*part+all-1)/all)
+}
+
+// placeAmong returns this host's place among the live entry hosts.
+func (q *queue) placeAmong(hosts []lister.Host) picker.Place {
+	place := picker.Place{Of: 1}
+	for _, h := range hosts {
+		if h.State != dotterelpulley.EndpointLive || h.ID == q.settings.Host {
+			continue
+		}
+		place.Of++
+		if h.ID < q.settings.Host {
+			place.Rank++
+		}
+	}
+	return place
+}
+
+// used returns the endpoints whose reports this host reads.
+func (q *queue) used() []known {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := make([]known, 0, len(q.known))
+	for _, k := range q.known {
+		all = append(all, k)
+	}
+	return all
+}
+
+// report takes an endpoint's load report over.
+func (q *queue) report(now time.Time, before known, r report) {
+	if before.report.leaving != r.leaving || !slices.Equal(before.report.versions, r.versions) {
+		q.refresh(now)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	slots := r.slots
+	if slots == 0 {
+		slots = q.settings.Limits.Slots
+	}
+	q.limiter.Slots(before.ID, slots)
+	q.picker.SetLimit(before.ID, q.limiter.Limit(before.ID))
+	q.picker.Report(now, before.ID, picker.Report{Running: r.running, Waiting: r.waiting, MeasuredAt: r.measured})
+	q.dispatch(now, before.Service)
+}
+
+// SetShares divides the service's new requests among its versions.
+func (e *Entry) SetShares(service dotterelpulley.ServiceID, shares []dotterelpulley.Share) {
+	e.queue.mu.Lock()
+	defer e.queue.mu.Unlock()
+	e.queue.picker.SetShares(service, shares)
+}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -2,138 +2,222 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/admitter"
+	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/limiter"
 	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/picker"
+)
+
+const (
+	// queueEvery is how often waiting requests are looked at without any event.
+	queueEvery = 50 * time.Millisecond
+	// promptShare is the cost of a prompt's token against one of the answer.
+	promptShare = 0.1
 )
 
 // grant is the leave to send a request to an endpoint once.
 type grant struct {
 	endpoint known
 	version  dotterelpulley.VersionID
-	release  func(attemptResult)
+	// begun says that the answer's first chunk has come.
+	begun   func()
+	release func(attemptResult, pace)
 }
 
-// queue admits requests in the order of their arrival and goes round the endpoints.
+// queue joins the admitter, the picker and the limiter: it says which request goes where and when.
 type queue struct {
 	endpoints *endpoints
-	limits    Limits
+	settings  Settings
+	counters  *counter.Set
 
-	mu      sync.Mutex
-	waiting []*waiter
-	running map[dotterelpulley.EndpointID]int
-	next    int
+	mu       sync.Mutex
+	admitter admitter.Admitter
+	picker   picker.Picker
+	limiter  limiter.Limiter
+	budget   limiter.Budget
+	waiters  map[admitter.ID]*waiter
+	sequence int
+	// known holds the endpoints that this host uses.
+	known map[dotterelpulley.EndpointID]known
+	kinds map[dotterelpulley.ServiceID]lister.HostKind
+	place picker.Place
+	// sharers holds how many entry hosts use an endpoint of the service.
+	sharers map[dotterelpulley.ServiceID]int
+	// caches holds for each engine from where on its cache events are new.
+	caches map[dotterelpulley.EndpointID]int64
 }
 
+// waiter is a request that waits for its grant or its refusal.
 type waiter struct {
-	request dotterelpulley.Request
-	avoid   map[dotterelpulley.EndpointID]bool
-	granted chan grant
+	id       admitter.ID
+	request  dotterelpulley.Request
+	avoid    map[dotterelpulley.EndpointID]bool
+	prefixes []picker.PrefixHash
+	granted  chan grant
+	refused  chan *dotterelpulley.Refusal
 }
 
-// acquire waits until an endpoint may take the request.
+// acquire waits until an endpoint may take the request; avoid names those that have not taken it.
 func (q *queue) acquire(ctx context.Context, req dotterelpulley.Request, avoid map[dotterelpulley.EndpointID]bool) (grant, *dotterelpulley.Refusal) {
-	w := &waiter{request: req, avoid: avoid, granted: make(chan grant, 1)}
-	if !q.join(w) {
-		return grant{}, dotterelpulley.Refuse(dotterelpulley.ErrorShed, 0, "the queue is full")
+	w := &waiter{
+		request:  req,
+		avoid:    avoid,
+		prefixes: picker.Prefixes(req.Prompt),
+		granted:  make(chan grant, 1),
+		refused:  make(chan *dotterelpulley.Refusal, 1),
+	}
+	if refusal := q.join(time.Now(), w); refusal != nil {
+		return grant{}, refusal
 	}
-	q.dispatch()
 	select {
 	case g := <-w.granted:
 		return g, nil
+	case refusal := <-w.refused:
+		return grant{}, refusal
 	case <-ctx.Done():
 	}
 	if q.remove(w) {
-		return grant{}, dotterelpulley.Refuse(dotterelpulley.ErrorDeadlinePassed, 0, "the request waited until its deadline")
+		return grant{}, waitEnded(ctx)
+	}
+	select {
+	case refusal := <-w.refused:
+		return grant{}, refusal
+	case g := <-w.granted:
+		g.release(attemptCancelled{}, pace{})
 	}
-	g := <-w.granted
-	g.release(attemptNotStarted{})
-	return grant{}, dotterelpulley.Refuse(dotterelpulley.ErrorDeadlinePassed, 0, "the request waited until its deadline")
+	return grant{}, waitEnded(ctx)
 }
 
-func (q *queue) join(w *waiter) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.waiting) >= q.limits.Waiting {
-		return false
+func waitEnded(ctx context.Context) *dotterelpulley.Refusal {
+	if ctx.Err() == context.DeadlineExceeded {
+		return dotterelpulley.Refuse(dotterelpulley.ErrorDeadlinePassed, 0, "the request waited until its deadline")
 	}
-	q.waiting = append(q.waiting, w)
-	return true
+	return dotterelpulley.Refuse(dotterelpulley.ErrorNotReady, 0, "the request was given up while it waited")
 }
 
-func (q *queue) remove(w *waiter) bool {
+// join offers the request; the refusal is its own.
+func (q *queue) join(now time.Time, w *waiter) *dotterelpulley.Refusal {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, have := range q.waiting {
-		if have == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return true
-		}
+	q.init()
+	service := w.request.Service
+	if len(w.avoid) == 0 {
+		q.budget.Deposit(now, service)
+	} else if !q.budget.Withdraw(now, service) {
+		q.counters.Inc("retry-budget-spent")
+		return dotterelpulley.Refuse(dotterelpulley.ErrorNoEndpoint, 0, fmt.Sprintf("service %q has no retry left", service))
 	}
-	return false
+	q.sequence++
+	w.id = admitter.ID(fmt.Sprint(q.sequence))
+	q.waiters[w.id] = w
+	q.refuse(q.admitter.Offer(now, admitter.Waiting{
+		ID:           w.id,
+		Organisation: w.request.Key.Organisation,
+		Tier:         w.request.Tier,
+		Service:      service,
+		Cost:         q.cost(w.request),
+		Deadline:     w.request.Deadline,
+	}))
+	q.dispatch(now, service)
+	return nil
 }
 
-// dispatch grants every waiting request that an endpoint can take.
-func (q *queue) dispatch() {
-	all := q.endpoints.all()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.running == nil {
-		q.running = map[dotterelpulley.EndpointID]int{}
+func (q *queue) init() {
+	if q.waiters != nil {
+		return
 	}
-	kept := q.waiting[:0]
-	for _, w := range q.waiting {
-		if !q.grant(w, all) {
-			kept = append(kept, w)
-		}
-	}
-	q.waiting = kept
+	q.waiters = map[admitter.ID]*waiter{}
+	seed := score(q.settings.Host, dotterelpulley.Key{})
+	q.admitter.Seed = seed
+	q.admitter.MaxWaiting = q.settings.Limits.Waiting
+	q.picker.Seed = seed
+	q.picker.Zone = q.settings.Zone
 }
 
-func (q *queue) grant(w *waiter, all []known) bool {
-	for i := range all {
-		k := all[(q.next+i)%len(all)]
-		if !q.fits(w, k) {
-			continue
-		}
-		q.next += i + 1
-		q.running[k.ID]++
-		w.granted <- grant{endpoint: k, version: firstVersion(k), release: q.releaser(k.ID)}
-		return true
+// cost returns the expected work of a request; a call of a plain service counts as one.
+func (q *queue) cost(req dotterelpulley.Request) admitter.Cost {
+	if q.kinds[req.Service] == lister.KindPlain {
+		return 1
 	}
-	return false
+	tokens := q.picker.Expect(routeOf(req), req.MaxTokens)
+	return admitter.Cost(tokens + promptShare*picker.PromptTokens(len(req.Prompt)))
 }
 
-func (q *queue) fits(w *waiter, k known) bool {
-	if k.Service != w.request.Service || k.State != dotterelpulley.EndpointLive || w.avoid[k.ID] {
-		return false
-	}
-	if k.kind == lister.KindEngine && len(k.Versions) == 0 {
-		return false
-	}
-	slots := k.report.slots
-	if slots == 0 {
-		slots = q.limits.Slots
+func routeOf(req dotterelpulley.Request) picker.Route {
+	return picker.Route{Service: req.Service, Route: req.Route}
+}
+
+// refuse answers the requests that the admitter gave up.
+func (q *queue) refuse(sheds []admitter.Shed) {
+	for _, s := range sheds {
+		w := q.waiters[s.ID]
+		delete(q.waiters, s.ID)
+		q.counters.Inc(fmt.Sprintf("shed-%s-%s", s.Tier, s.Kind))
+		w.refused <- dotterelpulley.Refuse(s.Kind, s.RetryAfter, fmt.Sprintf("service %q has no room for tier %s", s.Service, s.Tier))
 	}
-	return q.running[k.ID] < slots
 }
 
-func firstVersion(k known) dotterelpulley.VersionID {
-	if len(k.Versions) == 0 {
-		return ""
+func (q *queue) remove(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiters, w.id)
+	return q.admitter.Remove(w.id)
+}
+
+// tick gives up what can't be in time and grants what can run, for all services.
+func (q *queue) tick(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	q.refuse(q.admitter.Expire(now))
+	for service := range q.kinds {
+		q.admitter.SetCapacity(service, q.picker.Slots(now, service)/float64(max(q.sharers[service], 1)))
+		q.dispatch(now, service)
 	}
-	return k.Versions[0]
 }
 
-func (q *queue) releaser(id dotterelpulley.EndpointID) func(attemptResult) {
-	var once sync.Once
-	return func(attemptResult) {
-		once.Do(func() {
-			q.mu.Lock()
-			q.running[id]--
-			q.mu.Unlock()
-			q.dispatch()
+// dispatch grants the waiting requests of the service that endpoints have room for.
+func (q *queue) dispatch(now time.Time, service dotterelpulley.ServiceID) {
+	for {
+		var choice picker.Choice
+		next, ok := q.admitter.Next(now, service, func(offered admitter.Waiting) bool {
+			var verdict picker.Verdict
+			choice, verdict = q.choose(now, q.waiters[offered.ID])
+			return verdict == picker.Chosen
 		})
+		if !ok {
+			return
+		}
+		q.grant(now, q.waiters[next.ID], choice)
+	}
+}
+
+func (q *queue) choose(now time.Time, w *waiter) (picker.Choice, picker.Verdict) {
+	return q.picker.Choose(now, picker.Ask{
+		Route:        routeOf(w.request),
+		Conversation: w.request.Conversation,
+		PromptBytes:  len(w.request.Prompt),
+		MaxTokens:    w.request.MaxTokens,
+		Prefixes:     w.prefixes,
+		Reserve:      q.admitter.Reserve(now, w.request.Service, w.request.Tier),
+		Except:       w.avoid,
+	})
+}
+
+func (q *queue) grant(now time.Time, w *waiter, choice picker.Choice) {
+	delete(q.waiters, w.id)
+	q.picker.Sent(now, choice)
+	sent := &sending{queue: q, waiter: w, choice: choice, at: now}
+	w.granted <- grant{
+		endpoint: q.known[choice.Endpoint],
+		version:  choice.Version,
+		begun:    sent.begun,
+		release:  sent.release,
 	}
 }
--- /dev/null
+++ b/entry/queue_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+)
+
+const testService = dotterelpulley.ServiceID("kaasik-lm")
+
+// testQueue returns a queue before one engine with two slots.
+func testQueue(waiting int) *queue {
+	settings := DefaultSettings()
+	settings.Host = "entry-1"
+	settings.Limits.Waiting = waiting
+	q := &queue{endpoints: &endpoints{}, settings: settings, counters: &counter.Set{}}
+	q.endpoints.setList(lister.List{Revision: 1, Hosts: []lister.Host{
+		{ID: "engine-1", Kind: lister.KindEngine, Service: testService, Address: "127.0.0.1:1"},
+	}})
+	q.refresh(time.Now())
+	load := report{slots: 2, versions: []string{"m@v1"}, measured: time.Now()}
+	q.endpoints.setReport("engine-1", load)
+	q.report(time.Now(), known{Endpoint: dotterelpulley.Endpoint{ID: "engine-1", Service: testService}}, load)
+	return q
+}
+
+func testRequest(tier dotterelpulley.Tier) dotterelpulley.Request {
+	return dotterelpulley.Request{
+		Key:      dotterelpulley.Key{Organisation: "dealer-a"},
+		Tier:     tier,
+		Service:  testService,
+		Prompt:   "lime for parcel 12",
+		Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+type acquired struct {
+	grant   grant
+	refusal *dotterelpulley.Refusal
+}
+
+func (q *queue) acquireLater(ctx context.Context, req dotterelpulley.Request) chan acquired {
+	done := make(chan acquired, 1)
+	go func() {
+		g, refusal := q.acquire(ctx, req, nil)
+		done <- acquired{g, refusal}
+	}()
+	return done
+}
+
+func TestQueueGrantsUrgentRequestsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := testQueue(10)
+		var running []grant
+		for range 2 {
+			g, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			c.Assert(refusal == nil, qt.IsTrue)
+			c.Check(g.version, qt.Equals, dotterelpulley.VersionID("m@v1"))
+			running = append(running, g)
+		}
+		late := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierBackground))
+		synctest.Wait()
+		urgent := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierUrgent))
+		synctest.Wait()
+		running[0].release(attemptWhole{}, pace{})
+		running[0].release(attemptWhole{}, pace{})
+		synctest.Wait()
+		c.Assert(urgent, qt.HasLen, 1)
+		c.Assert(late, qt.HasLen, 0)
+		running[1].release(attemptWhole{}, pace{})
+		(<-urgent).grant.release(attemptWhole{}, pace{})
+		c.Check((<-late).refusal == nil, qt.IsTrue)
+	})
+}
+
+func TestQueueShedsTheLowestTierAndAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := testQueue(1)
+		for range 2 {
+			_, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			c.Assert(refusal == nil, qt.IsTrue)
+		}
+		late := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierBackground))
+		synctest.Wait()
+		urgent := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierUrgent))
+		synctest.Wait()
+		c.Assert(late, qt.HasLen, 1)
+		refusal := (<-late).refusal
+		c.Check(refusal.Kind, qt.Equals, dotterelpulley.ErrorShed)
+		c.Check(refusal.RetryAfter >= time.Second, qt.IsTrue)
+		c.Check(urgent, qt.HasLen, 0)
+		c.Check(q.counters.Get("shed-background-shed"), qt.Equals, int64(1))
+	})
+}
+
+func TestQueueForgetsARequestWhoseTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := testQueue(10)
+		for range 2 {
+			_, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			c.Assert(refusal == nil, qt.IsTrue)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, refusal := q.acquire(ctx, testRequest(dotterelpulley.TierUrgent), nil)
+		c.Assert(refusal != nil, qt.IsTrue)
+		c.Check(refusal.Kind, qt.Equals, dotterelpulley.ErrorDeadlinePassed)
+		c.Check(q.admitter.Waiting(testService), qt.Equals, 0)
+		c.Check(q.waiters, qt.HasLen, 0)
+	})
+}
+
+func TestQueueBoundsRetries(t *testing.T) {
+	c := qt.New(t)
+	q := testQueue(100)
+	avoid := map[dotterelpulley.EndpointID]bool{"engine-0": true}
+	refused := 0
+	for range 30 {
+		g, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), avoid)
+		if refusal != nil {
+			c.Check(refusal.Kind, qt.Equals, dotterelpulley.ErrorNoEndpoint)
+			refused++
+			continue
+		}
+		g.release(attemptWhole{}, pace{})
+	}
+	c.Check(refused > 15, qt.IsTrue, qt.Commentf("%d of 30 retries refused", refused))
+	c.Check(q.counters.Get("retry-budget-spent"), qt.Equals, int64(refused))
+}
--- /dev/null
+++ b/entry/sending.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/admitter"
+	"github.com/dotterelpulley/dotterelpulley/limiter"
+	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/picker"
+)
+
+// sending is a granted request on its endpoint; what it shows is learned from.
+type sending struct {
+	queue  *queue
+	waiter *waiter
+	choice picker.Choice
+	at     time.Time
+
+	once    sync.Once
+	started bool
+}
+
+func (s *sending) begun() {
+	q := s.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s.started = true
+	q.picker.FirstToken(s.choice, time.Since(s.at))
+}
+
+// release ends the sending; only the first call counts.
+func (s *sending) release(result attemptResult, p pace) {
+	s.once.Do(func() { s.end(time.Now(), result, p) })
+}
+
+func (s *sending) end(now time.Time, result attemptResult, p pace) {
+	q := s.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	outcome := outcomeOf(result)
+	q.picker.Ended(now, s.choice, picker.Result{
+		Outcome:       outcome,
+		Started:       s.started,
+		Tokens:        dotterelpulley.Tokens(p.chunks),
+		BetweenTokens: p.between(),
+	})
+	q.admitter.Finished(now, s.waiter.id, s.cost(p), endingOf(outcome))
+	s.limit(now, outcome, p)
+	q.dispatch(now, s.choice.Service)
+}
+
+func (s *sending) plain() bool {
+	return s.queue.kinds[s.choice.Service] == lister.KindPlain
+}
+
+func (s *sending) cost(p pace) admitter.Cost {
+	if s.plain() {
+		return 1
+	}
+	prompt := picker.PromptTokens(len(s.waiter.request.Prompt))
+	return admitter.Cost(float64(p.chunks) + promptShare*prompt)
+}
+
+// limit lets the endpoint's limit learn from the run.
+func (s *sending) limit(now time.Time, outcome picker.Outcome, p pace) {
+	q := s.queue
+	id := s.choice.Endpoint
+	sample := limiter.Sample{
+		Inflight: s.choice.Inflight + 1,
+		Wanted:   q.admitter.Waiting(s.choice.Service) > 0,
+	}
+	switch {
+	case outcome == picker.RunNotAdmitted:
+		q.picker.SetLimit(id, q.limiter.Failed(now, id))
+		return
+	case !s.started:
+		return
+	case !s.plain():
+		sample.FirstToken = p.first.Sub(s.at)
+		sample.BetweenTokens = p.between()
+	}
+	q.picker.SetLimit(id, q.limiter.Observe(now, id, sample))
+}
+
+func outcomeOf(result attemptResult) picker.Outcome {
+	switch result := result.(type) {
+	case attemptWhole:
+		return picker.RunWhole
+	case attemptNotStarted:
+		if result.reason == notAdmitted {
+			return picker.RunNotAdmitted
+		}
+		return picker.RunBroken
+	case attemptBroken:
+		return picker.RunBroken
+	case attemptFailed, attemptCancelled:
+		return picker.RunCancelled
+	}
+	return picker.RunCancelled
+}
+
+func endingOf(outcome picker.Outcome) admitter.Outcome {
+	if outcome == picker.RunWhole {
+		return admitter.OutcomeWhole
+	}
+	return admitter.OutcomeBroken
+}
