Gossip membership, facts, load and log records on a byte budget

One exchange a second with a random peer; critical facts and new records go to four random peers at once and from there on, old facts only to a host whose digest differs.

--- /dev/null
+++ b/gossiper/exchange.go
@@ -0,0 +1,327 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// factsDigest stands among the heads for the facts that a host has.
+const factsDigest = Stream("facts")
+
+// Receive takes the message that begins an exchange; it returns the reply and what else has to be sent at once.
+func (g *Gossiper) Receive(now time.Time, message Message) (Message, []Send) {
+	g.init(now)
+	passing := g.merge(now, message)
+	reply := g.compose(&message)
+	return reply, passing
+}
+
+// Answered takes the reply of an exchange that this host began.
+func (g *Gossiper) Answered(now time.Time, reply Message) []Send {
+	g.init(now)
+	if m, ok := g.members[reply.Sender.Host]; ok {
+		m.failures = 0
+	}
+	return g.merge(now, reply)
+}
+
+// Failed says that an exchange with the host came to nothing.
+func (g *Gossiper) Failed(now time.Time, id dotterelpulley.HostID) []Send {
+	g.init(now)
+	m, ok := g.members[id]
+	if !ok {
+		return nil
+	}
+	m.failures++
+	if m.failures < failuresToSuspect {
+		g.retries[id] = now.Add(retryAfter)
+		return nil
+	}
+	if g.suspected(now, m) {
+		return nil
+	}
+	return g.Spread(now, suspicion(now, m))
+}
+
+func suspicion(now time.Time, m *member) Fact {
+	return Fact{
+		Kind:     KindSuspectHost,
+		Subject:  string(m.Host),
+		Revision: max(int64(m.Heartbeat), now.Unix()),
+		Expires:  now.Add(suspicionTime),
+	}
+}
+
+// suspected reports whether somebody could not reach the member after its newest heartbeat.
+func (g *Gossiper) suspected(now time.Time, m *member) bool {
+	f, ok := g.facts[FactID{Kind: KindSuspectHost, Subject: string(m.Host)}]
+	return ok && now.Before(f.Expires) && f.Revision >= int64(m.Heartbeat)
+}
+
+// suspectSilent marks the members whose heartbeats have stopped.
+func (g *Gossiper) suspectSilent(now time.Time) {
+	patience := silence + time.Duration(len(g.members))*silencePerMember
+	for _, m := range g.members {
+		m.State = g.stateOf(now, m, patience)
+	}
+}
+
+func (g *Gossiper) stateOf(now time.Time, m *member, patience time.Duration) State {
+	if g.suspected(now, m) || (m.Heartbeat > 0 && now.Sub(m.heard) > patience) {
+		return Suspect
+	}
+	f, ok := g.facts[FactID{Kind: KindDrainingHost, Subject: string(m.Host)}]
+	if ok && (m.Incarnation == "" || string(f.Value) == string(m.Incarnation)) {
+		return Draining
+	}
+	return Live
+}
+
+// merge takes a message over and returns the critical news in it for others.
+func (g *Gossiper) merge(now time.Time, message Message) []Send {
+	g.passing = nil
+	g.takeMember(now, message.Sender)
+	for _, m := range message.Members {
+		g.takeMember(now, m)
+	}
+	for _, f := range message.Facts {
+		g.take(now, f)
+	}
+	fresh := false
+	for _, r := range message.Records {
+		if g.tail(r.Stream).add(r) {
+			g.read = append(g.read, r)
+			fresh = true
+		}
+	}
+	if fresh {
+		return g.sendTo(now, criticalFanout)
+	}
+	return g.pass(now)
+}
+
+func (g *Gossiper) takeMember(now time.Time, news Member) {
+	if news.Host == g.Self.Host || news.Host == "" {
+		return
+	}
+	m := g.member(now, news.Host)
+	suspect := m.State == Suspect
+	if m.merge(now, news) {
+		m.back = m.back || suspect
+	}
+}
+
+// take keeps a fact that is new and notes it for others if it is critical.
+func (g *Gossiper) take(now time.Time, f Fact) {
+	if !now.Before(f.Expires) {
+		return
+	}
+	known, ok := g.facts[f.ID()]
+	if ok && !f.beats(known.Fact) {
+		return
+	}
+	if f.Kind == KindSuspectHost && g.refute(f) {
+		return
+	}
+	if !ok && len(g.facts) >= maxFacts {
+		g.expire(now)
+		if len(g.facts) >= maxFacts && !critical[f.Kind] {
+			return
+		}
+	}
+	g.facts[f.ID()] = &fact{Fact: f}
+	g.learned = append(g.learned, f)
+	if critical[f.Kind] {
+		g.passing = append(g.passing, f)
+	}
+}
+
+// refute answers a suspicion of this host, or one that a newer heartbeat has overtaken.
+func (g *Gossiper) refute(f Fact) bool {
+	if f.Subject == string(g.Self.Host) {
+		g.Self.Heartbeat = max(g.Self.Heartbeat, Heartbeat(f.Revision)+1)
+		return true
+	}
+	m, ok := g.members[dotterelpulley.HostID(f.Subject)]
+	return ok && int64(m.Heartbeat) > f.Revision
+}
+
+// pass returns messages with the critical facts that were just learned.
+func (g *Gossiper) pass(now time.Time) []Send {
+	if len(g.passing) == 0 {
+		return nil
+	}
+	fanout := suspicionFanout
+	for _, f := range g.passing {
+		if f.Kind != KindSuspectHost {
+			fanout = criticalFanout
+		}
+	}
+	g.passing = nil
+	return g.sendTo(now, fanout)
+}
+
+// compose fills a message up to the budget: critical news first, then members and old facts by turns.
+func (g *Gossiper) compose(asked *Message) Message {
+	room := g.budget.message()
+	self := g.Self
+	message := Message{Sender: self, Heads: g.heads()}
+	room -= message.Bytes()
+	room = g.addHotFacts(&message, room)
+	room = g.addRecords(&message, room, asked)
+	if asked != nil && asked.Heads[factsDigest] != message.Heads[factsDigest] {
+		room = g.addColdFacts(&message, room)
+	}
+	g.addMembers(&message, room)
+	g.budget.spend(message.Bytes())
+	return message
+}
+
+func (g *Gossiper) heads() map[Stream]Offset {
+	heads := map[Stream]Offset{}
+	for s, t := range g.tails {
+		if t.head > 0 {
+			heads[s] = t.head
+		}
+	}
+	if len(g.facts) > 0 {
+		heads[factsDigest] = g.digest()
+	}
+	return heads
+}
+
+// digest is equal on hosts that have the same facts; suspicions come and go too fast to count.
+func (g *Gossiper) digest() Offset {
+	var sum uint64
+	for id, f := range g.facts {
+		if id.Kind == KindSuspectHost {
+			continue
+		}
+		h := xxhash.NewWithSeed(uint64(f.Revision))
+		_, _ = h.WriteString(string(id.Kind) + "\x00" + id.Subject + "\x00")
+		_, _ = h.Write(f.Value)
+		sum += h.Sum64()
+	}
+	return Offset(sum >> 24)
+}
+
+// hot reports whether the fact is critical and still to be passed on ahead of its turn.
+func (f *fact) hot() bool {
+	return critical[f.Kind] && f.sent < hotSends
+}
+
+func (g *Gossiper) sortedFacts(want func(*fact) bool) []*fact {
+	var found []*fact
+	for _, f := range g.facts {
+		if want(f) {
+			found = append(found, f)
+		}
+	}
+	slices.SortFunc(found, func(a, b *fact) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+	})
+	return found
+}
+
+// addHotFacts adds critical news also beyond the room, which the budget pays back.
+func (g *Gossiper) addHotFacts(message *Message, room int) int {
+	for _, f := range g.sortedFacts((*fact).hot) {
+		if room -= f.bytes(); room < -maxMessage {
+			return room
+		}
+		f.sent++
+		message.Facts = append(message.Facts, f.Fact)
+	}
+	return room
+}
+
+// addColdFacts adds old facts by turns for a host that has others.
+func (g *Gossiper) addColdFacts(message *Message, room int) int {
+	for _, f := range g.sortedFacts(func(f *fact) bool { return !f.hot() }) {
+		if room < f.bytes() {
+			return room
+		}
+		room -= f.bytes()
+		f.sent++
+		message.Facts = append(message.Facts, f.Fact)
+	}
+	return room
+}
+
+// addRecords adds what the asking host lacks, or records that have hardly been passed on.
+func (g *Gossiper) addRecords(message *Message, room int, asked *Message) int {
+	for s, t := range g.tails {
+		var lacking []Record
+		if asked != nil {
+			lacking = t.after(asked.Heads[s])
+		}
+		for _, r := range t.records {
+			if asked == nil && t.sent[r.Offset] < hotSends {
+				lacking = append(lacking, r)
+			}
+		}
+		for _, r := range lacking {
+			if room < 0 {
+				return room
+			}
+			room -= r.bytes()
+			t.sent[r.Offset]++
+			message.Records = append(message.Records, r)
+		}
+	}
+	return room
+}
+
+// addMembers adds members whose suspicion is over, then others by turns, each newest heartbeat a few times only.
+func (g *Gossiper) addMembers(message *Message, room int) {
+	for _, id := range g.order {
+		if m := g.members[id]; m.back && !m.tell(message, &room) {
+			return
+		}
+	}
+	for range g.order {
+		g.turn = (g.turn + 1) % len(g.order)
+		if m := g.members[g.order[g.turn]]; !m.back && !m.tell(message, &room) {
+			return
+		}
+	}
+}
+
+// Members returns the other hosts as they are known now, by name.
+func (g *Gossiper) Members(now time.Time) []Member {
+	g.init(now)
+	g.suspectSilent(now)
+	all := make([]Member, 0, len(g.order))
+	for _, id := range g.order {
+		all = append(all, g.members[id].Member)
+	}
+	return all
+}
+
+// Facts returns the facts that hold now.
+func (g *Gossiper) Facts(now time.Time) []Fact {
+	var all []Fact
+	for _, f := range g.sortedFacts(func(f *fact) bool { return now.Before(f.Expires) }) {
+		all = append(all, f.Fact)
+	}
+	return all
+}
+
+// Learned returns the facts that are new since the last call.
+func (g *Gossiper) Learned() []Fact {
+	news := g.learned
+	g.learned = nil
+	return news
+}
+
+// Read returns the records that peers brought since the last call.
+func (g *Gossiper) Read() []Record {
+	news := g.read
+	g.read = nil
+	return news
+}
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,143 @@
+package gossiper_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/gossiper"
+)
+
+const (
+	criticalWithin = 2 * time.Second
+	bytesPerSecond = 4096
+	loss           = 0.02
+)
+
+var badVersion = gossiper.Fact{
+	Kind: gossiper.KindBadVersion, Subject: "kaasik-lm@v7", Revision: 1, Value: []byte("slow"), Expires: start.Add(time.Hour),
+}
+
+func (n *net) everybody(has func(*gossiper.Gossiper) bool) func() bool {
+	return func() bool {
+		for i, g := range n.nodes {
+			if !n.dead[i] && !has(g) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func knows(f gossiper.Fact, now func() time.Time) func(*gossiper.Gossiper) bool {
+	return func(g *gossiper.Gossiper) bool {
+		for _, have := range g.Facts(now()) {
+			if have.ID() == f.ID() && have.Revision >= f.Revision {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func TestCriticalFactsReachEverybodyWithinTheBudget(t *testing.T) {
+	c := qt.New(t)
+	for _, members := range []int{3, 8, 30, 350} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			n := newNet(seed, members, loss)
+			n.run(10*time.Second, never)
+			n.forget()
+			n.run(10*time.Second, never)
+			mean, highest := n.perSecond(10 * time.Second)
+			n.send(0, n.nodes[0].Spread(n.now, badVersion))
+			took := n.run(10*time.Second, n.everybody(knows(badVersion, func() time.Time { return n.now })))
+			t.Logf("%d members, seed %d: critical fact everywhere after %s; %.0f bytes/s, highest %.0f", members, seed, took, mean, highest)
+			at := qt.Commentf("%d members, seed %d: %s, %.0f bytes/s", members, seed, took, mean)
+			c.Check(took <= criticalWithin, qt.IsTrue, at)
+			c.Check(mean <= bytesPerSecond, qt.IsTrue, at)
+		}
+	}
+}
+
+func TestADeadHostIsSuspectedAndAReturnedOneIsNot(t *testing.T) {
+	c := qt.New(t)
+	for _, members := range []int{3, 8, 30} {
+		n := newNet(1, members, 0)
+		n.run(10*time.Second, never)
+		n.dead[1] = true
+		state := func(want gossiper.State) func(*gossiper.Gossiper) bool {
+			return func(g *gossiper.Gossiper) bool {
+				for _, m := range g.Members(n.now) {
+					if m.Host == n.nodes[1].Self.Host {
+						return m.State == want
+					}
+				}
+				return g == n.nodes[1]
+			}
+		}
+		took := n.run(20*time.Second, n.everybody(state(gossiper.Suspect)))
+		t.Logf("%d members: a dead host is suspected everywhere after %s", members, took)
+		c.Check(took < 10*time.Second, qt.IsTrue, qt.Commentf("%d members: %s", members, took))
+		n.dead[1] = false
+		took = n.run(20*time.Second, n.everybody(state(gossiper.Live)))
+		c.Check(took < 10*time.Second, qt.IsTrue, qt.Commentf("%d members, back after %s", members, took))
+	}
+}
+
+func TestADrainingHostIsKnownAsSuch(t *testing.T) {
+	c := qt.New(t)
+	n := newNet(1, 8, loss)
+	n.run(5*time.Second, never)
+	n.send(2, n.nodes[2].Drain(n.now))
+	took := n.run(10*time.Second, n.everybody(func(g *gossiper.Gossiper) bool {
+		for _, m := range g.Members(n.now) {
+			if m.Host == n.nodes[2].Self.Host {
+				return m.State == gossiper.Draining
+			}
+		}
+		return g == n.nodes[2]
+	}))
+	c.Check(took <= criticalWithin, qt.IsTrue, qt.Commentf("%s", took))
+}
+
+func TestHigherRevisionsWinEverywhere(t *testing.T) {
+	c := qt.New(t)
+	n := newNet(1, 8, 0.2)
+	n.run(2*time.Second, never)
+	newer := badVersion
+	newer.Revision = 2
+	n.send(0, n.nodes[0].Spread(n.now, newer))
+	n.send(5, n.nodes[5].Spread(n.now, badVersion))
+	n.run(10*time.Second, never)
+	c.Check(n.everybody(knows(newer, func() time.Time { return n.now }))(), qt.IsTrue)
+	n.now = badVersion.Expires.Add(time.Second)
+	c.Check(n.nodes[3].Facts(n.now), qt.HasLen, 0)
+}
+
+func TestOrdinaryFactsComeByTurns(t *testing.T) {
+	c := qt.New(t)
+	n := newNet(1, 8, loss)
+	ordinary := badVersion
+	ordinary.Kind = "note"
+	n.send(0, n.nodes[0].Spread(n.now, ordinary))
+	took := n.run(30*time.Second, n.everybody(knows(ordinary, func() time.Time { return n.now })))
+	c.Check(took < 20*time.Second, qt.IsTrue, qt.Commentf("%s", took))
+}
+
+func TestRecordsReachHostsThatHaveNotReadThem(t *testing.T) {
+	c := qt.New(t)
+	for _, members := range []int{8, 350} {
+		n := newNet(1, members, loss)
+		n.run(2*time.Second, never)
+		record := gossiper.Record{Stream: "configuration", Offset: 12, Data: make([]byte, 1000), Appended: n.now}
+		n.send(0, n.nodes[0].Publish(n.now, record))
+		got := map[*gossiper.Gossiper]bool{n.nodes[0]: true}
+		took := n.run(7*time.Second, n.everybody(func(g *gossiper.Gossiper) bool {
+			got[g] = got[g] || len(g.Read()) > 0
+			return got[g]
+		}))
+		t.Logf("%d members: record everywhere after %s", members, took)
+		c.Check(took < 7*time.Second, qt.IsTrue, qt.Commentf("%d members", members))
+	}
+}
--- /dev/null
+++ b/gossiper/net_test.go
@@ -0,0 +1,145 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/gossiper"
+)
+
+const (
+	step     = 10 * time.Millisecond
+	ticks    = 10
+	callTime = time.Second
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// delivery is a message on its way, or the news that one got lost.
+type delivery struct {
+	at       time.Time
+	from, to int
+	message  gossiper.Message
+	reply    bool
+	lost     bool
+}
+
+// net is so many gossipers in virtual time with losses.
+type net struct {
+	now     time.Time
+	random  *rand.Rand
+	loss    float64
+	nodes   []*gossiper.Gossiper
+	dead    map[int]bool
+	places  map[dotterelpulley.HostID]int
+	flights []delivery
+	bytes   []int
+	steps   int
+}
+
+func newNet(seed uint64, members int, loss float64) *net {
+	n := &net{now: start, random: rand.New(rand.NewPCG(seed, 1)), loss: loss, dead: map[int]bool{}, places: map[dotterelpulley.HostID]int{}}
+	var listed []gossiper.Member
+	for i := range members {
+		m := gossiper.Member{
+			Host:        dotterelpulley.HostID(fmt.Sprintf("entry-%03d", i)),
+			Incarnation: dotterelpulley.Incarnation(fmt.Sprintf("mdk8f%03d", i)),
+			Peer:        dotterelpulley.Address(fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250)),
+			Caller:      dotterelpulley.Address(fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250)),
+			Zone:        "tartu-a",
+		}
+		listed = append(listed, m)
+		n.places[m.Host] = i
+		n.nodes = append(n.nodes, &gossiper.Gossiper{Self: m, Seed: seed*1000 + uint64(i)})
+	}
+	for _, g := range n.nodes {
+		g.SetListed(n.now, listed)
+	}
+	n.bytes = make([]int, members)
+	return n
+}
+
+func (n *net) send(from int, sends []gossiper.Send) {
+	for _, s := range sends {
+		n.fly(delivery{from: from, to: n.places[s.Host], message: s.Message})
+	}
+}
+
+// fly puts a message on its way; both ends count its bytes.
+func (n *net) fly(d delivery) {
+	size := d.message.Bytes() + gossiper.CallOverhead
+	n.bytes[d.from] += size
+	n.bytes[d.to] += size
+	d.at = n.now.Add(time.Duration(1+n.random.IntN(20)) * time.Millisecond)
+	if n.random.Float64() < n.loss || n.dead[d.to] {
+		d.lost = true
+		d.at = n.now.Add(callTime)
+	}
+	n.flights = append(n.flights, d)
+}
+
+func (n *net) deliver(d delivery) {
+	if n.dead[d.from] || n.dead[d.to] && !d.lost {
+		return
+	}
+	caller := d.from
+	if d.reply {
+		caller = d.to
+	}
+	switch {
+	case d.lost:
+		other := d.from + d.to - caller
+		n.send(caller, n.nodes[caller].Failed(n.now, n.nodes[other].Self.Host))
+	case d.reply:
+		n.send(d.to, n.nodes[d.to].Answered(n.now, d.message))
+	default:
+		reply, sends := n.nodes[d.to].Receive(n.now, d.message)
+		n.send(d.to, sends)
+		n.fly(delivery{from: d.to, to: d.from, message: reply, reply: true})
+	}
+}
+
+// run goes on until the condition holds or the time is over, and returns how long it took.
+func (n *net) run(most time.Duration, until func() bool) time.Duration {
+	began := n.now
+	for n.now.Sub(began) < most {
+		if until() {
+			return n.now.Sub(began)
+		}
+		n.now = n.now.Add(step)
+		due := n.flights
+		n.flights = nil
+		for _, d := range due {
+			if d.at.After(n.now) {
+				n.flights = append(n.flights, d)
+				continue
+			}
+			n.deliver(d)
+		}
+		n.steps++
+		for i, g := range n.nodes {
+			if (i+n.steps)%ticks == 0 && !n.dead[i] {
+				n.send(i, g.Tick(n.now))
+			}
+		}
+	}
+	return most
+}
+
+func (n *net) forget() {
+	clear(n.bytes)
+}
+
+// perSecond returns the mean and the highest bytes per second of a host, both directions together.
+func (n *net) perSecond(span time.Duration) (mean, highest float64) {
+	sum := 0
+	for _, b := range n.bytes {
+		sum += b
+		highest = max(highest, float64(b)/span.Seconds())
+	}
+	return float64(sum) / float64(len(n.bytes)) / span.Seconds(), highest
+}
+
+func never() bool { return false }
