--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,8 @@
 	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
 	e.queue.endpoints = &e.endpoints
 	e.queue.followed = &e.followed
-	e.queue.limits = settings.Limits
+	e.queue.counters = &e.counters
+	e.queue.settings = settings
 	e.claims.entry = e
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
@@ -113,6 +114,8 @@
 	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
 	e.wait.Go(func() { e.every(pruneEvery, e.isolation.prune) })
+	e.wait.Go(func() { e.every(queueEvery, func() { e.queue.tick(time.Now()) }) })
+	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollCaches) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -27,9 +27,7 @@
 type outcome struct {
 	grant   grant
 	started time.Time
-	first   time.Time
-	last    time.Time
-	chunks  int
+	pace    pace
 	result  attemptResult
 	// expired says that the request's time ended while it ran.
 	expired bool
@@ -60,12 +58,10 @@
 	}}
 	switch o.result.(type) {
 	case attemptWhole:
-		if o.chunks > 0 {
-			s.FirstToken = o.first.Sub(o.started)
-		}
-		if o.chunks > 1 {
-			s.BetweenTokens = o.last.Sub(o.first) / time.Duration(o.chunks-1)
+		if o.pace.chunks > 0 {
+			s.FirstToken = o.pace.first.Sub(o.started)
 		}
+		s.BetweenTokens = o.pace.between()
 		return s, true
 	case attemptFailed, attemptBroken:
 		s.Failed = true
@@ -176,7 +172,7 @@
 		e.counters.Inc("versions-judged-bad")
 		e.log.Warn().Str("event", "version-judged-bad").Str("move", bad.Move.String()).Str("reason", bad.Reason).Msg("")
 		e.spreadBad(bad)
-		e.queue.dispatch()
+		e.queue.tick(time.Now())
 	}
 }
 
--- a/entry/life.go
+++ b/entry/life.go
@@ -89,7 +89,7 @@
 		if !claimed {
 			v := r.session.claimRun(r)
 			if v.moved || v.refusal != nil {
-				g.release(attemptNotStarted{reason: "unclaimed"})
+				g.release(attemptNotStarted{reason: "unclaimed"}, pace{})
 				return v.refusal, v.moved
 			}
 			claimed = true
@@ -109,13 +109,14 @@
 	f := isolator.FingerprintOf(r.request)
 	e.isolation.started(f, g.endpoint.ID, id)
 	d.Resumable = g.endpoint.kind == lister.KindEngine
+	r.output.onBegin(g.begun)
 	result := e.attempt(r, g, id)
 	defer func() {
 		e.isolation.ended(g.endpoint.ID, id)
-		g.release(result)
-		first, last, chunks := r.output.times()
+		p := r.output.paceSoFar()
+		g.release(result, p)
 		e.followed.sample(r.request, outcome{
-			grant: g, started: started, first: first, last: last, chunks: chunks,
+			grant: g, started: started, pace: p,
 			result: result, expired: expired(r.ctx),
 		}, time.Now())
 	}()
