Keep a reference of the version in force between moves

Cause: a move began with no reference, so that the tolerated failures were high and a bad version was stopped late. Change: entry hosts count the version in force all the time, halved every five minutes; a move begins with that.

--- a/assessor/cell.go
+++ b/assessor/cell.go
@@ -106,3 +106,11 @@
 	t.Requests += other.Requests
 	t.Failures += other.Failures
 }
+
+// halve makes every sample count half.
+func (t *Tally) halve() {
+	t.Requests /= 2
+	t.Failures /= 2
+	t.FirstToken.halve()
+	t.BetweenTokens.halve()
+}
--- a/assessor/exposure.go
+++ b/assessor/exposure.go
@@ -9,6 +9,9 @@
 // recentWindow is half of the longest time that recent evidence covers.
 const recentWindow = 10 * time.Second
 
+// halveEvery is how often the reference is halved between moves, so that it is of the last quarter of an hour.
+const halveEvery = 5 * time.Minute
+
 // Exposure names one step of one move, the time in which a version has one share.
 type Exposure struct {
 	Note    dotterelpulley.NoteID
@@ -31,7 +34,7 @@
 
 // Pair is what is known of both versions in one cell.
 type Pair struct {
-	// Old is the old version since the move began.
+	// Old is the old version since the move began and, with older requests counting ever less, before.
 	Old Tally
 	// Step is since the step began.
 	Step Versus
@@ -48,22 +51,36 @@
 	current  map[Cell]*Versus
 	previous map[Cell]*Versus
 	rotated  time.Time
+	halved   time.Time
+}
+
+// Rest turns to the time between moves, in which only the version in force is counted, as a reference for the next.
+func (e *Evidence) Rest(service dotterelpulley.ServiceID, inForce dotterelpulley.VersionID, now time.Time) {
+	e.Begin(Exposure{Service: service, Old: inForce}, now)
+	if now.Sub(e.halved) < halveEvery {
+		return
+	}
+	e.halved = now
+	for cell, pair := range e.Cells {
+		pair.Old.halve()
+		if pair.Old.Requests == 0 {
+			delete(e.Cells, cell)
+		}
+	}
 }
 
-// Begin turns to the exposure; the reference is kept over the steps of one move.
+// Begin turns to the exposure; the reference is kept while the old version is the same.
 func (e *Evidence) Begin(x Exposure, now time.Time) {
 	if e.Exposure == x {
 		return
 	}
-	same := e.Exposure
-	same.Step = x.Step
-	if same != x {
+	if e.Exposure.Service != x.Service || e.Exposure.Old != x.Old {
 		e.Cells = nil
 	}
 	for _, pair := range e.Cells {
 		*pair = Pair{Old: pair.Old}
 	}
-	e.Exposure, e.Began, e.rotated = x, now, now
+	e.Exposure, e.Began, e.rotated, e.halved = x, now, now, now
 	e.current, e.previous = nil, nil
 }
 
--- a/assessor/histogram.go
+++ b/assessor/histogram.go
@@ -56,3 +56,9 @@
 	}
 	return buckets - 1
 }
+
+func (h *Histogram) halve() {
+	for i := range h {
+		h[i] /= 2
+	}
+}
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -46,9 +46,8 @@
 	if _, broken := o.result.(attemptBroken); broken && f.brokeLately(o.grant.endpoint.ID, now) {
 		return
 	}
-	if e := f.exposure(req.Service, now); e != nil {
-		e.Add(o.grant.version, s, now)
-	}
+	e, _ := f.exposure(req.Service, now)
+	e.Add(o.grant.version, s, now)
 }
 
 func (o outcome) sample(req dotterelpulley.Request) (assessor.Sample, bool) {
@@ -90,14 +89,9 @@
 	return false
 }
 
-// exposure returns the evidence of the service's running move, or nil without one; f.mu is held.
-func (f *followed) exposure(service dotterelpulley.ServiceID, now time.Time) *assessor.Evidence {
-	m, running := f.follower.Running(service)
-	if !running || m.Action != dotterelpulley.ChangeReplace {
-		delete(f.evidence, service)
-		return nil
-	}
-	e := f.evidence[service]
+// exposure returns the evidence of the service, and whether a move of it runs; f.mu is held.
+func (f *followed) exposure(service dotterelpulley.ServiceID, now time.Time) (e *assessor.Evidence, moving bool) {
+	e = f.evidence[service]
 	if e == nil {
 		e = &assessor.Evidence{}
 		if f.evidence == nil {
@@ -105,6 +99,12 @@
 		}
 		f.evidence[service] = e
 	}
+	m, running := f.follower.Running(service)
+	if !running || m.Action != dotterelpulley.ChangeReplace {
+		build, _ := f.follower.InForce(service)
+		e.Rest(service, recorder.VersionOf(build), now)
+		return e, false
+	}
 	e.Begin(assessor.Exposure{
 		Note:    m.ID.Note,
 		Service: m.ID.Service,
@@ -112,7 +112,7 @@
 		Old:     recorder.VersionOf(m.From),
 		New:     recorder.VersionOf(m.To),
 	}, now)
-	return e
+	return e, true
 }
 
 // report returns this host's evidence and the bad versions that it knows of.
@@ -121,7 +121,7 @@
 	defer f.mu.Unlock()
 	var r assessor.Report
 	for _, s := range f.follower.Configuration().Services {
-		if e := f.exposure(s.ID, now); e != nil {
+		if e, moving := f.exposure(s.ID, now); moving {
 			e.Refresh(now)
 			r.Evidence = append(r.Evidence, e)
 		}
@@ -141,8 +141,8 @@
 	defer f.mu.Unlock()
 	var found []recorder.BadVersion
 	for _, s := range f.follower.Configuration().Services {
-		e := f.exposure(s.ID, now)
-		if e == nil {
+		e, moving := f.exposure(s.ID, now)
+		if !moving {
 			continue
 		}
 		e.Refresh(now)
--- a/internal/rehearsal/case.go
+++ b/internal/rehearsal/case.go
@@ -92,7 +92,9 @@
 	hosts       = 4
 	movers      = 3
 	requestRate = 60
-	tick        = 100 * time.Millisecond
+	// leadIn is the time with traffic before the release note is published.
+	leadIn = 2 * time.Minute
+	tick   = 100 * time.Millisecond
 )
 
 // script is when things go wrong in one case.
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -71,14 +71,17 @@
 	w.script = c.script(random, length)
 	w.store = store{random: random, lossy: c.Trouble != Calm}
 	w.engines = newEngines()
-	w.publish(w.began.Add(length))
+	w.configure()
 	for range hosts {
 		w.hosts = append(w.hosts, &host{judge: !simple})
 	}
 	for range w.moverCount() {
 		w.startMover()
 	}
-	for at := time.Duration(0); at < length+5*time.Second; at += tick {
+	for at := -leadIn; at < length+5*time.Second; at += tick {
+		if at == 0 {
+			w.note(w.began.Add(length))
+		}
 		w.step(at)
 	}
 	return w.finish(length)
@@ -96,24 +99,32 @@
 	w.movers = append(w.movers, newController(fmt.Sprintf("m%d", w.incarnation), w.simple))
 }
 
-func (w *world) publish(deadline time.Time) {
-	from := dotterelpulley.Build{Version: "1", Model: "m"}
-	to := dotterelpulley.Build{Version: "2", Model: "m"}
-	bodies := []recorder.Body{
-		recorder.Delta{Services: []dotterelpulley.ServiceSettings{{ID: service, Build: from}}},
-		recorder.Note{Note: dotterelpulley.ReleaseNote{
-			ID: "n", Deadline: deadline, CanaryShare: canaryShare, Watch: watch,
-			Changes: []dotterelpulley.Change{{Action: dotterelpulley.ChangeReplace, Service: service, From: from, To: to}},
+func (w *world) configure() {
+	w.publish(recorder.Delta{Services: []dotterelpulley.ServiceSettings{{ID: service, Build: build("1")}}}, w.began.Add(-leadIn))
+}
+
+func (w *world) note(deadline time.Time) {
+	w.publish(recorder.Note{Note: dotterelpulley.ReleaseNote{
+		ID: "n", Deadline: deadline, CanaryShare: canaryShare, Watch: watch,
+		Changes: []dotterelpulley.Change{{
+			Action: dotterelpulley.ChangeReplace, Service: service, From: build("1"), To: build("2"),
 		}},
+	}}, w.began)
+}
+
+func build(version dotterelpulley.VersionID) dotterelpulley.Build {
+	return dotterelpulley.Build{Version: version, Model: "m"}
+}
+
+// publish appends an operator's record, log outage or not.
+func (w *world) publish(body recorder.Body, now time.Time) {
+	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(fmt.Sprintf("operator-%T", body)), Base: 0, Body: body})
+	if err != nil {
+		panic(fmt.Sprintf("encode a constant record: %v", err))
 	}
-	for i, body := range bodies {
-		env := recorder.Envelope{ID: recorder.RecordID(fmt.Sprintf("op-%d", i)), Body: body}
-		data, err := recorder.Encode(env)
-		if err != nil {
-			panic(err)
-		}
-		_ = w.store.append(appender.StreamConfiguration, data, w.began)
-	}
+	s := store{streams: w.store.streams}
+	_ = s.append(appender.StreamConfiguration, data, now)
+	w.store.streams = s.streams
 }
 
 func (w *world) step(at time.Duration) {
@@ -213,10 +224,7 @@
 	for range int(requestRate * tick / time.Second) {
 		h := w.hosts[w.random.IntN(hosts)]
 		version := h.choose(now)
-		exposed := h.expose(now)
-		if !exposed {
-			continue
-		}
+		moving := h.expose(now)
 		e := w.engineWith(version)
 		if e == nil {
 			continue
@@ -225,7 +233,9 @@
 		fresh := version == newest
 		s, harmed := w.outcome(e, rt, fresh, at)
 		h.evidence.Add(version, s, now)
-		w.count(h, fresh, harmed, now)
+		if moving {
+			w.count(h, fresh, harmed, now)
+		}
 	}
 }
 
