--- a/mover/lease_test.go
+++ b/mover/lease_test.go
@@ -81,6 +81,12 @@
 			case 2:
 				log.envelopes = append(log.envelopes, log.late...)
 				log.late = nil
+			case 3:
+				if a, held := r.Farewell(now, &r.view); held {
+					_ = log.append(a.Envelope, rapid.SampledFrom([]string{"", "lost", "late", "failed"}).Draw(t, "farewell"))
+				}
+				start(i)
+				continue
 			}
 			if rapid.IntRange(0, 5).Draw(t, "read") > 0 {
 				r.catchUp(&log, now)
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -19,10 +19,15 @@
 	orders  orders
 	spread  map[recorder.MoveID]bool
 	count   int
+	// leaving is true once the lease was given up.
+	leaving bool
 }
 
 // Tick returns what to do now.
 func (m *Mover) Tick(now time.Time, view *View) []Action {
+	if m.leaving {
+		return nil
+	}
 	m.lease.observe(now, view)
 	actions := m.spreadBad(view)
 	if m.lease.active(now, view) {
@@ -70,7 +75,7 @@
 // Observe takes the verdict on each record of the streams as it is read.
 func (m *Mover) Observe(v recorder.Verdict) {
 	body, sent := m.pending.append.Envelope.Body, m.pending.sent
-	if m.pending.settle(v) && v.Accepted {
+	if m.pending.settle(v) && v.Accepted && !m.leaving {
 		m.lease.won(body, v.Offset, sent, m.Settings.Lease)
 	}
 }
@@ -95,11 +100,13 @@
 	return m.lease.active(now, view)
 }
 
-// Farewell returns the record that gives the lease up, if this host holds it.
+// Farewell returns the record that gives the lease up, if this host holds it; nothing is sent under the lease from then on.
 func (m *Mover) Farewell(now time.Time, view *View) (Append, bool) {
 	if !m.lease.active(now, view) {
 		return Append{}, false
 	}
+	m.lease.until = time.Time{}
+	m.leaving = true
 	m.count++
 	return Append{Stream: appender.StreamMoves, Envelope: recorder.Envelope{
 		ID:   recorder.RecordID(fmt.Sprintf("%s-%d", m.IDs, m.count)),
