--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -4,7 +4,9 @@
 	"compress/gzip"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -21,6 +23,8 @@
 	// brokenOnce is the time within which broken streams of one endpoint count as one failure: they broke together.
 	brokenOnce   = 5 * time.Second
 	maxFactBytes = 16 << 10
+	// badFanout is how many peers a host tells of a bad version.
+	badFanout = 4
 )
 
 // outcome is how one attempt at a version went.
@@ -126,13 +130,20 @@
 			r.Evidence = append(r.Evidence, e)
 		}
 	}
+	r.Bad = f.marked()
+	return r
+}
+
+// marked returns the verdicts that hosts have spread, as records; f.mu is held.
+func (f *followed) marked() [][]byte {
+	var records [][]byte
 	for _, bad := range f.follower.Marked() {
 		env := recorder.Envelope{ID: recorder.RecordID(bad.Move.String()), Body: bad}
 		if data, err := recorder.Encode(env); err == nil {
-			r.Bad = append(r.Bad, data)
+			records = append(records, data)
 		}
 	}
-	return r
+	return records
 }
 
 // judge returns the versions that this host's own evidence shows to be bad.
@@ -180,17 +191,16 @@
 	}
 }
 
-// spreadBad tells the other entry hosts that a version is bad.
+// spreadBad tells some other entry hosts that a version is bad; they pass it on, and the rest ask.
 func (e *Entry) spreadBad(bad recorder.BadVersion) {
 	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(uuid.NewString()), Body: bad})
 	if err != nil {
 		e.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
 		return
 	}
-	for _, h := range e.endpoints.entries() {
-		if h.ID == e.settings.Host {
-			continue
-		}
+	peers := e.peerHosts()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, h := range peers[:min(len(peers), badFanout)] {
 		e.wait.Go(func() { e.tellBad(h, data) })
 	}
 }
@@ -224,18 +234,30 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := e.takeBad(data); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// takeBad takes a verdict of another host and passes it on if it is news.
+func (e *Entry) takeBad(data []byte) error {
 	env, err := recorder.Decode(data)
+	if err != nil {
+		return fmt.Errorf("take a verdict on a version: %w", err)
+	}
 	bad, ok := env.Body.(recorder.BadVersion)
-	if err != nil || !ok {
-		http.Error(w, "not a bad-version record", http.StatusBadRequest)
-		return
+	if !ok {
+		return fmt.Errorf("record %q is no verdict on a version", env.ID)
 	}
-	if e.followed.mark(bad) {
-		e.counters.Inc("bad-version-heard")
-		e.log.Warn().Str("event", "bad-version-heard").Str("move", bad.Move.String()).Str("by", string(bad.By)).Msg("")
-		e.spreadBad(bad)
+	if !e.followed.mark(bad) {
+		return nil
 	}
-	w.WriteHeader(http.StatusNoContent)
+	e.counters.Inc("bad-version-heard")
+	e.log.Warn().Str("event", "bad-version-heard").Str("move", bad.Move.String()).Str("by", string(bad.By)).Msg("")
+	e.spreadBad(bad)
+	return nil
 }
 
 // expired reports whether the context ended because its time had come.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -38,6 +38,8 @@
 	Ready   bool                     `json:"ready"`
 	Heads   map[string]int64         `json:"heads"`
 	Records map[string][]wireRelayed `json:"records"`
+	// Bad are the bad-version records that hosts have spread.
+	Bad [][]byte `json:"bad,omitempty"`
 }
 
 func relayedStreams() []appender.Stream {
@@ -48,7 +50,12 @@
 func (f *followed) relay(heads map[appender.Stream]appender.Offset) wireRelay {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := wireRelay{Ready: f.follower.Ready(), Heads: map[string]int64{}, Records: map[string][]wireRelayed{}}
+	w := wireRelay{
+		Ready:   f.follower.Ready(),
+		Heads:   map[string]int64{},
+		Records: map[string][]wireRelayed{},
+		Bad:     f.marked(),
+	}
 	for _, stream := range relayedStreams() {
 		w.Heads[string(stream)] = int64(f.follower.Next(stream) - 1)
 		for _, r := range f.follower.Since(stream, heads[stream], relayLimit) {
@@ -80,12 +87,7 @@
 
 // askPeer asks one peer at random for records that this host has not read.
 func (e *Entry) askPeer() {
-	var peers []lister.Host
-	for _, h := range e.endpoints.entries() {
-		if h.ID != e.settings.Host {
-			peers = append(peers, h)
-		}
-	}
+	peers := e.peerHosts()
 	if len(peers) == 0 {
 		return
 	}
@@ -95,10 +97,26 @@
 		return
 	}
 	changes := e.followed.relayed(w)
+	for _, data := range w.Bad {
+		if err := e.takeBad(data); err != nil {
+			e.counters.Inc("facts-refused")
+		}
+	}
 	e.counters.Add("records-relayed", int64(len(changes)))
 	e.inForce(changes)
 }
 
+// peerHosts returns the other entry hosts of the host list.
+func (e *Entry) peerHosts() []lister.Host {
+	var peers []lister.Host
+	for _, h := range e.endpoints.entries() {
+		if h.ID != e.settings.Host {
+			peers = append(peers, h)
+		}
+	}
+	return peers
+}
+
 func (e *Entry) fetchRelay(address dotterelpulley.Address) (wireRelay, error) {
 	query := url.Values{}
 	for _, stream := range relayedStreams() {
