--- a/capacity/picker_test.go
+++ b/capacity/picker_test.go
@@ -43,9 +43,9 @@
 }
 
 func fullPicker(all []dotterelpulley.Endpoint, now time.Time) *picker.Picker {
-	p := &picker.Picker{Seed: 1, Zone: "zone-1", Peers: 8}
+	p := &picker.Picker{Seed: 1, Zone: "zone-1"}
+	p.SetPeers(service, 8)
 	p.SetEndpoints(service, all)
-	p.SetShares(service, []dotterelpulley.Share{{Version: version, Fraction: 1}})
 	reportAll(p, all, now)
 	return p
 }
@@ -59,6 +59,7 @@
 			Route:       picker.Route{Service: service, Route: "cab-advisory"},
 			PromptBytes: 2048,
 			MaxTokens:   64,
+			Version:     version,
 		}
 		b.ResetTimer()
 		for b.Loop() {
--- a/entry/followed.go
+++ b/entry/followed.go
@@ -32,10 +32,11 @@
 	organisationsAt dotterelpulley.Revision
 }
 
+// ready reports whether the newest configuration is known; before the first there is none.
 func (f *followed) ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.follower.Ready()
+	return f.follower.Ready() && f.follower.Configuration().Revision > 0
 }
 
 // next returns where to read the stream from, and how long to wait there for a record: not at all before its end was reached.
@@ -84,7 +85,7 @@
 		e.tellChange(change)
 	}
 	if len(changes) > 0 {
-		e.queue.dispatch()
+		e.queue.tick(time.Now())
 	}
 }
 
