--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -58,6 +58,7 @@
 	case Tick:
 	case RosterRead:
 		c.readRoster(e)
+		c.suspects.due = time.Time{}
 	case RosterTold:
 		c.roster.adopt(e.Snapshot)
 	case ClaimsRead:
@@ -72,6 +73,7 @@
 		c.end(e)
 	case Replied:
 		c.reply(e.Reply)
+		c.suspects.due = time.Time{}
 	case HostsListed:
 		c.listHosts(e.Hosts)
 	case DrainBegun:
--- a/claimer/takeover.go
+++ b/claimer/takeover.go
@@ -12,6 +12,8 @@
 	rankDelay    = 2 * time.Second
 	longestRank  = 4
 	judgeAgainIn = 5 * time.Second
+	// judgeEvery is the least time between two looks at all members, but for news.
+	judgeEvery = 200 * time.Millisecond
 )
 
 // suspects are the members that this host takes for gone, with what it has seen of each member.
@@ -20,6 +22,7 @@
 	listed  map[dotterelpulley.Incarnation]bool
 	missing map[dotterelpulley.Incarnation]time.Time
 	cases   map[dotterelpulley.Incarnation]*suspicion
+	due     time.Time
 }
 
 type suspicion struct {
@@ -75,12 +78,10 @@
 }
 
 // proof returns why the member is known to be gone, if it is.
-func (c *Claimer) proof(m RosterMember) (Proof, bool) {
+func (c *Claimer) proof(m RosterMember, latest map[dotterelpulley.HostID]RosterMember) (Proof, bool) {
 	s := &c.suspects
-	for _, other := range c.roster.Members {
-		if other.Host == m.Host && other.Peer == m.Peer && other.Joined > m.Joined {
-			return ProofReplaced, true
-		}
+	if last := latest[m.Host]; last.Peer == m.Peer && last.Joined > m.Joined {
+		return ProofReplaced, true
 	}
 	if since, ok := s.missing[m.Incarnation]; ok && c.now.Sub(since) >= c.Settings.GoneLimit {
 		return ProofUnlisted, true
@@ -93,10 +94,15 @@
 }
 
 func (c *Claimer) advanceSuspects() {
-	if !c.isMember() || !c.paused.IsZero() {
+	s := &c.suspects
+	if c.now.Before(s.due) || !c.isMember() || !c.paused.IsZero() {
 		return
 	}
-	s := &c.suspects
+	s.due = c.now.Add(judgeEvery)
+	latest := map[dotterelpulley.HostID]RosterMember{}
+	for _, m := range c.roster.Members {
+		latest[m.Host] = m
+	}
 	rank := 0
 	for _, m := range c.roster.Members {
 		if m.Incarnation == c.Self.Incarnation {
@@ -111,7 +117,7 @@
 		if _, ok := s.heard[m.Incarnation]; !ok {
 			s.heard[m.Incarnation] = c.now
 		}
-		proof, gone := c.proof(m)
+		proof, gone := c.proof(m, latest)
 		if !gone {
 			delete(s.cases, m.Incarnation)
 			continue
