--- a/claimer/request_test.go
+++ b/claimer/request_test.go
@@ -153,6 +153,7 @@
 	key    dotterelpulley.Key
 	kind   dotterelpulley.RequestKind
 	began  time.Time
+	sent   time.Time
 	tries  int
 	done   bool
 	notRun bool
@@ -173,6 +174,7 @@
 		return
 	}
 	c.notRun = false
+	c.sent = c.w.now
 	n := c.w.nodes[c.w.rand.IntN(len(c.w.nodes))]
 	try := c.tries
 	begin := claimer.Begin{Key: c.key, Kind: c.kind, Fingerprint: 1}
@@ -212,6 +214,9 @@
 		c.done = true
 		return
 	}
+	if a.kind == dotterelpulley.ErrorHolderUnreachable && c.sent.After(c.w.unserved) {
+		c.w.unserved = c.sent
+	}
 	if a.kind.Answer().Truth != dotterelpulley.NotRun {
 		if !c.w.profile.faults || c.w.chance(0.2) {
 			c.done = true
--- a/claimer/share_test.go
+++ b/claimer/share_test.go
@@ -30,6 +30,7 @@
 		var rows [dotterelpulley.KindBooking + 1][3]int
 		var waits [dotterelpulley.KindBooking + 1][]time.Duration
 		appends, bytes, claims := 0, 0, 0
+		var recovery time.Duration
 		for seed := range uint64(seeds) {
 			w := runWorld(seed+1, p.profile, false)
 			c := w.score()
@@ -43,6 +44,9 @@
 			}
 			appends += len(w.log.claims)
 			bytes += w.bytes
+			if p.death && !w.unserved.IsZero() {
+				recovery = max(recovery, w.unserved.Sub(w.start.Add(deathAt)))
+			}
 		}
 		for kind, row := range rows {
 			total := row[0] + row[1] + row[2]
@@ -50,7 +54,7 @@
 				share(row[0], total), share(row[1], total), share(row[2], total), percentiles(waits[kind]))
 			qt.Check(t, share(total-row[0], total) <= 100*p.mostUnserved, qt.IsTrue)
 		}
-		t.Logf("%-30s %d claims in %d records of %d bytes", p.name, claims, appends, bytes)
+		t.Logf("%-30s %d claims in %d records of %d bytes, no holder met until %s after the death", p.name, claims, appends, bytes, recovery.Round(time.Millisecond))
 	}
 }
 
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -28,8 +28,10 @@
 	falseNo int
 	callers []*caller
 	waits   [dotterelpulley.KindBooking + 1][]time.Duration
-	appends int
-	bytes   int
+	// unserved is when the last copy was sent that met no holder.
+	unserved time.Time
+	appends  int
+	bytes    int
 }
 
 type profile struct {
