Strike beside shutdown, leaving endpoints, overload and bad versions

Each of these invariants was shown alone; now each is shown while the log is down, its answers are lost, hosts die, connections fall silent or an engine lies, and two of these at once.

--- a/proof/call_test.go
+++ b/proof/call_test.go
@@ -15,7 +15,11 @@
 	"github.com/dotterelpulley/dotterelpulley/internal/standin"
 )
 
-const callWithin = 20 * time.Second
+const (
+	callWithin = 20 * time.Second
+	// streamTokens makes a stream last about two seconds.
+	streamTokens = 200
+)
 
 func newKey() dotterelpulley.Key {
 	id := uuid.Must(uuid.NewV7())
@@ -61,14 +65,14 @@
 }
 
 // duringStreams sends streams through every entry host, strikes once all have begun, and returns the calls with their answers.
-func (s site) duringStreams(tokens int, strike func()) ([]prover.Call, []prover.Answer) {
+func (s site) duringStreams(strike func()) ([]prover.Call, []prover.Answer) {
 	const perEntry = 4
 	calls := make([]prover.Call, perEntry*len(s.Entries))
 	answers := make([]prover.Answer, len(calls))
 	begun := make(chan struct{}, len(calls))
 	var tasks conc.WaitGroup
 	for i := range calls {
-		calls[i] = plan(fmt.Sprintf("stream %d", i), tokens)
+		calls[i] = plan(fmt.Sprintf("stream %d", i), streamTokens)
 		calls[i].OnChunk = func(chunks int) {
 			if chunks == 5 {
 				begun <- struct{}{}
@@ -90,7 +94,7 @@
 
 func TestStreamOutlivesSilentConnections(t *testing.T) {
 	s := running(t)
-	calls, answers := s.duringStreams(200, func() {
+	calls, answers := s.duringStreams(func() {
 		enginesSilent(s)
 		peersSilent(s)
 	})
@@ -101,10 +105,8 @@
 
 func TestStreamOutlivesCutsToTheEngine(t *testing.T) {
 	s := running(t)
-	calls, answers := s.duringStreams(200, func() {
-		for _, e := range s.Engines {
-			e.CutConnections()
-		}
+	calls, answers := s.duringStreams(func() {
+		enginesCut(s)
 	})
 	for i := range calls {
 		s.wholeOnce(calls[i], answers[i])
@@ -114,7 +116,7 @@
 // TestStreamOutlivesAShortRefusal cuts the connections and refuses new ones for a moment, while the runs go on.
 func TestStreamOutlivesAShortRefusal(t *testing.T) {
 	s := running(t)
-	calls, answers := s.duringStreams(200, func() {
+	calls, answers := s.duringStreams(func() {
 		for _, e := range s.Engines {
 			e.Stop()
 			s.Assert(e.Resume(), qt.IsNil)
@@ -125,31 +127,46 @@
 	}
 }
 
+// TestGracefulShutdownCutsNothing tells a host to end while it streams, and while something else goes wrong.
 func TestGracefulShutdownCutsNothing(t *testing.T) {
-	s := running(t)
-	leaver := s.Entries[0]
-	calls, answers := s.duringStreams(300, func() {
-		s.Note("SIGTERM to %s", leaver.Host.ID)
-		s.Assert(leaver.Signal(syscall.SIGTERM), qt.IsNil)
-		s.await("the host says that it is not ready", func() bool { return !leaver.Ready() })
-		late := plan("late", 10)
-		s.Check(s.send(late, leaver).Whole, qt.IsFalse)
-		s.wholeOnce(late, s.send(late, s.Entries[1]))
-	})
-	for i := range calls {
-		s.wholeOnce(calls[i], answers[i])
-	}
-	select {
-	case <-leaver.Exited():
-		s.Assert(leaver.ExitCode(), qt.Equals, 0)
-	case <-time.After(patience):
-		s.Fatal("the host has not ended")
+	for _, beside := range []fault{
+		{name: "nothing", strike: nothingAtAll},
+		{name: "log down", strike: logDown},
+		{name: "log slow", strike: logSlow},
+		{name: "answers of the log lost", strike: logAnswersLost},
+		{name: "connections to engines silent", strike: enginesSilent},
+		{name: "connections between entry hosts silent", strike: peersSilent},
+		{name: "engine slow and lying", strike: engineSlow},
+		{name: "log down and connections to engines cut", strike: both(logDown, enginesCut)},
+	} {
+		t.Run(beside.name, func(t *testing.T) {
+			s := running(t)
+			leaver := s.Entries[0]
+			calls, answers := s.duringStreams(func() {
+				beside.strike(s)
+				s.Note("SIGTERM to %s", leaver.Host.ID)
+				s.Assert(leaver.Signal(syscall.SIGTERM), qt.IsNil)
+				s.await("the host says that it is not ready", func() bool { return !leaver.Ready() })
+				late := plan("late", 10)
+				s.Check(s.send(late, leaver).Whole, qt.IsFalse)
+				s.wholeOnce(late, s.send(late, s.Entries[1]))
+			})
+			for i := range calls {
+				s.wholeOnce(calls[i], answers[i])
+			}
+			select {
+			case <-leaver.Exited():
+				s.Assert(leaver.ExitCode(), qt.Equals, 0)
+			case <-time.After(patience):
+				s.Fatal("the host has not ended")
+			}
+		})
 	}
 }
 
 func TestResendMeetsTheRunningRequest(t *testing.T) {
 	s := running(t)
-	call := plan("resent", 200)
+	call := plan("resent", streamTokens)
 	var tasks conc.WaitGroup
 	answers := make([]prover.Answer, len(s.Entries))
 	begun := make(chan struct{})
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -33,8 +33,12 @@
 	return false
 }
 
+func nothingAtAll(site) func() {
+	return nil
+}
+
 var faults = []fault{
-	{name: "nothing", strike: func(site) func() { return nil }, whole: everyRequest},
+	{name: "nothing", strike: nothingAtAll, whole: everyRequest},
 	{name: "entry host killed and dropped", strike: killAndDrop, whole: nothing},
 	{name: "entry host killed and started again", strike: killAndRestart, whole: nothing},
 	{name: "entry host paused and woken", strike: pause, whole: nothing},
@@ -166,6 +170,13 @@
 	return nil
 }
 
+func enginesCut(s site) func() {
+	for _, e := range s.Engines {
+		e.CutConnections()
+	}
+	return nil
+}
+
 func callersCut(s site) func() {
 	for _, e := range s.Entries {
 		s.Note("%d callers of %s are cut off", e.Callers.Cut(), e.Host.ID)
@@ -198,12 +209,28 @@
 	}
 }
 
-// TestLeavingEndpointGetsNoNewWork gives an endpoint's own sign and the host list's word.
+// TestLeavingEndpointGetsNoNewWork gives an endpoint's own sign and the host list's word, while something else goes wrong.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	for _, beside := range []fault{
+		{name: "nothing", strike: nothingAtAll, whole: everyRequest},
+		{name: "log down", strike: logDown, whole: urgent},
+		{name: "answers of the log lost", strike: logAnswersLost, whole: everyRequest},
+		{name: "entry host killed and dropped", strike: killAndDrop, whole: nothing},
+		{name: "entry host killed and started again", strike: killAndRestart, whole: nothing},
+		{name: "connections to engines silent", strike: enginesSilent, whole: everyRequest},
+		{name: "connections between entry hosts silent", strike: peersSilent, whole: everyRequest},
+		{name: "log down and entry host killed", strike: both(logDown, killAndDrop), whole: nothing},
+	} {
+		t.Run(beside.name, func(t *testing.T) { testLeaving(t, beside) })
+	}
+}
+
+func testLeaving(t *testing.T, beside fault) {
 	const within = 3 * time.Second
 	s := running(t)
 	l := s.startLoad(2*loadTime, s.Entries)
 	s.awaitRuns(runsBefore)
+	beside.strike(s)
 	signs, listed := s.Engines[0], s.Engines[1]
 	s.Note("%s signs that it leaves, the host list says so of %s", signs.ID, listed.ID)
 	signs.Leave()
@@ -214,7 +241,7 @@
 		}
 	}
 	by := time.Now().Add(within)
-	s.wholeWhere(l.wait(), everyRequest)
+	s.wholeWhere(l.wait(), beside.whole)
 	later := 0
 	for _, r := range s.Runs() {
 		if r.Started.Before(by) {
--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -179,29 +179,33 @@
 
 func TestBadVersionIsTakenBack(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		bad   standin.Behaviour
-		logIs func(site) func()
+		name   string
+		bad    standin.Behaviour
+		beside func(site) func()
 	}{
 		{name: "fails at once", bad: standin.Behaviour{Trigger: standin.AtOnce{}}},
 		{name: "slow at once", bad: standin.Behaviour{Trigger: standin.AtOnce{}, SlowFactor: 10}},
 		{name: "fails later", bad: standin.Behaviour{Trigger: standin.AfterRequests{Count: 15}}},
 		{name: "fails under load", bad: standin.Behaviour{Trigger: standin.UnderLoad{Running: 2}}},
 		{name: "fails on one route", bad: standin.Behaviour{Trigger: standin.OnRoute{Route: "season-plan"}}},
-		{name: "fails at once while the log is down", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, logIs: logDown},
+		{name: "fails at once while the log is down", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: logDown},
+		{name: "fails at once while its mover is paused", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: moverPaused},
+		{name: "fails at once beside a killed entry host", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: killAndDrop},
+		{name: "fails at once beside silent connections", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: both(peersSilent, enginesSilent)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s, l := moving(t, func(e *standin.Engine) {
 				e.Behaviours = map[string]standin.Behaviour{newVersion: test.bad}
 			})
 			s.note()
-			if test.logIs != nil {
+			if test.beside != nil {
 				s.awaitStep()
-				heal := test.logIs(s)
+				heal := test.beside(s)
 				s.awaitBadRuns(1)
-				by := time.Now().Add(patience)
-				s.awaitQuiet(by)
-				heal()
+				s.awaitQuiet()
+				if heal != nil {
+					heal()
+				}
 			}
 			s.Check(s.awaitMove(), qt.Equals, "undone")
 			undone := time.Now()
@@ -236,14 +240,22 @@
 }
 
 // awaitQuiet waits until the bad version has got nothing new while many requests ran.
-func (s site) awaitQuiet(by time.Time) {
-	const others = 40
+func (s site) awaitQuiet() {
+	const others = 2 * moveRate
 	s.Helper()
 	bad, all := s.badRuns(), len(s.Runs())
 	s.await("the bad version gets nothing new", func() bool {
 		if n := s.badRuns(); n != bad {
 			bad, all = n, len(s.Runs())
 		}
-		return len(s.Runs()) >= all+others || time.Now().After(by)
+		return len(s.Runs()) >= all+others
 	})
 }
+
+// moverPaused pauses the active mover past its lease.
+func moverPaused(s site) func() {
+	active := s.awaitStep()
+	s.Note("pause the mover of %s", active.Host.ID)
+	s.Assert(active.Mover.Signal(syscall.SIGSTOP), qt.IsNil)
+	return func() { s.Assert(active.Mover.Signal(syscall.SIGCONT), qt.IsNil) }
+}
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -14,6 +14,17 @@
 // TestOverloadShedsLowerTiersFirst sends about twice what the engines can do: urgent
 // requests, which need little of it, are all answered whole and others are refused.
 func TestOverloadShedsLowerTiersFirst(t *testing.T) {
+	for _, beside := range []fault{
+		{name: "nothing", strike: nothingAtAll},
+		{name: "log down", strike: logDown},
+		{name: "engine slow and lying", strike: engineSlow},
+		{name: "connections between entry hosts cut", strike: peersCut},
+	} {
+		t.Run(beside.name, func(t *testing.T) { testOverload(t, beside) })
+	}
+}
+
+func testOverload(t *testing.T, beside fault) {
 	const (
 		rate     = 250
 		duration = 8 * time.Second
@@ -26,6 +37,8 @@
 		}
 	})
 	l := s.sendLoad(s.Entries, loader.PlanSettings{Rate: rate, Duration: duration, Deadline: deadline})
+	s.awaitRuns(runsBefore)
+	beside.strike(s)
 	results := l.wait()
 	s.wholeWhere(results, urgent)
 	refused := 0
