--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -4,7 +4,9 @@
 	"compress/gzip"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -21,15 +23,15 @@
 	// brokenOnce is the time within which broken streams of one endpoint count as one failure: they broke together.
 	brokenOnce   = 5 * time.Second
 	maxFactBytes = 16 << 10
+	// badFanout is how many peers a host tells of a bad version.
+	badFanout = 4
 )
 
 // outcome is how one attempt at a version went.
 type outcome struct {
 	grant   grant
 	started time.Time
-	first   time.Time
-	last    time.Time
-	chunks  int
+	pace    pace
 	result  attemptResult
 	// expired says that the request's time ended while it ran.
 	expired bool
@@ -46,9 +48,8 @@
 	if _, broken := o.result.(attemptBroken); broken && f.brokeLately(o.grant.endpoint.ID, now) {
 		return
 	}
-	if e := f.exposure(req.Service, now); e != nil {
-		e.Add(o.grant.version, s, now)
-	}
+	e, _ := f.exposure(req.Service, now)
+	e.Add(o.grant.version, s, now)
 }
 
 func (o outcome) sample(req dotterelpulley.Request) (assessor.Sample, bool) {
@@ -60,12 +61,10 @@
 	}}
 	switch o.result.(type) {
 	case attemptWhole:
-		if o.chunks > 0 {
-			s.FirstToken = o.first.Sub(o.started)
-		}
-		if o.chunks > 1 {
-			s.BetweenTokens = o.last.Sub(o.first) / time.Duration(o.chunks-1)
+		if o.pace.chunks > 0 {
+			s.FirstToken = o.pace.first.Sub(o.started)
 		}
+		s.BetweenTokens = o.pace.between()
 		return s, true
 	case attemptFailed, attemptBroken:
 		s.Failed = true
@@ -90,14 +89,9 @@
 	return false
 }
 
-// exposure returns the evidence of the service's running move, or nil without one; f.mu is held.
-func (f *followed) exposure(service dotterelpulley.ServiceID, now time.Time) *assessor.Evidence {
-	m, running := f.follower.Running(service)
-	if !running || m.Action != dotterelpulley.ChangeReplace {
-		delete(f.evidence, service)
-		return nil
-	}
-	e := f.evidence[service]
+// exposure returns the evidence of the service, and whether a move of it runs; f.mu is held.
+func (f *followed) exposure(service dotterelpulley.ServiceID, now time.Time) (e *assessor.Evidence, moving bool) {
+	e = f.evidence[service]
 	if e == nil {
 		e = &assessor.Evidence{}
 		if f.evidence == nil {
@@ -105,6 +99,12 @@
 		}
 		f.evidence[service] = e
 	}
+	m, running := f.follower.Running(service)
+	if !running || m.Action != dotterelpulley.ChangeReplace {
+		build, _ := f.follower.InForce(service)
+		e.Rest(service, recorder.VersionOf(build), now)
+		return e, false
+	}
 	e.Begin(assessor.Exposure{
 		Note:    m.ID.Note,
 		Service: m.ID.Service,
@@ -112,7 +112,7 @@
 		Old:     recorder.VersionOf(m.From),
 		New:     recorder.VersionOf(m.To),
 	}, now)
-	return e
+	return e, true
 }
 
 // report returns this host's evidence and the bad versions that it knows of.
@@ -121,18 +121,25 @@
 	defer f.mu.Unlock()
 	var r assessor.Report
 	for _, s := range f.follower.Configuration().Services {
-		if e := f.exposure(s.ID, now); e != nil {
+		if e, moving := f.exposure(s.ID, now); moving {
 			e.Refresh(now)
 			r.Evidence = append(r.Evidence, e)
 		}
 	}
+	r.Bad = f.marked()
+	return r
+}
+
+// marked returns the verdicts that hosts have spread, as records; f.mu is held.
+func (f *followed) marked() [][]byte {
+	var records [][]byte
 	for _, bad := range f.follower.Marked() {
 		env := recorder.Envelope{ID: recorder.RecordID(bad.Move.String()), Body: bad}
 		if data, err := recorder.Encode(env); err == nil {
-			r.Bad = append(r.Bad, data)
+			records = append(records, data)
 		}
 	}
-	return r
+	return records
 }
 
 // judge returns the versions that this host's own evidence shows to be bad.
@@ -141,8 +148,8 @@
 	defer f.mu.Unlock()
 	var found []recorder.BadVersion
 	for _, s := range f.follower.Configuration().Services {
-		e := f.exposure(s.ID, now)
-		if e == nil {
+		e, moving := f.exposure(s.ID, now)
+		if !moving {
 			continue
 		}
 		e.Refresh(now)
@@ -176,21 +183,20 @@
 		e.counters.Inc("versions-judged-bad")
 		e.log.Warn().Str("event", "version-judged-bad").Str("move", bad.Move.String()).Str("reason", bad.Reason).Msg("")
 		e.spreadBad(bad)
-		e.queue.dispatch()
+		e.queue.tick(time.Now())
 	}
 }
 
-// spreadBad tells the other entry hosts that a version is bad.
+// spreadBad tells some other entry hosts that a version is bad; they pass it on, and the rest ask.
 func (e *Entry) spreadBad(bad recorder.BadVersion) {
 	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(uuid.NewString()), Body: bad})
 	if err != nil {
 		e.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
 		return
 	}
-	for _, h := range e.endpoints.entries() {
-		if h.ID == e.settings.Host {
-			continue
-		}
+	peers := e.peerHosts()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, h := range peers[:min(len(peers), badFanout)] {
 		e.wait.Go(func() { e.tellBad(h, data) })
 	}
 }
@@ -224,18 +230,30 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := e.takeBad(data); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// takeBad takes a verdict of another host and passes it on if it is news.
+func (e *Entry) takeBad(data []byte) error {
 	env, err := recorder.Decode(data)
+	if err != nil {
+		return fmt.Errorf("take a verdict on a version: %w", err)
+	}
 	bad, ok := env.Body.(recorder.BadVersion)
-	if err != nil || !ok {
-		http.Error(w, "not a bad-version record", http.StatusBadRequest)
-		return
+	if !ok {
+		return fmt.Errorf("record %q is no verdict on a version", env.ID)
 	}
-	if e.followed.mark(bad) {
-		e.counters.Inc("bad-version-heard")
-		e.log.Warn().Str("event", "bad-version-heard").Str("move", bad.Move.String()).Str("by", string(bad.By)).Msg("")
-		e.spreadBad(bad)
+	if !e.followed.mark(bad) {
+		return nil
 	}
-	w.WriteHeader(http.StatusNoContent)
+	e.counters.Inc("bad-version-heard")
+	e.log.Warn().Str("event", "bad-version-heard").Str("move", bad.Move.String()).Str("by", string(bad.By)).Msg("")
+	e.spreadBad(bad)
+	return nil
 }
 
 // expired reports whether the context ended because its time had come.
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -24,23 +24,24 @@
 // Ask is what has to be known of a request to choose its endpoint.
 type Ask struct {
 	Route
-	Conversation string
-	PromptBytes  int
-	MaxTokens    dotterelpulley.Tokens
-	Prefixes     []PrefixHash
+	PromptBytes int
+	MaxTokens   dotterelpulley.Tokens
+	Prefixes    []PrefixHash
+	// Version is the version to run on; any but the barred ones if empty.
+	Version dotterelpulley.VersionID
+	Barred  []dotterelpulley.VersionID
 	// Reserve is the share of each limit that the request's tier leaves free.
 	Reserve float64
-	// Except names an endpoint that an attempt has already failed on.
-	Except dotterelpulley.EndpointID
+	// Except names the endpoints that an attempt has already failed on.
+	Except map[dotterelpulley.EndpointID]bool
 }
 
 // Choice is the endpoint and version that a request goes to.
 type Choice struct {
 	Route
-	Endpoint     dotterelpulley.EndpointID
-	Address      dotterelpulley.Address
-	Version      dotterelpulley.VersionID
-	Conversation string
+	Endpoint dotterelpulley.EndpointID
+	Address  dotterelpulley.Address
+	Version  dotterelpulley.VersionID
 	// Inflight is the load that the endpoint was taken to have before the request.
 	Inflight float64
 	// Prefill is the expected number of prompt tokens that are not cached.
@@ -94,15 +95,14 @@
 func (p *Picker) Choose(now time.Time, ask Ask) (Choice, Verdict) {
 	s := p.pool(ask.Service)
 	s.refresh(p.endpoints)
-	version := s.shares.version(ask.Conversation)
 	var found candidates
-	p.addHolders(now, s, &ask, version, &found)
-	verdict := p.addRandom(now, s, &ask, version, &found)
+	p.addHolders(now, s, &ask, &found)
+	verdict := p.addRandom(now, s, &ask, &found)
 	if found.count == 0 {
 		return Choice{}, verdict
 	}
-	best := p.best(&ask, &found)
-	return p.choice(&ask, version, best), Chosen
+	best := p.best(s, &ask, &found)
+	return p.choice(&ask, best), Chosen
 }
 
 func (s *pool) refresh(endpoints []*endpoint) {
@@ -117,12 +117,12 @@
 }
 
 // consider returns the endpoint as a candidate if it may take the request.
-func (p *Picker) consider(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, place int32) (candidate, Verdict) {
+func (p *Picker) consider(now time.Time, s *pool, ask *Ask, place int32) (candidate, Verdict) {
 	e := p.endpoints[place]
-	if !e.usable(now, version) || e.ID == ask.Except || e.Service != ask.Service {
+	if _, has := e.version(ask); !has || !e.usable(now) || ask.Except[e.ID] || e.Service != ask.Service {
 		return candidate{}, NoEndpoint
 	}
-	load := e.load(now, p.peers())
+	load := e.load(now, s.peers)
 	s.fill += fillWeight * (load/math.Max(e.limit, 1) - s.fill)
 	if !e.room(load, ask.Reserve) {
 		return candidate{}, NoRoom
@@ -131,7 +131,7 @@
 }
 
 // addHolders adds endpoints that may have a prefix of the prompt cached, the longest first.
-func (p *Picker) addHolders(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) {
+func (p *Picker) addHolders(now time.Time, s *pool, ask *Ask, found *candidates) {
 	for place := len(ask.Prefixes) - 1; place >= 0; place-- {
 		h := p.prefixes.get(ask.Prefixes[place])
 		if h == nil {
@@ -141,7 +141,7 @@
 			if found.has(known.endpoint) || found.count >= maxCandidates/2 {
 				continue
 			}
-			one, verdict := p.consider(now, s, ask, version, known.endpoint)
+			one, verdict := p.consider(now, s, ask, known.endpoint)
 			if verdict != Chosen || p.overfull(s, one) {
 				continue
 			}
@@ -156,7 +156,7 @@
 }
 
 // addRandom adds random endpoints, the more likely the higher their limits, and all there are when draws miss.
-func (p *Picker) addRandom(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) Verdict {
+func (p *Picker) addRandom(now time.Time, s *pool, ask *Ask, found *candidates) Verdict {
 	if len(s.members) == 0 {
 		return NoEndpoint
 	}
@@ -172,7 +172,7 @@
 		if p.random.Float64() >= accept || found.has(place) {
 			continue
 		}
-		one, verdict := p.consider(now, s, ask, version, place)
+		one, verdict := p.consider(now, s, ask, place)
 		if verdict != Chosen {
 			continue
 		}
@@ -185,16 +185,16 @@
 	if found.count > 0 {
 		return Chosen
 	}
-	return p.addFirst(now, s, ask, version, found)
+	return p.addFirst(now, s, ask, found)
 }
 
 // addFirst looks at every endpoint from a random one on and adds the first that fits.
-func (p *Picker) addFirst(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) Verdict {
+func (p *Picker) addFirst(now time.Time, s *pool, ask *Ask, found *candidates) Verdict {
 	verdict := NoEndpoint
 	start := p.random.IntN(len(s.members))
 	for i := range s.members {
 		place := s.members[(start+i)%len(s.members)]
-		one, v := p.consider(now, s, ask, version, place)
+		one, v := p.consider(now, s, ask, place)
 		switch v {
 		case Chosen:
 			found.add(one)
@@ -207,13 +207,13 @@
 	return verdict
 }
 
-func (p *Picker) best(ask *Ask, found *candidates) candidate {
+func (p *Picker) best(s *pool, ask *Ask, found *candidates) candidate {
 	tokens := p.Expect(ask.Route, ask.MaxTokens)
 	var best candidate
 	least := math.Inf(1)
 	for _, one := range found.list[:found.count] {
 		e := p.endpoints[one.place]
-		score := e.seconds(one.load, tokens, p.uncached(ask, one), p.peers())
+		score := e.seconds(one.load, tokens, p.uncached(ask, one), s.peers)
 		if e.Zone != p.Zone {
 			score += 2 * p.zoneLatency().Seconds()
 		}
@@ -235,20 +235,17 @@
 	return math.Max(PromptTokens(ask.PromptBytes)-one.cached, 1)
 }
 
-func (p *Picker) choice(ask *Ask, version dotterelpulley.VersionID, one candidate) Choice {
+func (p *Picker) choice(ask *Ask, one candidate) Choice {
 	e := p.endpoints[one.place]
-	if version == "" && len(e.Versions) > 0 {
-		version = e.Versions[0]
-	}
+	version, _ := e.version(ask)
 	return Choice{
-		Route:        ask.Route,
-		Endpoint:     e.ID,
-		Address:      e.Address,
-		Version:      version,
-		Conversation: ask.Conversation,
-		Inflight:     one.load,
-		Prefill:      p.uncached(ask, one),
-		prefixes:     ask.Prefixes,
-		ahead:        e.ownPrefill * float64(p.peers()),
+		Route:    ask.Route,
+		Endpoint: e.ID,
+		Address:  e.Address,
+		Version:  version,
+		Inflight: one.load,
+		Prefill:  p.uncached(ask, one),
+		prefixes: ask.Prefixes,
+		ahead:    e.ownPrefill * float64(p.pool(ask.Service).peers),
 	}
 }
