--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -61,29 +62,70 @@
 	s.Assert(s.Log.Resume(), qt.IsNil)
 }
 
-// TestConfigurationIsInForceEverywhere cuts one host off the log: its peers pass the change on.
+// TestConfigurationIsInForceEverywhere publishes a change while something goes wrong, and starts a host again afterwards.
 func TestConfigurationIsInForceEverywhere(t *testing.T) {
-	s := running(t)
-	before := s.Entries[0].Status().Revision
-	s.Note("%s is cut off the log", s.Entries[2].Host.ID)
-	s.Entries[2].Log.Refuse()
-	s.publish(s.edited("weight = 4", "weight = 5"))
-	for _, e := range s.Entries {
-		s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, string(e.Host.ID)+" has the change", func() bool {
-			return e.Status().Revision > before
-		}), qt.IsNil)
+	for _, beside := range []fault{
+		{name: "a host cut off the log", strike: cutOffTheLog},
+		{name: "log slow", strike: logSlow},
+		{name: "answers of the log lost", strike: logAnswersLost},
+		{name: "entry host killed and dropped", strike: killAndDrop},
+		{name: "entry host killed and started again", strike: killAndRestart},
+		{name: "connections between entry hosts silent", strike: peersSilent},
+		{name: "connections to the log silent", strike: logSilent},
+		{name: "a host cut off the log and another killed", strike: both(cutOffTheLog, killAndDrop)},
+	} {
+		t.Run(beside.name, func(t *testing.T) {
+			s := running(t)
+			before := s.Entries[0].Status().Revision
+			beside.strike(s)
+			s.publish(s.edited("weight = 4", "weight = 5"))
+			for _, e := range s.live() {
+				s.inForce(e, before+1)
+			}
+			again := s.live()[0]
+			s.kill(again)
+			s.Note("start %s again", again.Host.ID)
+			s.Assert(again.Start(), qt.IsNil)
+			s.await("the host is ready again", again.Ready)
+			s.Check(again.Status().Revision > before, qt.IsTrue)
+		})
 	}
 }
 
+// inForce checks that the host has the revision, or a newer one, in time.
+func (s site) inForce(e *prover.Entry, revision int64) {
+	s.Helper()
+	s.Assert(prover.Until(s.Context(), prover.Patience{Limit: inForceWithin}, string(e.Host.ID)+" has the change", func() bool {
+		return e.Status().Revision >= revision
+	}), qt.IsNil)
+}
+
+func cutOffTheLog(s site) func() {
+	cut := s.Entries[2]
+	s.Note("%s is cut off the log", cut.Host.ID)
+	cut.Log.Refuse()
+	return func() { s.Assert(cut.Log.Accept(), qt.IsNil) }
+}
+
+func logSilent(s site) func() {
+	s.Note("%d connections to the log go silent", s.Log.SilenceConnections())
+	return nil
+}
+
 func TestOneOfTwoRacingOperatorsWins(t *testing.T) {
-	s := running(t)
+	operatorsRace(running(t))
+}
+
+// operatorsRace publishes two changes of one revision at once: one is accepted, the other told that it lost.
+func operatorsRace(s site) func() {
+	before := s.Entries[0].Status().Revision
 	files := []string{s.edited("weight = 4", "weight = 6"), s.edited("weight = 4", "weight = 7")}
 	ran := make([]prover.Ran, len(files))
 	var tasks conc.WaitGroup
 	for i, file := range files {
 		tasks.Go(func() {
 			var err error
-			ran[i], err = s.Binaries.Run(s.Context(), "dotterelctl", "publish", "--log", string(s.Log.Address()), "--base", "1", file)
+			ran[i], err = s.Binaries.Run(s.Context(), "dotterelctl", "publish", "--log", string(s.Log.Address()), "--base", strconv.FormatInt(before, 10), file)
 			s.Check(err, qt.IsNil)
 		})
 	}
@@ -93,6 +135,10 @@
 		codes[r.Code]++
 	}
 	s.Check(codes, qt.DeepEquals, map[int]int{0: 1, 3: 1}, qt.Commentf("%v", ran))
+	for _, e := range s.Entries {
+		s.inForce(e, before+1)
+	}
+	return nil
 }
 
 // edited returns a copy of the configuration with one text in the place of another.
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -52,6 +52,7 @@
 	{name: "callers cut off", strike: callersCut, whole: everyRequest},
 	{name: "engine crashes and comes back", strike: engineCrash, whole: nothing},
 	{name: "engine slow and lying", strike: engineSlow, whole: everyRequest},
+	{name: "operators race", strike: operatorsRace, whole: everyRequest},
 	{name: "log down and entry host killed", strike: both(logDown, killAndDrop), whole: nothing},
 	{name: "log answers lost and entry host paused", strike: both(logAnswersLost, pause), whole: nothing},
 }
@@ -217,8 +218,11 @@
 		{name: "answers of the log lost", strike: logAnswersLost, whole: everyRequest},
 		{name: "entry host killed and dropped", strike: killAndDrop, whole: nothing},
 		{name: "entry host killed and started again", strike: killAndRestart, whole: nothing},
+		{name: "engine slow and lying", strike: engineSlow, whole: everyRequest},
+		{name: "engine crashes and comes back", strike: engineCrash, whole: nothing},
 		{name: "connections to engines silent", strike: enginesSilent, whole: everyRequest},
 		{name: "connections between entry hosts silent", strike: peersSilent, whole: everyRequest},
+		{name: "operators race", strike: operatorsRace, whole: everyRequest},
 		{name: "log down and entry host killed", strike: both(logDown, killAndDrop), whole: nothing},
 	} {
 		t.Run(beside.name, func(t *testing.T) { testLeaving(t, beside) })
--- a/proof/move_test.go
+++ b/proof/move_test.go
@@ -192,6 +192,11 @@
 		{name: "fails at once while its mover is paused", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: moverPaused},
 		{name: "fails at once beside a killed entry host", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: killAndDrop},
 		{name: "fails at once beside silent connections", bad: standin.Behaviour{Trigger: standin.AtOnce{}}, beside: both(peersSilent, enginesSilent)},
+		{
+			name:   "fails at once while the log is down and an entry host is killed",
+			bad:    standin.Behaviour{Trigger: standin.AtOnce{}},
+			beside: both(logDown, killAndDrop),
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s, l := moving(t, func(e *standin.Engine) {
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -6,19 +6,25 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/internal/prover"
 	"github.com/dotterelpulley/dotterelpulley/internal/standin"
 	"github.com/dotterelpulley/dotterelpulley/loader"
 )
 
-// TestOverloadShedsLowerTiersFirst sends about twice what the engines can do: urgent
-// requests, which need little of it, are all answered whole and others are refused.
+// TestOverloadShedsLowerTiersFirst sends about twice what the engines can do: others are
+// refused, but no urgent request is shed, and all are answered whole where nothing dies.
 func TestOverloadShedsLowerTiersFirst(t *testing.T) {
 	for _, beside := range []fault{
-		{name: "nothing", strike: nothingAtAll},
-		{name: "log down", strike: logDown},
-		{name: "engine slow and lying", strike: engineSlow},
-		{name: "connections between entry hosts cut", strike: peersCut},
+		{name: "nothing", strike: nothingAtAll, whole: urgent},
+		{name: "log down", strike: logDown, whole: urgent},
+		{name: "answers of the log lost", strike: logAnswersLost, whole: urgent},
+		{name: "engine slow and lying", strike: engineSlow, whole: urgent},
+		{name: "engine crashes and comes back", strike: engineCrash, whole: nothing},
+		{name: "connections to engines silent", strike: enginesSilent, whole: urgent},
+		{name: "entry host killed and dropped", strike: killAndDrop, whole: nothing},
+		{name: "entry host killed and started again", strike: killAndRestart, whole: nothing},
+		{name: "log down and engine slow", strike: both(logDown, engineSlow), whole: urgent},
 	} {
 		t.Run(beside.name, func(t *testing.T) { testOverload(t, beside) })
 	}
@@ -40,9 +46,13 @@
 	s.awaitRuns(runsBefore)
 	beside.strike(s)
 	results := l.wait()
-	s.wholeWhere(results, urgent)
+	s.wholeWhere(results, beside.whole)
 	refused := 0
 	for _, r := range results {
+		for _, send := range r.Sends {
+			shed := send.Refused.Kind == dotterelpulley.ErrorShed || send.Refused.Kind == dotterelpulley.ErrorDeadlineUnreachable
+			s.Check(shed && urgent(r), qt.IsFalse, comment(r))
+		}
 		if _, whole := r.Whole(); !whole && !urgent(r) {
 			refused++
 		}
