--- /dev/null
+++ b/assessor/exposure.go
@@ -0,0 +1,141 @@
+package assessor
+
+import (
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// recentWindow is half of the longest time that recent evidence covers.
+const recentWindow = 10 * time.Second
+
+// Exposure names one step of one move, the time in which a version has one share.
+type Exposure struct {
+	Note    dotterelpulley.NoteID
+	Service dotterelpulley.ServiceID
+	Step    int
+	Old     dotterelpulley.VersionID
+	New     dotterelpulley.VersionID
+}
+
+// Versus holds both versions' tallies over one span of time.
+type Versus struct {
+	Old Tally
+	New Tally
+}
+
+func (v *Versus) merge(other *Versus) {
+	v.Old.Merge(&other.Old)
+	v.New.Merge(&other.New)
+}
+
+// Pair is what is known of both versions in one cell.
+type Pair struct {
+	// Old is the old version since the move began.
+	Old Tally
+	// Step is since the step began.
+	Step Versus
+	// Recent is of the last seconds.
+	Recent Versus
+}
+
+// Evidence is what one host, or all together, know of one exposure.
+type Evidence struct {
+	Exposure Exposure
+	Began    time.Time
+	Cells    map[Cell]*Pair
+
+	current  map[Cell]*Versus
+	previous map[Cell]*Versus
+	rotated  time.Time
+}
+
+// Begin turns to the exposure; the reference is kept over the steps of one move.
+func (e *Evidence) Begin(x Exposure, now time.Time) {
+	if e.Exposure == x {
+		return
+	}
+	same := e.Exposure
+	same.Step = x.Step
+	if same != x {
+		e.Cells = nil
+	}
+	for _, pair := range e.Cells {
+		*pair = Pair{Old: pair.Old}
+	}
+	e.Exposure, e.Began, e.rotated = x, now, now
+	e.current, e.previous = nil, nil
+}
+
+// Add counts a sample of either version.
+func (e *Evidence) Add(version dotterelpulley.VersionID, s Sample, now time.Time) {
+	e.rotate(now)
+	pair, recent := e.pair(s.Cell), e.latest(s.Cell)
+	switch version {
+	case e.Exposure.Old:
+		pair.Old.Add(s)
+		pair.Step.Old.Add(s)
+		recent.Old.Add(s)
+	case e.Exposure.New:
+		pair.Step.New.Add(s)
+		recent.New.Add(s)
+	}
+}
+
+// Refresh brings the recent tallies up to the time.
+func (e *Evidence) Refresh(now time.Time) {
+	e.rotate(now)
+	for cell, pair := range e.Cells {
+		pair.Recent = Versus{}
+		for _, half := range []map[Cell]*Versus{e.current, e.previous} {
+			if v := half[cell]; v != nil {
+				pair.Recent.merge(v)
+			}
+		}
+	}
+}
+
+func (e *Evidence) latest(c Cell) *Versus {
+	if e.current == nil {
+		e.current = map[Cell]*Versus{}
+	}
+	if e.current[c] == nil {
+		e.current[c] = &Versus{}
+	}
+	return e.current[c]
+}
+
+// Merge adds the evidence of another host on the same exposure.
+func (e *Evidence) Merge(other *Evidence) {
+	for cell, theirs := range other.Cells {
+		mine := e.pair(cell)
+		mine.Old.Merge(&theirs.Old)
+		mine.Step.merge(&theirs.Step)
+		mine.Recent.merge(&theirs.Recent)
+	}
+	if e.Began.IsZero() || other.Began.Before(e.Began) {
+		e.Began = other.Began
+	}
+}
+
+func (e *Evidence) rotate(now time.Time) {
+	if now.Sub(e.rotated) < recentWindow {
+		return
+	}
+	e.previous = e.current
+	if now.Sub(e.rotated) >= 2*recentWindow {
+		e.previous = nil
+	}
+	e.current = nil
+	e.rotated = now
+}
+
+func (e *Evidence) pair(c Cell) *Pair {
+	if e.Cells == nil {
+		e.Cells = map[Cell]*Pair{}
+	}
+	if e.Cells[c] == nil {
+		e.Cells[c] = &Pair{}
+	}
+	return e.Cells[c]
+}
--- a/cmd/dotterel-load/command.go
+++ b/cmd/dotterel-load/command.go
@@ -76,6 +76,7 @@
 	set.IntVar(&f.sends, "sends", 0, "most sends of one request in turn; 0 for the default")
 	set.DurationVar(&f.firstToken, "first-token", 0, "target for the first token; 0 for 740 ms")
 	set.BoolVar(&f.json, "json", false, "write only the JSON line")
+	command.AddCommand(newCost(), newFit())
 	return command
 }
 
@@ -92,6 +93,9 @@
 	arrivals := loader.Plan(settings)
 	log.Info().Str("profile", f.profile).Uint64("seed", f.seed).Int("arrivals", len(arrivals)).Msg("load-starts")
 	results := runner.Run(command.Context(), arrivals)
+	if runner.Report != nil {
+		fmt.Fprintln(os.Stderr)
+	}
 	report := loader.NewReport(results, loader.Targets{FirstToken: f.firstToken}, time.Since(settings.Start))
 	if err := f.audit(&report, results); err != nil {
 		return err
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -50,6 +50,7 @@
 func (e *Entry) complete(ctx context.Context, r *run, g grant, id string) attemptResult {
 	c := newCall(g.endpoint.Address, "/v1/completions", e.settings.Timeouts)
 	defer c.close()
+	c.mayStart = func() bool { return r.session.mayStart(r) }
 	c.request.Header.Set(headerKey, r.request.Key.String())
 	c.request.Header.Set(headerRoute, string(r.request.Route))
 	c.request.Header.Set(headerOrganisation, string(r.request.Key.Organisation))
@@ -67,16 +68,20 @@
 	return e.stream(ctx, r, c)
 }
 
-// resume reads the rest of a run that an engine still holds.
-func (e *Entry) resume(ctx context.Context, r *run, g grant, id string) attemptResult {
+// resume reads the rest of a run that an engine still holds, and returns the answer's status, 0 for none.
+func (e *Entry) resume(ctx context.Context, r *run, g grant, id string) (attemptResult, int) {
 	c := newCall(g.endpoint.Address, "/v1/resume", e.settings.Timeouts)
 	defer c.close()
 	body, err := json.Marshal(wireResume{RequestID: id, From: r.output.length()})
 	if err != nil {
-		return attemptBroken{err: err}
+		return attemptBroken{err: err}, 0
 	}
 	c.request.SetBody(body)
-	return e.stream(ctx, r, c)
+	result := e.stream(ctx, r, c)
+	if _, answered := result.(attemptFailed); !answered {
+		return result, 0
+	}
+	return result, c.response.StatusCode()
 }
 
 // cancelRun tells an engine that nobody waits for the run.
@@ -121,7 +126,7 @@
 // unanswered judges a call that got no answer's head.
 func unanswered(ctx context.Context, c *call, err error) attemptResult {
 	if !c.sent.Load() {
-		return attemptNotStarted{reason: "connect"}
+		return attemptNotStarted{reason: notConnected}
 	}
 	if ctx.Err() != nil {
 		return attemptCancelled{}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,14 +13,19 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/drainer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
 const (
 	sweepEvery    = time.Second
+	pruneEvery    = time.Minute
 	drainEvery    = 50 * time.Millisecond
 	shutdownLimit = 2 * time.Second
 )
@@ -32,14 +37,19 @@
 	counters counter.Set
 
 	endpoints endpoints
+	followed  followed
 	queue     queue
 	runs      runs
+	claims    claims
+	isolation isolation
 
 	hosts    lister.Client
 	platform appender.Client
 	reports  fasthttp.Client
 	peerHTTP *http.Client
 
+	certificates certificates
+
 	callers   *fiber.App
 	operators *fiber.App
 	peers     *http.Server
@@ -60,12 +70,16 @@
 		log:      logger,
 		hosts:    lister.Client{Address: settings.HostListAddress},
 		platform: appender.Client{Address: settings.LogAddress},
-		peerHTTP: newPeerHTTP(settings.Timeouts.Dial),
 		drain:    make(chan struct{}),
 	}
+	e.certificates.callers = certifier.Certifier{Files: settings.CallerFiles, Protocols: []string{"http/1.1"}}
+	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2", "http/1.1"}}
+	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
 	e.queue.endpoints = &e.endpoints
+	e.queue.followed = &e.followed
 	e.queue.counters = &e.counters
 	e.queue.settings = settings
+	e.claims.entry = e
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
@@ -77,12 +91,16 @@
 
 // Start opens the listeners and begins to work.
 func (e *Entry) Start() error {
+	if err := e.loadCertificates(); err != nil {
+		return err
+	}
 	e.callers = e.callerApp()
 	e.operators = e.operatorApp()
-	if err := e.serveApp(e.callers, string(e.settings.CallerAddress)); err != nil {
+	e.claims.join()
+	if err := e.serveApp(e.callers, e.settings.CallerAddress, &e.certificates.callers); err != nil {
 		return err
 	}
-	if err := e.serveApp(e.operators, string(e.settings.OperatorAddress)); err != nil {
+	if err := e.serveApp(e.operators, e.settings.OperatorAddress, &certifier.Certifier{}); err != nil {
 		return err
 	}
 	if err := e.servePeers(); err != nil {
@@ -90,18 +108,25 @@
 	}
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
-	e.wait.Go(func() { e.every(queueEvery, func() { e.queue.tick(time.Now()) }) })
+	e.wait.Go(func() { e.every(queueEvery, e.queue.dispatch) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollCaches) })
+	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
+	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
+	e.wait.Go(func() { e.every(assessEvery, e.assess) })
+	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
+	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
+	e.wait.Go(func() { e.every(pruneEvery, e.isolation.prune) })
 	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
 }
 
-func (e *Entry) serveApp(app *fiber.App, address string) error {
-	listener, err := net.Listen("tcp", address)
+func (e *Entry) serveApp(app *fiber.App, address dotterelpulley.Address, c *certifier.Certifier) error {
+	plain, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", address, err)
 	}
+	listener := secure(plain, c)
 	e.wait.Go(func() {
 		if err := app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			e.log.Error().Str("event", "listener-ended").Err(err).Msg("")
@@ -115,32 +140,31 @@
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", e.settings.PeerAddress, err)
 	}
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
+	mux.HandleFunc("GET /v1/records", e.handleRecords)
+	mux.HandleFunc("POST /v1/bad-versions", e.handleBad)
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
 	e.peers = &http.Server{
 		Handler:           mux,
-		Protocols:         &protocols,
+		Protocols:         peerListenerProtocols(),
 		ReadHeaderTimeout: callerReadTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: peerPingAfter,
-			PingTimeout:     peerPingTimeout,
-		},
+		HTTP2:             peerPings(),
 	}
-	e.wait.Go(func() { _ = e.peers.Serve(listener) })
+	e.wait.Go(func() { _ = e.peers.Serve(secure(listener, &e.certificates.peers)) })
 	return nil
 }
 
 // ready reports whether callers may be sent here.
 func (e *Entry) ready() bool {
-	return e.listed.Load() && !e.draining.Load()
+	return e.listed.Load() && e.followed.ready() && e.claims.session().ready() && !e.draining.Load()
 }
 
 // beginDrain makes the host take nothing new.
 func (e *Entry) beginDrain() {
 	if e.draining.CompareAndSwap(false, true) {
 		close(e.drain)
+		e.claims.session().step(claimer.DrainBegun{})
 		e.log.Info().Str("event", "draining").Msg("")
 	}
 }
@@ -150,20 +174,28 @@
 	return e.drain
 }
 
-// Drain takes nothing new and waits until what runs has ended, ctx ends or the limit has passed.
+// Drain takes nothing new, waits until what runs has ended, and signs off; it returns early when ctx ends, as it does
+// at a second signal, or when the limit has passed.
 func (e *Entry) Drain(ctx context.Context) {
 	e.beginDrain()
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeouts.Drain)
-	defer cancel()
+	d := drainer.Drainer{Limit: e.settings.Timeouts.Drain, SignOffLimit: signOffLimit}
+	d.Signal(time.Now())
 	tick := time.NewTicker(drainEvery)
 	defer tick.Stop()
-	for e.runs.live() > 0 {
+	signingOff := false
+	for d.Phase() != drainer.Closing {
 		select {
 		case <-tick.C:
+			d.Tick(time.Now(), e.runs.live(), e.claims.signedOff())
 		case <-ctx.Done():
-			return
+			d.Signal(time.Now())
+		}
+		if d.Phase() == drainer.SigningOff && !signingOff {
+			signingOff = true
+			e.claims.session().step(claimer.SignOff{})
 		}
 	}
+	e.log.Info().Str("event", "drained").Int("live-requests", e.runs.live()).Bool("signed-off", e.claims.signedOff()).Msg("")
 }
 
 // Close ends the process's work and waits for it.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -34,7 +34,7 @@
 	}
 	for service := range q.kinds {
 		q.usePart(service, byService[service])
-		q.dispatch(now, service)
+		q.run(now, service)
 	}
 }
 
@@ -82,6 +82,14 @@
 	return place
 }
 
+// slots returns how many requests an endpoint with the report takes at once.
+func (q *queue) slots(r report) int {
+	if r.slots > 0 {
+		return r.slots
+	}
+	return q.settings.Limits.Slots
+}
+
 // used returns the endpoints whose reports this host reads.
 func (q *queue) used() []known {
 	q.mu.Lock()
@@ -100,19 +108,8 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	slots := r.slots
-	if slots == 0 {
-		slots = q.settings.Limits.Slots
-	}
-	q.limiter.Slots(before.ID, slots)
+	q.limiter.Slots(before.ID, q.slots(r))
 	q.picker.SetLimit(before.ID, q.limiter.Limit(before.ID))
 	q.picker.Report(now, before.ID, picker.Report{Running: r.running, Waiting: r.waiting, MeasuredAt: r.measured})
-	q.dispatch(now, before.Service)
-}
-
-// SetShares divides the service's new requests among its versions.
-func (e *Entry) SetShares(service dotterelpulley.ServiceID, shares []dotterelpulley.Share) {
-	e.queue.mu.Lock()
-	defer e.queue.mu.Unlock()
-	e.queue.picker.SetShares(service, shares)
+	q.run(now, before.Service)
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/admitter"
 	"github.com/dotterelpulley/dotterelpulley/counter"
@@ -25,14 +27,17 @@
 type grant struct {
 	endpoint known
 	version  dotterelpulley.VersionID
-	// begun says that the answer's first chunk has come.
-	begun   func()
-	release func(attemptResult, pace)
+	// load is the part of the endpoint's slots that was taken.
+	load float64
+	// follow has the endpoint learned about from the output that the grant leads to.
+	follow  func(*output)
+	release func(attemptResult)
 }
 
 // queue joins the admitter, the picker and the limiter: it says which request goes where and when.
 type queue struct {
 	endpoints *endpoints
+	followed  *followed
 	settings  Settings
 	counters  *counter.Set
 
@@ -55,8 +60,10 @@
 
 // waiter is a request that waits for its grant or its refusal.
 type waiter struct {
-	id       admitter.ID
-	request  dotterelpulley.Request
+	id      admitter.ID
+	request dotterelpulley.Request
+	// chosen is the version that the request's place in the count gave it.
+	chosen   dotterelpulley.VersionID
 	avoid    map[dotterelpulley.EndpointID]bool
 	prefixes []picker.PrefixHash
 	granted  chan grant
@@ -89,7 +96,7 @@
 	case refusal := <-w.refused:
 		return grant{}, refusal
 	case g := <-w.granted:
-		g.release(attemptCancelled{}, pace{})
+		g.release(attemptCancelled{})
 	}
 	return grant{}, waitEnded(ctx)
 }
@@ -124,7 +131,7 @@
 		Cost:         q.cost(w.request),
 		Deadline:     w.request.Deadline,
 	}))
-	q.dispatch(now, service)
+	q.run(now, service)
 	return nil
 }
 
@@ -133,11 +140,14 @@
 		return
 	}
 	q.waiters = map[admitter.ID]*waiter{}
-	seed := score(q.settings.Host, dotterelpulley.Key{})
+	seed := xxhash.Sum64String(string(q.settings.Host))
 	q.admitter.Seed = seed
 	q.admitter.MaxWaiting = q.settings.Limits.Waiting
 	q.picker.Seed = seed
 	q.picker.Zone = q.settings.Zone
+	q.admitter.Weight = func(id dotterelpulley.OrganisationID) int {
+		return q.followed.organisation(id).Weight
+	}
 }
 
 // cost returns the expected work of a request; a call of a plain service counts as one.
@@ -170,20 +180,21 @@
 	return q.admitter.Remove(w.id)
 }
 
-// tick gives up what can't be in time and grants what can run, for all services.
-func (q *queue) tick(now time.Time) {
+// dispatch gives up what can't be in time and grants what can run, for all services.
+func (q *queue) dispatch() {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.init()
 	q.refuse(q.admitter.Expire(now))
 	for service := range q.kinds {
 		q.admitter.SetCapacity(service, q.picker.Slots(now, service)/float64(max(q.sharers[service], 1)))
-		q.dispatch(now, service)
+		q.run(now, service)
 	}
 }
 
-// dispatch grants the waiting requests of the service that endpoints have room for.
-func (q *queue) dispatch(now time.Time, service dotterelpulley.ServiceID) {
+// run grants the waiting requests of the service that endpoints have room for.
+func (q *queue) run(now time.Time, service dotterelpulley.ServiceID) {
 	for {
 		var choice picker.Choice
 		next, ok := q.admitter.Next(now, service, func(offered admitter.Waiting) bool {
@@ -199,25 +210,44 @@
 }
 
 func (q *queue) choose(now time.Time, w *waiter) (picker.Choice, picker.Verdict) {
-	return q.picker.Choose(now, picker.Ask{
-		Route:        routeOf(w.request),
-		Conversation: w.request.Conversation,
-		PromptBytes:  len(w.request.Prompt),
-		MaxTokens:    w.request.MaxTokens,
-		Prefixes:     w.prefixes,
-		Reserve:      q.admitter.Reserve(now, w.request.Service, w.request.Tier),
-		Except:       w.avoid,
-	})
+	ask := picker.Ask{
+		Route:       routeOf(w.request),
+		Version:     q.version(now, w),
+		PromptBytes: len(w.request.Prompt),
+		MaxTokens:   w.request.MaxTokens,
+		Prefixes:    w.prefixes,
+		Reserve:     q.admitter.Reserve(now, w.request.Service, w.request.Tier),
+		Except:      w.avoid,
+	}
+	if ask.Version == "" {
+		ask.Barred = q.followed.barred(w.request.Service)
+	}
+	return q.picker.Choose(now, ask)
+}
+
+// version returns the waiter's version, or "" for any when no endpoint has the one in force.
+func (q *queue) version(now time.Time, w *waiter) dotterelpulley.VersionID {
+	service := w.request.Service
+	w.chosen = q.followed.version(w.request, w.chosen, now)
+	if q.picker.Serves(now, service, w.chosen) {
+		return w.chosen
+	}
+	if version := q.followed.fallback(service, now); q.picker.Serves(now, service, version) {
+		return version
+	}
+	return ""
 }
 
 func (q *queue) grant(now time.Time, w *waiter, choice picker.Choice) {
 	delete(q.waiters, w.id)
 	q.picker.Sent(now, choice)
 	sent := &sending{queue: q, waiter: w, choice: choice, at: now}
+	k := q.known[choice.Endpoint]
 	w.granted <- grant{
-		endpoint: q.known[choice.Endpoint],
+		endpoint: k,
 		version:  choice.Version,
-		begun:    sent.begun,
+		load:     choice.Inflight / float64(q.slots(k.report)),
+		follow:   sent.follow,
 		release:  sent.release,
 	}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
 )
 
@@ -21,6 +23,11 @@
 	HostListAddress dotterelpulley.Address
 	Limits          Limits
 	Timeouts        Timeouts
+	Claims          claimer.Settings
+	// CallerFiles is the certificate shown to callers, who speak in clear text if none is given.
+	CallerFiles certifier.Files
+	// PeerFiles is the certificate shown to and asked of other entry hosts.
+	PeerFiles certifier.Files
 }
 
 // Limits bounds what callers may send and what the host keeps.
@@ -51,6 +58,8 @@
 	// HostListEvery and LoadEvery are the polling intervals.
 	HostListEvery time.Duration
 	LoadEvery     time.Duration
+	// CertificatesEvery is the interval at which certificate files are read again.
+	CertificatesEvery time.Duration
 }
 
 // DefaultSettings returns the settings of a file that states only what has no default.
@@ -63,16 +72,18 @@
 			Slots:       8,
 		},
 		Timeouts: Timeouts{
-			Dial:          time.Second,
-			FirstByte:     30 * time.Second,
-			Idle:          3 * time.Second,
-			Abandon:       5 * time.Second,
-			Linger:        time.Minute,
-			Drain:         2 * time.Minute,
-			KeepEntries:   10 * time.Second,
-			HostListEvery: time.Second,
-			LoadEvery:     time.Second,
+			Dial:              time.Second,
+			FirstByte:         30 * time.Second,
+			Idle:              3 * time.Second,
+			Abandon:           5 * time.Second,
+			Linger:            time.Minute,
+			Drain:             2 * time.Minute,
+			KeepEntries:       10 * time.Second,
+			HostListEvery:     time.Second,
+			LoadEvery:         time.Second,
+			CertificatesEvery: time.Minute,
 		},
+		Claims: claimer.Settings{}.WithDefaults(),
 	}
 }
 
@@ -106,6 +117,14 @@
 			faults = append(faults, fmt.Errorf("%s: %q is not an IP address with a port", a.key, a.address))
 		}
 	}
+	for _, f := range s.files() {
+		if err := f.files.Check(); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", f.key, err))
+		}
+	}
+	if s.PeerFiles.Given() && s.PeerFiles.Authority == "" {
+		faults = append(faults, errors.New("peer-tls.authority: must be given"))
+	}
 	for _, n := range s.counts() {
 		if n.value <= 0 {
 			faults = append(faults, fmt.Errorf("%s: %d is not above 0", n.key, n.value))
@@ -134,6 +153,18 @@
 	}
 }
 
+type keyedFiles struct {
+	key   string
+	files certifier.Files
+}
+
+func (s Settings) files() []keyedFiles {
+	return []keyedFiles{
+		{"caller-tls", s.CallerFiles},
+		{"peer-tls", s.PeerFiles},
+	}
+}
+
 type keyedCount struct {
 	key   string
 	value int
@@ -165,5 +196,13 @@
 		{"timeouts.keep-entries", t.KeepEntries},
 		{"timeouts.host-list-every", t.HostListEvery},
 		{"timeouts.load-every", t.LoadEvery},
+		{"timeouts.certificates-every", t.CertificatesEvery},
+		{"claims.lease", s.Claims.Lease},
+		{"claims.key-lifetime", s.Claims.KeyLifetime},
+		{"claims.clock-error", s.Claims.ClockError},
+		{"claims.group-interval", s.Claims.GroupInterval},
+		{"claims.patience-plans", s.Claims.Patience[dotterelpulley.KindPlan]},
+		{"claims.patience-notices", s.Claims.Patience[dotterelpulley.KindNotice]},
+		{"claims.patience-bookings", s.Claims.Patience[dotterelpulley.KindBooking]},
 	}
 }
--- a/mover/settings.go
+++ b/mover/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/decoder"
 )
 
@@ -18,14 +19,14 @@
 	HostList dotterelpulley.Address
 	// Operators is where health, counters and status are served.
 	Operators dotterelpulley.Address
+	// PeerFiles is the certificate shown to and asked of entry hosts.
+	PeerFiles certifier.Files
 	// Lease is how long the active mover may go without the log.
 	Lease time.Duration
 	// OrderTimeout bounds one order to an endpoint.
 	OrderTimeout time.Duration
 	// LoadsAtOnce bounds the endpoints that load at the same time.
 	LoadsAtOnce int
-	// LoadTime is the first estimate of how long an endpoint takes to load a version.
-	LoadTime time.Duration
 	// Retention is how long the log keeps a record.
 	Retention time.Duration
 }
@@ -35,21 +36,26 @@
 	DefaultLease        = 5 * time.Second
 	DefaultOrderTimeout = time.Second
 	DefaultLoadsAtOnce  = 4
-	DefaultLoadTime     = 30 * time.Second
 	DefaultRetention    = 24 * time.Hour
 )
 
 type wireSettings struct {
-	Host         string `toml:"host"`
-	Zone         string `toml:"zone"`
-	Log          string `toml:"log-address"`
-	HostList     string `toml:"host-list-address"`
-	Operators    string `toml:"operator-address"`
-	Lease        string `toml:"lease"`
-	OrderTimeout string `toml:"order-timeout"`
-	LoadsAtOnce  *int   `toml:"loads-at-once"`
-	LoadTime     string `toml:"load-time"`
-	Retention    string `toml:"log-retention"`
+	Host         string    `toml:"host"`
+	Zone         string    `toml:"zone"`
+	Log          string    `toml:"log-address"`
+	HostList     string    `toml:"host-list-address"`
+	Operators    string    `toml:"operator-address"`
+	PeerTLS      wireFiles `toml:"peer-tls"`
+	Lease        string    `toml:"lease"`
+	OrderTimeout string    `toml:"order-timeout"`
+	LoadsAtOnce  *int      `toml:"loads-at-once"`
+	Retention    string    `toml:"log-retention"`
+}
+
+type wireFiles struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
 }
 
 // ParseSettings decodes and checks a mover's settings file; name stands for it in errors.
@@ -65,10 +71,10 @@
 		Log:          c.address("log-address", w.Log),
 		HostList:     c.address("host-list-address", w.HostList),
 		Operators:    c.address("operator-address", w.Operators),
+		PeerFiles:    certifier.Files{Certificate: w.PeerTLS.Certificate, Key: w.PeerTLS.Key, Authority: w.PeerTLS.Authority},
 		Lease:        c.duration("lease", w.Lease, DefaultLease),
 		OrderTimeout: c.duration("order-timeout", w.OrderTimeout, DefaultOrderTimeout),
 		LoadsAtOnce:  DefaultLoadsAtOnce,
-		LoadTime:     c.duration("load-time", w.LoadTime, DefaultLoadTime),
 		Retention:    c.duration("log-retention", w.Retention, DefaultRetention),
 	}
 	if w.LoadsAtOnce != nil {
@@ -77,6 +83,9 @@
 	if s.Host == "" {
 		c.add("host", "must not be empty")
 	}
+	if err := s.PeerFiles.Check(); err != nil {
+		c.add("peer-tls", err.Error())
+	}
 	if s.LoadsAtOnce < 1 {
 		c.add("loads-at-once", fmt.Sprintf("%d is below 1", s.LoadsAtOnce))
 	}
--- a/picker/choose.go
+++ b/picker/choose.go
@@ -24,10 +24,12 @@
 // Ask is what has to be known of a request to choose its endpoint.
 type Ask struct {
 	Route
-	Conversation string
-	PromptBytes  int
-	MaxTokens    dotterelpulley.Tokens
-	Prefixes     []PrefixHash
+	// Version is the one to run on; empty for any that isn't barred.
+	Version     dotterelpulley.VersionID
+	Barred      []dotterelpulley.VersionID
+	PromptBytes int
+	MaxTokens   dotterelpulley.Tokens
+	Prefixes    []PrefixHash
 	// Reserve is the share of each limit that the request's tier leaves free.
 	Reserve float64
 	// Except names the endpoints that an attempt has already failed on.
@@ -37,10 +39,9 @@
 // Choice is the endpoint and version that a request goes to.
 type Choice struct {
 	Route
-	Endpoint     dotterelpulley.EndpointID
-	Address      dotterelpulley.Address
-	Version      dotterelpulley.VersionID
-	Conversation string
+	Endpoint dotterelpulley.EndpointID
+	Address  dotterelpulley.Address
+	Version  dotterelpulley.VersionID
 	// Inflight is the load that the endpoint was taken to have before the request.
 	Inflight float64
 	// Prefill is the expected number of prompt tokens that are not cached.
@@ -94,15 +95,14 @@
 func (p *Picker) Choose(now time.Time, ask Ask) (Choice, Verdict) {
 	s := p.pool(ask.Service)
 	s.refresh(p.endpoints)
-	version := s.shares.version(ask.Conversation)
 	var found candidates
-	p.addHolders(now, s, &ask, version, &found)
-	verdict := p.addRandom(now, s, &ask, version, &found)
+	p.addHolders(now, s, &ask, &found)
+	verdict := p.addRandom(now, s, &ask, &found)
 	if found.count == 0 {
 		return Choice{}, verdict
 	}
 	best := p.best(s, &ask, &found)
-	return p.choice(&ask, version, best), Chosen
+	return p.choice(&ask, best), Chosen
 }
 
 func (s *pool) refresh(endpoints []*endpoint) {
@@ -117,9 +117,12 @@
 }
 
 // consider returns the endpoint as a candidate if it may take the request.
-func (p *Picker) consider(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, place int32) (candidate, Verdict) {
+func (p *Picker) consider(now time.Time, s *pool, ask *Ask, place int32) (candidate, Verdict) {
 	e := p.endpoints[place]
-	if !e.usable(now, version) || ask.Except[e.ID] || e.Service != ask.Service {
+	if !e.usable(now) || ask.Except[e.ID] || e.Service != ask.Service {
+		return candidate{}, NoEndpoint
+	}
+	if _, ok := e.version(ask); !ok {
 		return candidate{}, NoEndpoint
 	}
 	load := e.load(now, s.peers)
@@ -131,7 +134,7 @@
 }
 
 // addHolders adds endpoints that may have a prefix of the prompt cached, the longest first.
-func (p *Picker) addHolders(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) {
+func (p *Picker) addHolders(now time.Time, s *pool, ask *Ask, found *candidates) {
 	for place := len(ask.Prefixes) - 1; place >= 0; place-- {
 		h := p.prefixes.get(ask.Prefixes[place])
 		if h == nil {
@@ -141,7 +144,7 @@
 			if found.has(known.endpoint) || found.count >= maxCandidates/2 {
 				continue
 			}
-			one, verdict := p.consider(now, s, ask, version, known.endpoint)
+			one, verdict := p.consider(now, s, ask, known.endpoint)
 			if verdict != Chosen || p.overfull(s, one) {
 				continue
 			}
@@ -156,7 +159,7 @@
 }
 
 // addRandom adds random endpoints, the more likely the higher their limits, and all there are when draws miss.
-func (p *Picker) addRandom(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) Verdict {
+func (p *Picker) addRandom(now time.Time, s *pool, ask *Ask, found *candidates) Verdict {
 	if len(s.members) == 0 {
 		return NoEndpoint
 	}
@@ -172,7 +175,7 @@
 		if p.random.Float64() >= accept || found.has(place) {
 			continue
 		}
-		one, verdict := p.consider(now, s, ask, version, place)
+		one, verdict := p.consider(now, s, ask, place)
 		if verdict != Chosen {
 			continue
 		}
@@ -185,16 +188,16 @@
 	if found.count > 0 {
 		return Chosen
 	}
-	return p.addFirst(now, s, ask, version, found)
+	return p.addFirst(now, s, ask, found)
 }
 
 // addFirst looks at every endpoint from a random one on and adds the first that fits.
-func (p *Picker) addFirst(now time.Time, s *pool, ask *Ask, version dotterelpulley.VersionID, found *candidates) Verdict {
+func (p *Picker) addFirst(now time.Time, s *pool, ask *Ask, found *candidates) Verdict {
 	verdict := NoEndpoint
 	start := p.random.IntN(len(s.members))
 	for i := range s.members {
 		place := s.members[(start+i)%len(s.members)]
-		one, v := p.consider(now, s, ask, version, place)
+		one, v := p.consider(now, s, ask, place)
 		switch v {
 		case Chosen:
 			found.add(one)
@@ -235,20 +238,17 @@
 	return math.Max(PromptTokens(ask.PromptBytes)-one.cached, 1)
 }
 
-func (p *Picker) choice(ask *Ask, version dotterelpulley.VersionID, one candidate) Choice {
+func (p *Picker) choice(ask *Ask, one candidate) Choice {
 	e := p.endpoints[one.place]
-	if version == "" && len(e.Versions) > 0 {
-		version = e.Versions[0]
-	}
+	version, _ := e.version(ask)
 	return Choice{
-		Route:        ask.Route,
-		Endpoint:     e.ID,
-		Address:      e.Address,
-		Version:      version,
-		Conversation: ask.Conversation,
-		Inflight:     one.load,
-		Prefill:      p.uncached(ask, one),
-		prefixes:     ask.Prefixes,
-		ahead:        e.ownPrefill * float64(p.pool(ask.Service).peers),
+		Route:    ask.Route,
+		Endpoint: e.ID,
+		Address:  e.Address,
+		Version:  version,
+		Inflight: one.load,
+		Prefill:  p.uncached(ask, one),
+		prefixes: ask.Prefixes,
+		ahead:    e.ownPrefill * float64(p.pool(ask.Service).peers),
 	}
 }
--- a/picker/endpoint.go
+++ b/picker/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -170,12 +171,25 @@
 	}
 }
 
-// usable reports whether the endpoint may get new work of the version at all.
-func (e *endpoint) usable(now time.Time, version dotterelpulley.VersionID) bool {
-	if e.left || e.State == dotterelpulley.EndpointLeaving || now.Before(e.suspect) {
-		return false
+// usable reports whether the endpoint may get new work at all.
+func (e *endpoint) usable(now time.Time) bool {
+	return !e.left && e.State != dotterelpulley.EndpointLeaving && !now.Before(e.suspect)
+}
+
+// version returns the version that the request would run on, "" at an endpoint without versions.
+func (e *endpoint) version(ask *Ask) (dotterelpulley.VersionID, bool) {
+	if ask.Version != "" {
+		return ask.Version, e.Serves(ask.Version)
+	}
+	if len(e.Versions) == 0 {
+		return "", true
+	}
+	for _, v := range e.Versions {
+		if !slices.Contains(ask.Barred, v) {
+			return v, true
+		}
 	}
-	return version == "" || e.Serves(version)
+	return "", false
 }
 
 // room reports whether one more request fits beside the load when the reserve stays free.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -39,7 +39,6 @@
 // pool is the endpoints of one service.
 type pool struct {
 	members []int32
-	shares  shares
 	// peers is how many entry hosts use an endpoint of the service, this one included.
 	peers int
 	// largest is the highest limit of a member, at least 1.
@@ -148,9 +147,14 @@
 	p.pool(id).peers = max(hosts, 1)
 }
 
-// SetShares tells which fractions of the service's requests its versions get.
-func (p *Picker) SetShares(id dotterelpulley.ServiceID, want []dotterelpulley.Share) {
-	p.pool(id).shares.set(want)
+// Serves reports whether an endpoint of the service that may get new work has the version.
+func (p *Picker) Serves(now time.Time, id dotterelpulley.ServiceID, version dotterelpulley.VersionID) bool {
+	for _, place := range p.pool(id).members {
+		if e := p.endpoints[place]; e.usable(now) && e.Serves(version) {
+			return true
+		}
+	}
+	return false
 }
 
 // Report takes an endpoint's load report.
@@ -187,7 +191,7 @@
 func (p *Picker) Slots(now time.Time, id dotterelpulley.ServiceID) float64 {
 	total := 0.0
 	for _, place := range p.pool(id).members {
-		if e := p.endpoints[place]; e.usable(now, "") {
+		if e := p.endpoints[place]; e.usable(now) {
 			total += e.limit
 		}
 	}
--- a/picker/run.go
+++ b/picker/run.go
@@ -32,7 +32,6 @@
 
 // Sent records that a request goes to its choice.
 func (p *Picker) Sent(now time.Time, c Choice) {
-	p.pool(c.Service).shares.count(c.Version, c.Conversation)
 	e := p.endpoint(c.Endpoint)
 	if e == nil {
 		return
