--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,8 +22,11 @@
 // attemptWhole says that the answer came whole.
 type attemptWhole struct{}
 
-// notAdmitted is the reason of an attempt that its endpoint refused.
-const notAdmitted = "not-admitted"
+// Reasons of an attempt that its endpoint refused, or that found no connection.
+const (
+	notAdmitted  = "not-admitted"
+	notConnected = "connect"
+)
 
 // attemptNotStarted says that the endpoint provably started nothing.
 type attemptNotStarted struct{ reason string }
--- a/entry/followed.go
+++ b/entry/followed.go
@@ -85,7 +85,7 @@
 		e.tellChange(change)
 	}
 	if len(changes) > 0 {
-		e.queue.tick(time.Now())
+		e.queue.dispatch()
 	}
 }
 
--- a/entry/output.go
+++ b/entry/output.go
@@ -18,28 +18,13 @@
 type output struct {
 	mu      sync.Mutex
 	chunks  []string
+	first   time.Time
+	last    time.Time
 	whole   *end
 	refusal *dotterelpulley.Refusal
 	changed chan struct{}
-
-	// begun is called once, when the next chunk comes.
+	// begun is called once, when the first chunk comes.
 	begun func()
-	pace  pace
-}
-
-// pace is how an output's chunks came.
-type pace struct {
-	chunks int
-	first  time.Time
-	last   time.Time
-}
-
-// between returns the mean gap between chunks.
-func (p pace) between() time.Duration {
-	if p.chunks < 2 {
-		return 0
-	}
-	return p.last.Sub(p.first) / time.Duration(p.chunks-1)
 }
 
 func newOutput() *output {
@@ -53,36 +38,34 @@
 	if o.ended() || index != len(o.chunks) {
 		return false
 	}
+	o.last = time.Now()
+	if index == 0 {
+		o.first = o.last
+		o.begin()
+	}
 	o.chunks = append(o.chunks, text)
-	o.note(time.Now())
 	o.wake()
 	return true
 }
 
-func (o *output) note(now time.Time) {
-	if o.pace.chunks == 0 {
-		o.pace.first = now
-	}
-	o.pace.chunks++
-	o.pace.last = now
+func (o *output) begin() {
 	if o.begun != nil {
 		o.begun()
-		o.begun = nil
 	}
 }
 
-// onBegin has do called when the next chunk comes; do must not use the output.
+// onBegin has do called when the first chunk comes; do must not use the output.
 func (o *output) onBegin(do func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.begun = do
 }
 
-// paceSoFar returns how the chunks have come.
-func (o *output) paceSoFar() pace {
+// times returns when the first and the newest chunk came, and how many have.
+func (o *output) times() (first, last time.Time, chunks int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pace
+	return o.first, o.last, len(o.chunks)
 }
 
 // finish marks the answer whole.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -21,7 +21,6 @@
 	q.sharers = map[dotterelpulley.ServiceID]int{}
 	before := q.kinds
 	q.kinds = map[dotterelpulley.ServiceID]lister.HostKind{}
-	q.served = map[served]bool{}
 	byService := map[dotterelpulley.ServiceID][]dotterelpulley.Endpoint{}
 	for _, k := range all {
 		q.kinds[k.Service] = k.kind
@@ -35,7 +34,7 @@
 	}
 	for service := range q.kinds {
 		q.usePart(service, byService[service])
-		q.dispatch(now, service)
+		q.run(now, service)
 	}
 }
 
@@ -55,11 +54,9 @@
 	}
 	q.sharers[service] = q.sharing(len(part), len(all))
 	q.picker.SetPeers(service, q.sharers[service])
-	part = slices.DeleteFunc(slices.Clone(part), func(e dotterelpulley.Endpoint) bool {
+	q.picker.SetEndpoints(service, slices.DeleteFunc(slices.Clone(part), func(e dotterelpulley.Endpoint) bool {
 		return q.kinds[service] == lister.KindEngine && len(e.Versions) == 0
-	})
-	q.picker.SetEndpoints(service, part)
-	q.noteServed(service, part)
+	}))
 }
 
 // sharing returns how many hosts use an endpoint when each uses a part of all.
@@ -85,6 +82,14 @@
 	return place
 }
 
+// slots returns how many requests an endpoint with the report takes at once.
+func (q *queue) slots(r report) int {
+	if r.slots > 0 {
+		return r.slots
+	}
+	return q.settings.Limits.Slots
+}
+
 // used returns the endpoints whose reports this host reads.
 func (q *queue) used() []known {
 	q.mu.Lock()
@@ -106,16 +111,5 @@
 	q.limiter.Slots(before.ID, q.slots(r))
 	q.picker.SetLimit(before.ID, q.limiter.Limit(before.ID))
 	q.picker.Report(now, before.ID, picker.Report{Running: r.running, Waiting: r.waiting, MeasuredAt: r.measured})
-	q.dispatch(now, before.Service)
-}
-
-func (q *queue) noteServed(service dotterelpulley.ServiceID, part []dotterelpulley.Endpoint) {
-	for _, e := range part {
-		if e.State != dotterelpulley.EndpointLive {
-			continue
-		}
-		for _, v := range e.Versions {
-			q.served[served{service, v}] = true
-		}
-	}
+	q.run(now, before.Service)
 }
--- a/entry/sending.go
+++ b/entry/sending.go
@@ -19,9 +19,40 @@
 	at     time.Time
 
 	once    sync.Once
+	output  *output
 	started bool
 }
 
+// pace is how the chunks of an answer came.
+type pace struct {
+	chunks int
+	first  time.Time
+	last   time.Time
+}
+
+// between returns the mean gap between chunks.
+func (p pace) between() time.Duration {
+	if p.chunks < 2 {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.chunks-1)
+}
+
+// follow learns from the output, which no attempt has written to yet.
+func (s *sending) follow(o *output) {
+	s.output = o
+	o.onBegin(s.begun)
+}
+
+// pace returns how the chunks came; the queue's lock must not be held, since begun takes it under the output's.
+func (s *sending) pace() pace {
+	var p pace
+	if s.output != nil {
+		p.first, p.last, p.chunks = s.output.times()
+	}
+	return p
+}
+
 func (s *sending) begun() {
 	q := s.queue
 	q.mu.Lock()
@@ -31,8 +62,8 @@
 }
 
 // release ends the sending; only the first call counts.
-func (s *sending) release(result attemptResult, p pace) {
-	s.once.Do(func() { s.end(time.Now(), result, p) })
+func (s *sending) release(result attemptResult) {
+	s.once.Do(func() { s.end(time.Now(), result, s.pace()) })
 }
 
 func (s *sending) end(now time.Time, result attemptResult, p pace) {
@@ -48,7 +79,7 @@
 	})
 	q.admitter.Finished(now, s.waiter.id, s.cost(p), endingOf(outcome))
 	s.limit(now, outcome, p)
-	q.dispatch(now, s.choice.Service)
+	q.run(now, s.choice.Service)
 }
 
 func (s *sending) plain() bool {
@@ -89,10 +120,13 @@
 	case attemptWhole:
 		return picker.RunWhole
 	case attemptNotStarted:
-		if result.reason == notAdmitted {
+		switch result.reason {
+		case notAdmitted:
 			return picker.RunNotAdmitted
+		case notConnected:
+			return picker.RunBroken
 		}
-		return picker.RunBroken
+		return picker.RunCancelled
 	case attemptBroken:
 		return picker.RunBroken
 	case attemptFailed, attemptCancelled:
