Trust the old version's past only while enough beside it shows no change

Change: the past counts only if 40 requests of the old version at the same time look like it; else the upper bound of what is beside counts.

--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -17,8 +17,6 @@
 	minRate = 0.02
 	// minSlow is the part of slow requests that any version may have.
 	minSlow = 0.1
-	// unknownRate is tolerated where the old version has not been seen enough.
-	unknownRate = 0.25
 	// minReference is how many requests of the old version make a reference.
 	minReference = 20
 	// slowTail is the part of the old version's requests that may be slower than the threshold.
@@ -29,8 +27,8 @@
 	minPerRoute = 12
 	// minOnRareRoute is how many requests of a step prove the rarest route.
 	minOnRareRoute = 3
-	// calm is the log ratio beneath which evidence is good enough to go on.
-	calm = 3
+	// calmPart is the part of the limit beneath which evidence is good enough to go on.
+	calmPart = 0.3
 )
 
 // Assessor judges evidence; the zero value uses the defaults.
@@ -100,10 +98,10 @@
 func (a Assessor) Assess(e *Evidence, now time.Time) Assessment {
 	groups := a.groups(e)
 	limits := a.limits(groups, now.Sub(e.Began))
-	worst, excess, highest := group{}, math.Inf(-1), math.Inf(-1)
+	worst, excess, calm := group{}, math.Inf(-1), true
 	for g, have := range groups {
 		l := have.logs.mean()
-		highest = max(highest, l)
+		calm = calm && l < calmPart*limits[g.scope]
 		over := l - limits[g.scope]
 		if over > excess || over == excess && less(g, worst) {
 			worst, excess = g, over
@@ -120,7 +118,7 @@
 		return result
 	}
 	missing := a.unproved(e)
-	result.Enough = len(missing) == 0 && result.Requests >= minPerRoute && highest < calm
+	result.Enough = len(missing) == 0 && result.Requests >= minPerRoute && calm
 	result.Reason = fmt.Sprintf("%d requests, %d failures", result.Requests, result.Failures)
 	if len(missing) > 0 {
 		result.Reason += fmt.Sprintf(", routes not proved: %q", missing)
--- a/assessor/histogram.go
+++ b/assessor/histogram.go
@@ -62,3 +62,8 @@
 		h[i] /= 2
 	}
 }
+
+// beyond returns how many of the latencies lie in buckets above the given one.
+func (h *Histogram) beyond(bucket int) hits {
+	return hits{h.above(bucket), h.total()}
+}
--- a/assessor/reference.go
+++ b/assessor/reference.go
@@ -50,28 +50,27 @@
 		return trials{}, false
 	}
 	limit := old.quantile(slowTail) + slowBuckets
-	control, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
-	slow := max(minSlow, upper(old.above(limit), old.total()), atLeast(control.above(limit), control.total()))
-	t := trials{requests: fresh.total(), hits: fresh.above(limit), tolerated: min(maxTolerated, slow)}
-	return t, t.requests > 0
+	beside, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
+	slow := tolerable(old.beyond(limit), beside.beyond(limit))
+	seen := fresh.beyond(limit)
+	return trials{requests: seen.of, hits: seen.count, tolerated: max(minSlow, slow)}, seen.of > 0
 }
 
-// failureRate returns the failures that are tolerated: what the old version may have had since the move
-// began, or had beside the new one, as when all endpoints are overloaded.
+// failureRate returns the failures that are tolerated in the cell.
 func (r *reference) failureRate(cell Cell, recent bool) float64 {
 	own, wide := r.cells[cell], r.wide[wideCell{cell.Generation, cell.Load}]
-	beside := 0.0
-	for _, p := range []*Pair{own, wide} {
-		control := &p.span(recent).Old
-		beside = max(beside, atLeast(control.Failures, control.Requests))
+	past, beside := wide.Old.failed(), wide.span(recent).Old.failed()
+	if own.Old.Requests >= minReference {
+		past = own.Old.failed()
 	}
-	before := unknownRate
-	for _, p := range []*Pair{wide, own} {
-		if p.Old.Requests >= minReference {
-			before = upper(p.Old.Failures, p.Old.Requests)
-		}
+	if own.span(recent).Old.Requests >= enoughBeside {
+		beside = own.span(recent).Old.failed()
 	}
-	return min(maxTolerated, max(minRate, before, beside))
+	return max(minRate, tolerable(past, beside))
+}
+
+func (t *Tally) failed() hits {
+	return hits{t.Failures, t.Requests}
 }
 
 func histogramOf(m measure, t *Tally) *Histogram {
--- a/assessor/sequential.go
+++ b/assessor/sequential.go
@@ -58,17 +58,46 @@
 	return top + math.Log(sum/float64(len(l)))
 }
 
-// upper returns an upper confidence bound of a rate that was hit so often in n.
-func upper(hits, n int) float64 {
-	const deviations = 2
-	p := (float64(hits) + 1) / (float64(n) + 2)
-	return min(1, p+deviations*math.Sqrt(p*(1-p)/(float64(n)+2)))
+// enoughBeside is how many requests of the old version beside the new one show whether things are as before.
+const enoughBeside = 40
+
+// maxUnknown bounds the rate that is tolerated for want of requests of the old version.
+const maxUnknown = 0.6
+
+// hits counts how often something happened in so many requests.
+type hits struct {
+	count int
+	of    int
+}
+
+// tolerable returns the rate that is tolerated of a new version, from the old version's past and from what it
+// had beside the new one. The past counts only while enough beside it shows that nothing has changed: an
+// overload hits both versions, but few requests of the old one may be there to show it.
+func tolerable(past, beside hits) float64 {
+	if beside.of < enoughBeside {
+		return min(maxUnknown, max(upper(beside), knownPast(past)))
+	}
+	if past.of < minReference || float64(beside.count) > 1+2*past.rate()*float64(beside.of) {
+		return min(maxTolerated, upper(beside))
+	}
+	return min(maxTolerated, upper(past))
 }
 
-// atLeast returns a rate that is not exceeded by chance of the few seen, and 0 when nothing was hit.
-func atLeast(hits, n int) float64 {
-	if hits == 0 {
+func knownPast(past hits) float64 {
+	if past.of < minReference {
 		return 0
 	}
-	return (float64(hits) + math.Sqrt(float64(hits))) / float64(n)
+	return upper(past)
+}
+
+func (h hits) rate() float64 {
+	return float64(h.count) / float64(h.of)
+}
+
+// upper returns an upper confidence bound of the rate.
+func upper(h hits) float64 {
+	const deviations = 2
+	n := float64(h.of) + 2
+	p := (float64(h.count) + 1) / n
+	return min(1, p+deviations*math.Sqrt(p*(1-p)/n))
 }
