Hold a step while the past says that something is off

Change: whether a version is bad and whether it is proved are measured apart; the past alone is enough to hold a step, not to take a version back.

--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -90,7 +90,9 @@
 }
 
 type groupEvidence struct {
-	logs   logRatios
+	// bad is the evidence that the version is bad, doubt that it is not proved.
+	bad    logRatios
+	doubt  logRatios
 	trials trials
 }
 
@@ -100,9 +102,8 @@
 	limits := a.limits(groups, now.Sub(e.Began))
 	worst, excess, calm := group{}, math.Inf(-1), true
 	for g, have := range groups {
-		l := have.logs.mean()
-		calm = calm && l < calmPart*limits[g.scope]
-		over := l - limits[g.scope]
+		calm = calm && have.doubt.mean() < calmPart*limits[g.scope]
+		over := have.bad.mean() - limits[g.scope]
 		if over > excess || over == excess && less(g, worst) {
 			worst, excess = g, over
 		}
@@ -165,12 +166,13 @@
 }
 
 func collect(into map[group]*groupEvidence, groups [scopeCount]group, t trials) {
-	logs := t.logRatios()
+	bad, doubt := t.logRatios(t.tolerated), t.logRatios(t.expected)
 	for _, g := range groups {
 		if into[g] == nil {
 			into[g] = &groupEvidence{}
 		}
-		into[g].logs.add(logs)
+		into[g].bad.add(bad)
+		into[g].doubt.add(doubt)
 		into[g].trials.requests += t.requests
 		into[g].trials.hits += t.hits
 	}
--- a/assessor/assessor_test.go
+++ b/assessor/assessor_test.go
@@ -24,13 +24,13 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	alarms := 0
 	for range streams {
-		tr := trials{tolerated: minRate}
+		var tr trials
 		for range length {
 			tr.requests++
 			if r.Float64() < minRate {
 				tr.hits++
 			}
-			if logs := tr.logRatios(); logs.mean() >= -math.Log(limit) {
+			if logs := tr.logRatios(minRate); logs.mean() >= -math.Log(limit) {
 				alarms++
 				break
 			}
--- a/assessor/reference.go
+++ b/assessor/reference.go
@@ -41,7 +41,7 @@
 	pair := r.cells[cell]
 	span := pair.span(recent)
 	if m == measureFailures {
-		t := trials{requests: span.New.Requests, hits: span.New.Failures, tolerated: r.failureRate(cell, recent)}
+		t := trials{span.New.Requests, span.New.Failures, r.failureRates(cell, recent)}
 		return t, t.requests > 0
 	}
 	old := histogramOf(m, &pair.Old)
@@ -51,13 +51,13 @@
 	}
 	limit := old.quantile(slowTail) + slowBuckets
 	beside, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
-	slow := tolerable(old.beyond(limit), beside.beyond(limit))
+	slow := measured(old.beyond(limit), beside.beyond(limit))
 	seen := fresh.beyond(limit)
-	return trials{requests: seen.of, hits: seen.count, tolerated: max(minSlow, slow)}, seen.of > 0
+	return trials{seen.of, seen.count, slow.atLeast(minSlow)}, seen.of > 0
 }
 
-// failureRate returns the failures that are tolerated in the cell.
-func (r *reference) failureRate(cell Cell, recent bool) float64 {
+// failureRates returns the rates of failures for the cell.
+func (r *reference) failureRates(cell Cell, recent bool) rates {
 	own, wide := r.cells[cell], r.wide[wideCell{cell.Generation, cell.Load}]
 	past, beside := wide.Old.failed(), wide.span(recent).Old.failed()
 	if own.Old.Requests >= minReference {
@@ -66,7 +66,7 @@
 	if own.span(recent).Old.Requests >= enoughBeside {
 		beside = own.span(recent).Old.failed()
 	}
-	return max(minRate, tolerable(past, beside))
+	return measured(past, beside).atLeast(minRate)
 }
 
 func (t *Tally) failed() hits {
--- a/assessor/sequential.go
+++ b/assessor/sequential.go
@@ -11,26 +11,38 @@
 // maxAlternative bounds the rate that an alternative stands for.
 const maxAlternative = 0.95
 
-// trials are Bernoulli outcomes against the rate that is tolerated.
+// trials are Bernoulli outcomes against two rates.
 type trials struct {
-	requests  int
-	hits      int
+	requests int
+	hits     int
+	rates
+}
+
+// rates are what a new version is measured by.
+type rates struct {
+	// tolerated is the rate above which a version is bad.
 	tolerated float64
+	// expected is the rate above which a version is not proved; it takes the past for granted.
+	expected float64
+}
+
+// atLeast returns the rates with a floor.
+func (r rates) atLeast(floor float64) rates {
+	return rates{max(floor, r.tolerated), max(floor, r.expected)}
 }
 
 type logRatios [len(multiples)]float64
 
-// logRatios returns the log likelihood ratio of each alternative against the tolerated rate.
+// logRatios returns the log likelihood ratio of each alternative against the rate p0.
 //
-// Under any rate up to the tolerated one each ratio is a supermartingale of
+// Under any rate up to p0 each ratio is a supermartingale of
 // mean at most 1, so that their mean exceeds 1/a at any time with probability
 // at most a, however often it is looked at.
-func (t trials) logRatios() logRatios {
+func (t trials) logRatios(p0 float64) logRatios {
 	var logs logRatios
 	if t.requests == 0 {
 		return logs
 	}
-	p0 := t.tolerated
 	hits, misses := float64(t.hits), float64(t.requests-t.hits)
 	for i, m := range multiples {
 		p1 := min(m*p0, max(maxAlternative, (1+p0)/2))
@@ -70,24 +82,23 @@
 	of    int
 }
 
-// tolerable returns the rate that is tolerated of a new version, from the old version's past and from what it
-// had beside the new one. The past counts only while enough beside it shows that nothing has changed: an
-// overload hits both versions, but few requests of the old one may be there to show it.
-func tolerable(past, beside hits) float64 {
-	if beside.of < enoughBeside {
-		return min(maxUnknown, max(upper(beside), knownPast(past)))
-	}
-	if past.of < minReference || float64(beside.count) > 1+2*past.rate()*float64(beside.of) {
-		return min(maxTolerated, upper(beside))
-	}
-	return min(maxTolerated, upper(past))
-}
-
-func knownPast(past hits) float64 {
-	if past.of < minReference {
-		return 0
+// measured returns the rates for a new version, from the old version's past and from what it had beside the
+// new one. The past counts only while enough beside it shows that nothing has changed: an overload hits both
+// versions, but few requests of the old one may be there to show it.
+func measured(past, beside hits) rates {
+	before := min(maxTolerated, upper(past))
+	now := min(maxTolerated, upper(beside))
+	switch {
+	case past.of < minReference && beside.of < enoughBeside:
+		return rates{min(maxUnknown, now), min(maxUnknown, now)}
+	case past.of < minReference:
+		return rates{now, now}
+	case beside.of < enoughBeside:
+		return rates{min(maxUnknown, max(now, before)), before}
+	case float64(beside.count) > 1+2*past.rate()*float64(beside.of):
+		return rates{now, now}
 	}
-	return upper(past)
+	return rates{before, before}
 }
 
 func (h hits) rate() float64 {
