--- a/picker/choose.go
+++ b/picker/choose.go
@@ -24,12 +24,12 @@
 // Ask is what has to be known of a request to choose its endpoint.
 type Ask struct {
 	Route
+	// Version is the one to run on; empty for any that isn't barred.
+	Version     dotterelpulley.VersionID
+	Barred      []dotterelpulley.VersionID
 	PromptBytes int
 	MaxTokens   dotterelpulley.Tokens
 	Prefixes    []PrefixHash
-	// Version is the version to run on; any but the barred ones if empty.
-	Version dotterelpulley.VersionID
-	Barred  []dotterelpulley.VersionID
 	// Reserve is the share of each limit that the request's tier leaves free.
 	Reserve float64
 	// Except names the endpoints that an attempt has already failed on.
@@ -119,7 +119,10 @@
 // consider returns the endpoint as a candidate if it may take the request.
 func (p *Picker) consider(now time.Time, s *pool, ask *Ask, place int32) (candidate, Verdict) {
 	e := p.endpoints[place]
-	if _, has := e.version(ask); !has || !e.usable(now) || ask.Except[e.ID] || e.Service != ask.Service {
+	if !e.usable(now) || ask.Except[e.ID] || e.Service != ask.Service {
+		return candidate{}, NoEndpoint
+	}
+	if _, ok := e.version(ask); !ok {
 		return candidate{}, NoEndpoint
 	}
 	load := e.load(now, s.peers)
