--- a/entry/engine.go
+++ b/entry/engine.go
@@ -126,7 +126,7 @@
 // unanswered judges a call that got no answer's head.
 func unanswered(ctx context.Context, c *call, err error) attemptResult {
 	if !c.sent.Load() {
-		return attemptNotStarted{reason: "connect"}
+		return attemptNotStarted{reason: notConnected}
 	}
 	if ctx.Err() != nil {
 		return attemptCancelled{}
--- a/entry/life.go
+++ b/entry/life.go
@@ -89,7 +89,7 @@
 		if !claimed {
 			v := r.session.claimRun(r)
 			if v.moved || v.refusal != nil {
-				g.release(attemptNotStarted{reason: "unclaimed"}, pace{})
+				g.release(attemptNotStarted{reason: "unclaimed"})
 				return v.refusal, v.moved
 			}
 			claimed = true
@@ -108,15 +108,15 @@
 	started := time.Now()
 	f := isolator.FingerprintOf(r.request)
 	e.isolation.started(f, g.endpoint.ID, id)
+	g.follow(r.output)
 	d.Resumable = g.endpoint.kind == lister.KindEngine
-	r.output.onBegin(g.begun)
 	result := e.attempt(r, g, id)
 	defer func() {
 		e.isolation.ended(g.endpoint.ID, id)
-		p := r.output.paceSoFar()
-		g.release(result, p)
+		g.release(result)
+		first, last, chunks := r.output.times()
 		e.followed.sample(r.request, outcome{
-			grant: g, started: started, pace: p,
+			grant: g, started: started, first: first, last: last, chunks: chunks,
 			result: result, expired: expired(r.ctx),
 		}, time.Now())
 	}()
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -29,9 +29,9 @@
 	version  dotterelpulley.VersionID
 	// load is the part of the endpoint's slots that was taken.
 	load float64
-	// begun says that the answer's first chunk has come.
-	begun   func()
-	release func(attemptResult, pace)
+	// follow has the endpoint learned about from the output that the grant leads to.
+	follow  func(*output)
+	release func(attemptResult)
 }
 
 // queue joins the admitter, the picker and the limiter: it says which request goes where and when.
@@ -51,27 +51,19 @@
 	// known holds the endpoints that this host uses.
 	known map[dotterelpulley.EndpointID]known
 	kinds map[dotterelpulley.ServiceID]lister.HostKind
-	// served holds the versions that live endpoints of a service have.
-	served map[served]bool
-	place  picker.Place
+	place picker.Place
 	// sharers holds how many entry hosts use an endpoint of the service.
 	sharers map[dotterelpulley.ServiceID]int
 	// caches holds for each engine from where on its cache events are new.
 	caches map[dotterelpulley.EndpointID]int64
 }
 
-// served is a version that an endpoint of a service has.
-type served struct {
-	service dotterelpulley.ServiceID
-	version dotterelpulley.VersionID
-}
-
 // waiter is a request that waits for its grant or its refusal.
 type waiter struct {
 	id      admitter.ID
 	request dotterelpulley.Request
-	// version is the one that the request's place in the count gave it.
-	version  dotterelpulley.VersionID
+	// chosen is the version that the request's place in the count gave it.
+	chosen   dotterelpulley.VersionID
 	avoid    map[dotterelpulley.EndpointID]bool
 	prefixes []picker.PrefixHash
 	granted  chan grant
@@ -104,7 +96,7 @@
 	case refusal := <-w.refused:
 		return grant{}, refusal
 	case g := <-w.granted:
-		g.release(attemptCancelled{}, pace{})
+		g.release(attemptCancelled{})
 	}
 	return grant{}, waitEnded(ctx)
 }
@@ -139,18 +131,10 @@
 		Cost:         q.cost(w.request),
 		Deadline:     w.request.Deadline,
 	}))
-	q.dispatch(now, service)
+	q.run(now, service)
 	return nil
 }
 
-// slots returns how many requests an endpoint runs at once.
-func (q *queue) slots(r report) int {
-	if r.slots > 0 {
-		return r.slots
-	}
-	return q.settings.Limits.Slots
-}
-
 func (q *queue) init() {
 	if q.waiters != nil {
 		return
@@ -161,6 +145,9 @@
 	q.admitter.MaxWaiting = q.settings.Limits.Waiting
 	q.picker.Seed = seed
 	q.picker.Zone = q.settings.Zone
+	q.admitter.Weight = func(id dotterelpulley.OrganisationID) int {
+		return q.followed.organisation(id).Weight
+	}
 }
 
 // cost returns the expected work of a request; a call of a plain service counts as one.
@@ -193,20 +180,21 @@
 	return q.admitter.Remove(w.id)
 }
 
-// tick gives up what can't be in time and grants what can run, for all services.
-func (q *queue) tick(now time.Time) {
+// dispatch gives up what can't be in time and grants what can run, for all services.
+func (q *queue) dispatch() {
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.init()
 	q.refuse(q.admitter.Expire(now))
 	for service := range q.kinds {
 		q.admitter.SetCapacity(service, q.picker.Slots(now, service)/float64(max(q.sharers[service], 1)))
-		q.dispatch(now, service)
+		q.run(now, service)
 	}
 }
 
-// dispatch grants the waiting requests of the service that endpoints have room for.
-func (q *queue) dispatch(now time.Time, service dotterelpulley.ServiceID) {
+// run grants the waiting requests of the service that endpoints have room for.
+func (q *queue) run(now time.Time, service dotterelpulley.ServiceID) {
 	for {
 		var choice picker.Choice
 		next, ok := q.admitter.Next(now, service, func(offered admitter.Waiting) bool {
@@ -222,28 +210,30 @@
 }
 
 func (q *queue) choose(now time.Time, w *waiter) (picker.Choice, picker.Verdict) {
-	return q.picker.Choose(now, picker.Ask{
+	ask := picker.Ask{
 		Route:       routeOf(w.request),
+		Version:     q.version(now, w),
 		PromptBytes: len(w.request.Prompt),
 		MaxTokens:   w.request.MaxTokens,
 		Prefixes:    w.prefixes,
-		Version:     q.version(now, w),
-		Barred:      q.followed.barred(w.request.Service),
 		Reserve:     q.admitter.Reserve(now, w.request.Service, w.request.Tier),
 		Except:      w.avoid,
-	})
+	}
+	if ask.Version == "" {
+		ask.Barred = q.followed.barred(w.request.Service)
+	}
+	return q.picker.Choose(now, ask)
 }
 
-// version returns the version to run the request on, or "" for any when no endpoint has the one in force.
+// version returns the waiter's version, or "" for any when no endpoint has the one in force.
 func (q *queue) version(now time.Time, w *waiter) dotterelpulley.VersionID {
 	service := w.request.Service
-	w.version = q.followed.version(w.request, w.version, now)
-	if q.served[served{service, w.version}] {
-		return w.version
+	w.chosen = q.followed.version(w.request, w.chosen, now)
+	if q.picker.Serves(now, service, w.chosen) {
+		return w.chosen
 	}
-	fallback := q.followed.fallback(service, now)
-	if q.served[served{service, fallback}] {
-		return fallback
+	if version := q.followed.fallback(service, now); q.picker.Serves(now, service, version) {
+		return version
 	}
 	return ""
 }
@@ -252,12 +242,12 @@
 	delete(q.waiters, w.id)
 	q.picker.Sent(now, choice)
 	sent := &sending{queue: q, waiter: w, choice: choice, at: now}
-	endpoint := q.known[choice.Endpoint]
+	k := q.known[choice.Endpoint]
 	w.granted <- grant{
-		endpoint: endpoint,
-		load:     choice.Inflight / float64(q.slots(endpoint.report)),
+		endpoint: k,
 		version:  choice.Version,
-		begun:    sent.begun,
+		load:     choice.Inflight / float64(q.slots(k.report)),
+		follow:   sent.follow,
 		release:  sent.release,
 	}
 }
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -13,6 +13,8 @@
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
+const queueService = dotterelpulley.ServiceID("kaasik-lm")
+
 // testQueue returns a queue before one engine with two slots.
 func testQueue(waiting int) *queue {
 	settings := DefaultSettings()
@@ -20,20 +22,20 @@
 	settings.Limits.Waiting = waiting
 	q := &queue{endpoints: &endpoints{}, followed: &followed{}, settings: settings, counters: &counter.Set{}}
 	q.endpoints.setList(lister.List{Revision: 1, Hosts: []lister.Host{
-		{ID: "engine-1", Kind: lister.KindEngine, Service: testService, Address: "127.0.0.1:1"},
+		{ID: "engine-1", Kind: lister.KindEngine, Service: queueService, Address: "127.0.0.1:1"},
 	}})
 	q.refresh(time.Now())
 	load := report{slots: 2, versions: []string{"m@v1"}, measured: time.Now()}
 	q.endpoints.setReport("engine-1", load)
-	q.report(time.Now(), known{Endpoint: dotterelpulley.Endpoint{ID: "engine-1", Service: testService}}, load)
+	q.report(time.Now(), known{Endpoint: dotterelpulley.Endpoint{ID: "engine-1", Service: queueService}}, load)
 	return q
 }
 
-func testRequest(tier dotterelpulley.Tier) dotterelpulley.Request {
+func queueRequest(tier dotterelpulley.Tier) dotterelpulley.Request {
 	return dotterelpulley.Request{
 		Key:      dotterelpulley.Key{Organisation: "dealer-a"},
 		Tier:     tier,
-		Service:  testService,
+		Service:  queueService,
 		Prompt:   "lime for parcel 12",
 		Deadline: time.Now().Add(10 * time.Second),
 	}
@@ -59,22 +61,22 @@
 		q := testQueue(10)
 		var running []grant
 		for range 2 {
-			g, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			g, refusal := q.acquire(t.Context(), queueRequest(dotterelpulley.TierUrgent), nil)
 			c.Assert(refusal == nil, qt.IsTrue)
 			c.Check(g.version, qt.Equals, dotterelpulley.VersionID("m@v1"))
 			running = append(running, g)
 		}
-		late := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierBackground))
+		late := q.acquireLater(t.Context(), queueRequest(dotterelpulley.TierBackground))
 		synctest.Wait()
-		urgent := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierUrgent))
+		urgent := q.acquireLater(t.Context(), queueRequest(dotterelpulley.TierUrgent))
 		synctest.Wait()
-		running[0].release(attemptWhole{}, pace{})
-		running[0].release(attemptWhole{}, pace{})
+		running[0].release(attemptWhole{})
+		running[0].release(attemptWhole{})
 		synctest.Wait()
 		c.Assert(urgent, qt.HasLen, 1)
 		c.Assert(late, qt.HasLen, 0)
-		running[1].release(attemptWhole{}, pace{})
-		(<-urgent).grant.release(attemptWhole{}, pace{})
+		running[1].release(attemptWhole{})
+		(<-urgent).grant.release(attemptWhole{})
 		c.Check((<-late).refusal == nil, qt.IsTrue)
 	})
 }
@@ -84,12 +86,12 @@
 		c := qt.New(t)
 		q := testQueue(1)
 		for range 2 {
-			_, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			_, refusal := q.acquire(t.Context(), queueRequest(dotterelpulley.TierUrgent), nil)
 			c.Assert(refusal == nil, qt.IsTrue)
 		}
-		late := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierBackground))
+		late := q.acquireLater(t.Context(), queueRequest(dotterelpulley.TierBackground))
 		synctest.Wait()
-		urgent := q.acquireLater(t.Context(), testRequest(dotterelpulley.TierUrgent))
+		urgent := q.acquireLater(t.Context(), queueRequest(dotterelpulley.TierUrgent))
 		synctest.Wait()
 		c.Assert(late, qt.HasLen, 1)
 		refusal := (<-late).refusal
@@ -105,15 +107,15 @@
 		c := qt.New(t)
 		q := testQueue(10)
 		for range 2 {
-			_, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), nil)
+			_, refusal := q.acquire(t.Context(), queueRequest(dotterelpulley.TierUrgent), nil)
 			c.Assert(refusal == nil, qt.IsTrue)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, refusal := q.acquire(ctx, testRequest(dotterelpulley.TierUrgent), nil)
+		_, refusal := q.acquire(ctx, queueRequest(dotterelpulley.TierUrgent), nil)
 		c.Assert(refusal != nil, qt.IsTrue)
 		c.Check(refusal.Kind, qt.Equals, dotterelpulley.ErrorDeadlinePassed)
-		c.Check(q.admitter.Waiting(testService), qt.Equals, 0)
+		c.Check(q.admitter.Waiting(queueService), qt.Equals, 0)
 		c.Check(q.waiters, qt.HasLen, 0)
 	})
 }
@@ -124,13 +126,13 @@
 	avoid := map[dotterelpulley.EndpointID]bool{"engine-0": true}
 	refused := 0
 	for range 30 {
-		g, refusal := q.acquire(t.Context(), testRequest(dotterelpulley.TierUrgent), avoid)
+		g, refusal := q.acquire(t.Context(), queueRequest(dotterelpulley.TierUrgent), avoid)
 		if refusal != nil {
 			c.Check(refusal.Kind, qt.Equals, dotterelpulley.ErrorNoEndpoint)
 			refused++
 			continue
 		}
-		g.release(attemptWhole{}, pace{})
+		g.release(attemptWhole{})
 	}
 	c.Check(refused > 15, qt.IsTrue, qt.Commentf("%d of 30 retries refused", refused))
 	c.Check(q.counters.Get("retry-budget-spent"), qt.Equals, int64(refused))
