--- a/appender/appender.go
+++ b/appender/appender.go
@@ -89,6 +89,7 @@
 	req.Header.SetContentType(contentType)
 	req.SetBody(body)
 	if err := c.http.DoTimeout(req, resp, c.timeout()); err != nil {
+		c.http.CloseIdleConnections()
 		return 0, fmt.Errorf("append to stream %q: %w", stream, err)
 	}
 	if resp.StatusCode() != http.StatusOK {
@@ -113,6 +114,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(c.url(stream) + "?" + query.Encode())
 	if err := c.http.DoTimeout(req, resp, c.timeout()+wait+readMargin); err != nil {
+		c.http.CloseIdleConnections()
 		return Page{}, fmt.Errorf("read stream %q from %d: %w", stream, from, err)
 	}
 	if resp.StatusCode() != http.StatusOK {
