Renew soon after a change of the roster, so that a takeover is clean

Cause: a takeover counts as clean only if the dead host's last renewal had seen the newest change of the roster, and hosts renewed once a minute. Of hosts that joined within that minute the first to join had shown none of the others, so its ranges were uncertain: keys without a birth time got outcome-unknown for 15 min. A host now renews half a second after a change, spread by its place in the roster.

--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -34,6 +34,8 @@
 	record  RosterRecord
 	ended   time.Time
 	renewAt time.Time
+	// showAt is when a renewal is due that shows the newest epoch to have been read.
+	showAt time.Time
 
 	lastRead time.Time
 }
@@ -56,6 +58,9 @@
 		if counted {
 			c.heard(p)
 		}
+		if epoch != c.roster.Epoch {
+			c.log.showAt = c.now.Add(c.showDelay())
+		}
 		if started != c.roster.started || epoch != c.roster.Epoch || before != c.roster.Ranges {
 			c.rangesChanged(before)
 		}
@@ -157,7 +162,7 @@
 	if expire, ok := c.judged(); ok {
 		return expire
 	}
-	if !c.now.Before(c.log.renewAt) {
+	if !c.now.Before(c.log.renewAt) || c.mustShowView(me) {
 		return Renew{Incarnation: self, Base: c.roster.View(), Unrecorded: c.unrecorded() > 0}
 	}
 	if c.roster.applied >= c.Settings.SnapshotEvery && c.roster.Members[0].Incarnation == self {
@@ -166,6 +171,23 @@
 	return nil
 }
 
+const (
+	// showAfter lets several changes of the roster be shown by one renewal.
+	showAfter = 500 * time.Millisecond
+	// showSpread keeps the members of a large roster from renewing at once.
+	showSpread = 30 * time.Millisecond
+)
+
+// showDelay returns how long after a change of the roster this host renews.
+func (c *Claimer) showDelay() time.Duration {
+	return showAfter + time.Duration(max(c.roster.index(c.Self.Incarnation), 0))*showSpread
+}
+
+// mustShowView reports whether the last renewal was judged from an older epoch: a takeover of this host would not count as clean.
+func (c *Claimer) mustShowView(me RosterMember) bool {
+	return me.RenewBase < c.roster.Epoch && !c.now.Before(c.log.showAt)
+}
+
 // mustYield reports whether ranges are to be handed over and every claim in them is on the log.
 func (c *Claimer) mustYield() bool {
 	moving := false
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,24 +64,49 @@
 	return true
 }
 
-// TestKeysOfADeadHostFindANewHolder ends a host without its signing off and drops it from the host list.
+// joinedAt returns the host whose join stands at that place of the roster.
+func (f *fleet) joinedAt(place int) int {
+	member := f.entries[0].claims.session().roster().Members[place]
+	return slices.IndexFunc(f.entries, func(e *Entry) bool { return e.settings.Host == member.Host })
+}
+
+// viewsShown reports whether every member has renewed since the roster's newest change.
+func (f *fleet) viewsShown() bool {
+	state := f.entries[0].claims.session().roster()
+	return !slices.ContainsFunc(state.Members, func(m claimer.RosterMember) bool { return m.RenewBase < state.Epoch })
+}
+
+// TestKeysOfADeadHostFindANewHolder ends a host without its signing off and drops it from the host list;
+// the one that joined first has shown least of the roster.
 func TestKeysOfADeadHostFindANewHolder(t *testing.T) {
+	for place, name := range []string{"first to join", "second", "last to join"} {
+		t.Run(name, func(t *testing.T) { keysOfADeadHost(t, place) })
+	}
+}
+
+func keysOfADeadHost(t *testing.T, place int) {
 	f := newFleet(t, 3, nil)
 	f.until("the ranges are divided", f.rangesSettled)
-	old := f.heldBy(2, "old")
-	status, _ := f.post(0, old, "old len=4")
+	f.until("every host has shown its view of the roster", f.viewsShown)
+	dead := f.joinedAt(place)
+	alive := (dead + 1) % len(f.entries)
+	old := f.heldBy(dead, "old")
+	status, _ := f.post(alive, old, "old len=4")
 	f.Assert(status, qt.Equals, http.StatusOK)
-	fresh := f.heldBy(2, "fresh")
+	fresh := f.heldBy(dead, "fresh")
 	died := time.Now()
-	f.Assert(f.entries[2].Close(), qt.IsNil)
-	f.hosts.Remove(f.entries[2].settings.Host)
+	f.Assert(f.entries[dead].Close(), qt.IsNil)
+	f.hosts.Remove(f.entries[dead].settings.Host)
 	f.until("a key of the dead host is answered", func() bool {
-		status, refusal := f.post(0, fresh, "fresh len=4")
+		status, refusal := f.post(alive, fresh, "fresh len=4")
 		f.Check(refusal.Truth, qt.Not(qt.Equals), dotterelpulley.NotRun.String())
 		return status == http.StatusOK
 	})
 	f.Logf("a key of the dead host was answered %s after its death", time.Since(died).Round(time.Millisecond))
-	for to := range 2 {
+	for to := range f.entries {
+		if to == dead {
+			continue
+		}
 		_, refusal := f.post(to, old, "old len=4")
 		f.Check(refusal.Error, qt.Equals, dotterelpulley.ErrorOutcomeUnknown.String())
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -54,6 +54,7 @@
 
 // newFleet starts the entry hosts, each with its settings changed by change.
 func newFleet(t *testing.T, count int, change func(*fleet, *Settings)) *fleet {
+	t.Parallel()
 	f := &fleet{C: qt.New(t), client: http.DefaultClient}
 	pid := os.Getpid()
 	f.ip = netip.AddrFrom4([4]byte{127, 20, byte(pid >> 8), byte(pid)})
