--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -79,7 +79,6 @@
 	run := p.Ledger.start(Run{
 		RequestID: c.Get("Request-Id"),
 		Key:       c.Get("Idempotency-Key"),
-		Version:   c.Get("Kind"),
 		Endpoint:  string(p.ID),
 		Started:   time.Now(),
 	})
