--- a/capacity/picker_test.go
+++ b/capacity/picker_test.go
@@ -57,9 +57,9 @@
 		p, heap := heapOf(func() *picker.Picker { return fullPicker(all, now) })
 		ask := picker.Ask{
 			Route:       picker.Route{Service: service, Route: "cab-advisory"},
+			Version:     version,
 			PromptBytes: 2048,
 			MaxTokens:   64,
-			Version:     version,
 		}
 		b.ResetTimer()
 		for b.Loop() {
--- a/claimer/request_test.go
+++ b/claimer/request_test.go
@@ -34,6 +34,9 @@
 			case n.w.naive:
 				n.start(core, t)
 			default:
+				if c, ok := n.requests[t]; ok {
+					c.claimed = n.w.now
+				}
 				n.step(core, claimer.Claim{Ticket: t})
 			}
 		})
--- a/picker/endpoint.go
+++ b/picker/endpoint.go
@@ -176,17 +176,20 @@
 	return !e.left && e.State != dotterelpulley.EndpointLeaving && !now.Before(e.suspect)
 }
 
-// version returns the version that the endpoint would run the request on, and whether it has one; an endpoint without versions needs none.
+// version returns the version that the request would run on, "" at an endpoint without versions.
 func (e *endpoint) version(ask *Ask) (dotterelpulley.VersionID, bool) {
 	if ask.Version != "" {
 		return ask.Version, e.Serves(ask.Version)
 	}
+	if len(e.Versions) == 0 {
+		return "", true
+	}
 	for _, v := range e.Versions {
 		if !slices.Contains(ask.Barred, v) {
 			return v, true
 		}
 	}
-	return "", len(e.Versions) == 0
+	return "", false
 }
 
 // room reports whether one more request fits beside the load when the reserve stays free.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -147,6 +147,16 @@
 	p.pool(id).peers = max(hosts, 1)
 }
 
+// Serves reports whether an endpoint of the service that may get new work has the version.
+func (p *Picker) Serves(now time.Time, id dotterelpulley.ServiceID, version dotterelpulley.VersionID) bool {
+	for _, place := range p.pool(id).members {
+		if e := p.endpoints[place]; e.usable(now) && e.Serves(version) {
+			return true
+		}
+	}
+	return false
+}
+
 // Report takes an endpoint's load report.
 func (p *Picker) Report(now time.Time, id dotterelpulley.EndpointID, r Report) {
 	if e := p.endpoint(id); e != nil {
