Gossip between the entry hosts and order the directory by what it tells

Exchange carries the gossiper's messages beside the claims' questions. An endpoint that says it is leaving is told to all hosts at once; the directory leaves out hosts that drain, are suspected or are loaded, and orders the rest for each caller.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -313,6 +313,12 @@
 	return a.service(id).count
 }
 
+// Load returns the share of this host's part of the service that runs and waits.
+func (a *Admitter) Load(id dotterelpulley.ServiceID) float64 {
+	s := a.service(id)
+	return float64(s.running()+s.count) / s.capacity()
+}
+
 // Wait returns how long the waiting requests of the tier and above take to start.
 func (a *Admitter) Wait(now time.Time, id dotterelpulley.ServiceID, tier dotterelpulley.Tier) time.Duration {
 	s := a.service(id)
--- a/entry/claims_read.go
+++ b/entry/claims_read.go
@@ -202,6 +202,9 @@
 
 // Exchange answers another host's question about unrecorded claims.
 func (s peerService) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	if req.GetSender() != nil {
+		return s.entry.gossip.receive(time.Now(), req), nil
+	}
 	s.entry.learnFacts(req.GetFacts())
 	if req.GetQuestion() == nil {
 		return &peerpb.ExchangeReply{}, nil
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
-	"sort"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/dotterelpulley/dotterelpulley"
-	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/director"
+	"github.com/dotterelpulley/dotterelpulley/gossiper"
 )
 
 type wireEntryAddress struct {
@@ -22,28 +23,31 @@
 
 func (e *Entry) handleEntries(c fiber.Ctx) error {
 	zone := dotterelpulley.ZoneID(strings.Clone(c.Query("zone")))
+	caller := director.Caller(strings.Clone(c.IP()))
 	answer := wireEntries{Keep: e.settings.Timeouts.KeepEntries.String()}
-	draining := e.claims.session().draining()
-	draining[e.settings.Host] = e.draining.Load()
-	for _, h := range orderEntries(e.endpoints.entries(), zone) {
-		if draining[h.ID] {
-			continue
-		}
+	for _, h := range (director.Director{}).Order(caller, zone, e.directory(time.Now())) {
 		answer.Entries = append(answer.Entries, wireEntryAddress{Address: string(h.Address), Zone: string(h.Zone)})
 	}
 	return c.JSON(answer)
 }
 
-// orderEntries returns the live entry hosts, those of the zone first.
-func orderEntries(hosts []lister.Host, zone dotterelpulley.ZoneID) []lister.Host {
-	var live []lister.Host
-	for _, h := range hosts {
-		if h.State == dotterelpulley.EndpointLive {
-			live = append(live, h)
+// directory returns the listed entry hosts with what the roster and the gossip know of them.
+func (e *Entry) directory(now time.Time) []director.Host {
+	draining := e.claims.session().draining()
+	draining[e.settings.Host] = e.draining.Load()
+	members := e.gossip.members(now)
+	members[e.settings.Host] = gossiper.Member{Load: e.queue.load()}
+	var hosts []director.Host
+	for _, h := range e.endpoints.entries() {
+		m := members[h.ID]
+		host := director.Host{ID: h.ID, Address: h.Address, Zone: h.Zone, Load: m.Load}
+		switch {
+		case h.State != dotterelpulley.EndpointLive || draining[h.ID] || m.State == gossiper.Draining:
+			host.State = director.Leaving
+		case m.State == gossiper.Suspect:
+			host.State = director.Suspect
 		}
+		hosts = append(hosts, host)
 	}
-	sort.SliceStable(live, func(i, j int) bool {
-		return live[i].Zone == zone && live[j].Zone != zone
-	})
-	return live
+	return hosts
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	runs      runs
 	claims    claims
 	isolation isolation
+	gossip    gossip
 
 	hosts    lister.Client
 	platform appender.Client
@@ -80,6 +81,7 @@
 	e.queue.counters = &e.counters
 	e.queue.settings = settings
 	e.claims.entry = e
+	e.gossip.entry = e
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
@@ -97,6 +99,7 @@
 	e.callers = e.callerApp()
 	e.operators = e.operatorApp()
 	e.claims.join()
+	e.gossip.join()
 	if err := e.serveApp(e.callers, e.settings.CallerAddress, &e.certificates.callers); err != nil {
 		return err
 	}
@@ -109,6 +112,7 @@
 	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
 	e.wait.Go(func() { e.every(queueEvery, e.queue.dispatch) })
+	e.wait.Go(func() { e.every(gossipEvery, e.gossip.tick) })
 	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollCaches) })
 	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
 	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
@@ -165,6 +169,7 @@
 	if e.draining.CompareAndSwap(false, true) {
 		close(e.drain)
 		e.claims.session().step(claimer.DrainBegun{})
+		e.gossip.drain(time.Now())
 		e.log.Info().Str("event", "draining").Msg("")
 	}
 }
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -59,6 +59,7 @@
 	e.endpoints.setList(list)
 	e.listed.Store(true)
 	e.claims.listHosts(e.endpoints.entries())
+	e.gossip.list(time.Now(), e.endpoints.entries())
 	e.queue.refresh(time.Now())
 }
 
@@ -76,6 +77,9 @@
 	}
 	e.endpoints.setReport(k.ID, load)
 	e.queue.report(time.Now(), k, load)
+	if load.leaving && k.State != dotterelpulley.EndpointLeaving {
+		e.gossip.spreadLeaving(time.Now(), k.ID)
+	}
 }
 
 func (e *Entry) fetchLoad(address dotterelpulley.Address) (report, error) {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -113,3 +113,23 @@
 	q.picker.Report(now, before.ID, picker.Report{Running: r.running, Waiting: r.waiting, MeasuredAt: r.measured})
 	q.run(now, before.Service)
 }
+
+// suspect keeps new work from an endpoint that another host knows to leave.
+func (q *queue) suspect(id dotterelpulley.EndpointID, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	q.picker.Suspect(id, until)
+}
+
+// load returns the highest share of this host's part of a service that runs and waits.
+func (q *queue) load() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	highest := 0.0
+	for service := range q.kinds {
+		highest = max(highest, q.admitter.Load(service))
+	}
+	return highest
+}
