--- a/assessor/histogram.go
+++ b/assessor/histogram.go
@@ -56,3 +56,14 @@
 	}
 	return buckets - 1
 }
+
+func (h *Histogram) halve() {
+	for i := range h {
+		h[i] /= 2
+	}
+}
+
+// beyond returns how many of the latencies lie in buckets above the given one.
+func (h *Histogram) beyond(bucket int) hits {
+	return hits{h.above(bucket), h.total()}
+}
--- a/assessor/reference.go
+++ b/assessor/reference.go
@@ -41,7 +41,7 @@
 	pair := r.cells[cell]
 	span := pair.span(recent)
 	if m == measureFailures {
-		t := trials{requests: span.New.Requests, hits: span.New.Failures, tolerated: r.failureRate(cell, recent)}
+		t := trials{span.New.Requests, span.New.Failures, r.failureRates(cell, recent)}
 		return t, t.requests > 0
 	}
 	old := histogramOf(m, &pair.Old)
@@ -50,28 +50,27 @@
 		return trials{}, false
 	}
 	limit := old.quantile(slowTail) + slowBuckets
-	control, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
-	slow := max(minSlow, upper(old.above(limit), old.total()), atLeast(control.above(limit), control.total()))
-	t := trials{requests: fresh.total(), hits: fresh.above(limit), tolerated: min(maxTolerated, slow)}
-	return t, t.requests > 0
+	beside, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
+	slow := measured(old.beyond(limit), beside.beyond(limit))
+	seen := fresh.beyond(limit)
+	return trials{seen.of, seen.count, slow.atLeast(minSlow)}, seen.of > 0
 }
 
-// failureRate returns the failures that are tolerated: what the old version may have had since the move
-// began, or had beside the new one, as when all endpoints are overloaded.
-func (r *reference) failureRate(cell Cell, recent bool) float64 {
+// failureRates returns the rates of failures for the cell.
+func (r *reference) failureRates(cell Cell, recent bool) rates {
 	own, wide := r.cells[cell], r.wide[wideCell{cell.Generation, cell.Load}]
-	beside := 0.0
-	for _, p := range []*Pair{own, wide} {
-		control := &p.span(recent).Old
-		beside = max(beside, atLeast(control.Failures, control.Requests))
+	past, beside := wide.Old.failed(), wide.span(recent).Old.failed()
+	if own.Old.Requests >= minReference {
+		past = own.Old.failed()
 	}
-	before := unknownRate
-	for _, p := range []*Pair{wide, own} {
-		if p.Old.Requests >= minReference {
-			before = upper(p.Old.Failures, p.Old.Requests)
-		}
+	if own.span(recent).Old.Requests >= enoughBeside {
+		beside = own.span(recent).Old.failed()
 	}
-	return min(maxTolerated, max(minRate, before, beside))
+	return measured(past, beside).atLeast(minRate)
+}
+
+func (t *Tally) failed() hits {
+	return hits{t.Failures, t.Requests}
 }
 
 func histogramOf(m measure, t *Tally) *Histogram {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -42,6 +42,8 @@
 	signedOff bool
 	expelled  bool
 	told      bool
+	// yielded is when this host last handed ranges over.
+	yielded time.Time
 }
 
 type heldBegin struct {
@@ -56,6 +58,7 @@
 	case Tick:
 	case RosterRead:
 		c.readRoster(e)
+		c.suspects.due = time.Time{}
 	case RosterTold:
 		c.roster.adopt(e.Snapshot)
 	case ClaimsRead:
@@ -70,6 +73,7 @@
 		c.end(e)
 	case Replied:
 		c.reply(e.Reply)
+		c.suspects.due = time.Time{}
 	case HostsListed:
 		c.listHosts(e.Hosts)
 	case DrainBegun:
--- a/claimer/request_test.go
+++ b/claimer/request_test.go
@@ -34,6 +34,9 @@
 			case n.w.naive:
 				n.start(core, t)
 			default:
+				if c, ok := n.requests[t]; ok {
+					c.claimed = n.w.now
+				}
 				n.step(core, claimer.Claim{Ticket: t})
 			}
 		})
@@ -150,6 +153,7 @@
 	key    dotterelpulley.Key
 	kind   dotterelpulley.RequestKind
 	began  time.Time
+	sent   time.Time
 	tries  int
 	done   bool
 	notRun bool
@@ -170,6 +174,7 @@
 		return
 	}
 	c.notRun = false
+	c.sent = c.w.now
 	n := c.w.nodes[c.w.rand.IntN(len(c.w.nodes))]
 	try := c.tries
 	begin := claimer.Begin{Key: c.key, Kind: c.kind, Fingerprint: 1}
@@ -209,6 +214,9 @@
 		c.done = true
 		return
 	}
+	if a.kind == dotterelpulley.ErrorHolderUnreachable && c.sent.After(c.w.unserved) {
+		c.w.unserved = c.sent
+	}
 	if a.kind.Answer().Truth != dotterelpulley.NotRun {
 		if !c.w.profile.faults || c.w.chance(0.2) {
 			c.done = true
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -27,8 +27,11 @@
 	runs    map[dotterelpulley.Key]int
 	falseNo int
 	callers []*caller
-	appends int
-	bytes   int
+	waits   [dotterelpulley.KindBooking + 1][]time.Duration
+	// unserved is when the last copy was sent that met no holder.
+	unserved time.Time
+	appends  int
+	bytes    int
 }
 
 type profile struct {
@@ -36,7 +39,9 @@
 	slow   bool
 	out    bool
 	// cut parts one host from the log for longer than its lease.
-	cut     bool
+	cut bool
+	// death kills one host in the middle and drops it from the host list.
+	death   bool
 	flaw    flaw
 	callers int
 	length  time.Duration
