--- a/entry/queue.go
+++ b/entry/queue.go
@@ -168,7 +168,7 @@
 	for _, s := range sheds {
 		w := q.waiters[s.ID]
 		delete(q.waiters, s.ID)
-		q.counters.Inc(fmt.Sprintf("shed-%s-%s", s.Tier, s.Kind))
+		q.counters.Inc("shed-" + s.Tier.String() + "-" + s.Kind.String())
 		w.refused <- dotterelpulley.Refuse(s.Kind, s.RetryAfter, fmt.Sprintf("service %q has no room for tier %s", s.Service, s.Tier))
 	}
 }
