--- a/entry/pool.go
+++ b/entry/pool.go
@@ -17,6 +17,7 @@
 	defer q.mu.Unlock()
 	q.init()
 	q.place = place
+	left := q.known
 	q.known = map[dotterelpulley.EndpointID]known{}
 	q.sharers = map[dotterelpulley.ServiceID]int{}
 	before := q.kinds
@@ -36,6 +37,17 @@
 		q.usePart(service, byService[service])
 		q.run(now, service)
 	}
+	q.forget(left)
+}
+
+// forget drops what is known of endpoints that this host uses no longer.
+func (q *queue) forget(left map[dotterelpulley.EndpointID]known) {
+	for id := range left {
+		if _, used := q.known[id]; !used {
+			q.limiter.Forget(id)
+			delete(q.caches, id)
+		}
+	}
 }
 
 // usePart hands the picker this host's part of the service's endpoints.
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,9 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/limiter"
 	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/picker"
 )
 
 const queueService = dotterelpulley.ServiceID("kaasik-lm")
@@ -137,3 +140,31 @@
 	c.Check(refused > 15, qt.IsTrue, qt.Commentf("%d of 30 retries refused", refused))
 	c.Check(q.counters.Get("retry-budget-spent"), qt.Equals, int64(refused))
 }
+
+func TestQueueForgetsEndpointsThatAreGone(t *testing.T) {
+	c := qt.New(t)
+	q := testQueue(10)
+	q.cached(time.Now(), "engine-1", wireCacheEvents{Next: 7})
+	q.limiter.Slots("engine-1", 3)
+	q.endpoints.setList(lister.List{Revision: 2})
+	q.refresh(time.Now())
+	c.Check(q.caches, qt.HasLen, 0)
+	c.Check(q.used(), qt.HasLen, 0)
+	c.Check(q.limiter.Limit("engine-1"), qt.Equals, (&limiter.Limiter{}).Limit("engine-1"))
+}
+
+func TestHostsReadTheReportsOfTheirPartOnly(t *testing.T) {
+	c := qt.New(t)
+	q := testQueue(10)
+	var hosts []lister.Host
+	for i := range 350 {
+		hosts = append(hosts, lister.Host{ID: dotterelpulley.HostID(fmt.Sprintf("entry-%d", i)), Kind: lister.KindEntry})
+	}
+	for i := range 2200 {
+		hosts = append(hosts, lister.Host{ID: dotterelpulley.HostID(fmt.Sprintf("engine-%d", i)), Kind: lister.KindEngine, Service: queueService})
+	}
+	q.endpoints.setList(lister.List{Revision: 2, Hosts: hosts})
+	q.refresh(time.Now())
+	c.Check(q.used(), qt.HasLen, picker.DefaultSubset)
+	c.Check(q.sharers[queueService], qt.Equals, 11)
+}
