Date a repeated refusal to its last answer

Chunks that come doubled or late are counted; a second signal answers a running plan outcome-unknown.

--- a/claimer/run.go
+++ b/claimer/run.go
@@ -151,6 +151,7 @@
 		if !r.issued && !c.holds(r.hash.Range()) {
 			kind = dotterelpulley.ErrorHolderUnreachable
 		}
+		r.ended = c.now
 		c.do(Refuse{Ticket: h.Ticket, Kind: kind, RetryAfter: r.retryAfter})
 		return true
 	}
--- a/claimer/schedule_test.go
+++ b/claimer/schedule_test.go
@@ -229,7 +229,7 @@
 
 // TestSchedulesThatOnceFailed keeps the seeds that have found faults.
 func TestSchedulesThatOnceFailed(t *testing.T) {
-	for _, seed := range []uint64{61, 103, 199, 6090, 6613} {
+	for _, seed := range []uint64{61, 103, 199, 6090, 6613, 11123} {
 		s := schedule(seed, profile{faults: true, callers: 24, length: faultsUntil}, false)
 		qt.Check(t, s.duplicates+s.falseNo, qt.Equals, 0, qt.Commentf("seed %d", seed))
 	}
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
@@ -18,7 +20,7 @@
 
 // post sends a plan and returns its status and, if it was not answered whole, its refusal.
 func (f *fleet) post(to int, key, prompt string) (int, wireRefusal) {
-	body, err := json.Marshal(wireRequest{Organisation: "council", Tier: "urgent", Service: testService, Prompt: prompt, MaxTokens: defaultTokens})
+	body, err := json.Marshal(wireRequest{Organisation: "council", Tier: "urgent", Service: testService, Prompt: prompt, MaxTokens: maxTokensLimit})
 	f.Assert(err, qt.IsNil)
 	url := fmt.Sprintf("http://%s/v1/plans", f.entries[to].settings.CallerAddress)
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
@@ -115,3 +117,21 @@
 	f.Check(status, qt.Equals, http.StatusOK)
 	f.Check(f.entries[0].counters.Get("keys-claimed"), qt.Equals, int64(1))
 }
+
+// TestASecondSignalAnswersTheRestTruthfully ends a host while a plan runs on it.
+func TestASecondSignalAnswersTheRestTruthfully(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	f.until("the ranges are divided", f.rangesSettled)
+	var tasks conc.WaitGroup
+	var status int
+	var refusal wireRefusal
+	tasks.Go(func() { status, refusal = f.post(0, "long", "long len=100000") })
+	f.until("the plan runs", func() bool { return f.entries[0].runs.live() == 1 && len(f.engine.Ledger.Runs()) == 1 })
+	second, signal := context.WithCancel(t.Context())
+	signal()
+	f.entries[0].Drain(second)
+	f.Check(f.entries[0].Close(), qt.IsNil)
+	tasks.Wait()
+	f.Check(status, qt.Equals, http.StatusBadGateway)
+	f.Check(refusal.Truth, qt.Equals, dotterelpulley.OutcomeUnknown.String())
+}
--- a/entry/life.go
+++ b/entry/life.go
@@ -22,6 +22,7 @@
 	} else {
 		e.conclude(r, refusal)
 	}
+	e.counters.Add("chunks-dropped", int64(r.output.late()))
 	e.runs.end(r)
 }
 
--- a/entry/output.go
+++ b/entry/output.go
@@ -23,6 +23,8 @@
 	whole   *end
 	refusal *dotterelpulley.Refusal
 	changed chan struct{}
+	// dropped is the number of chunks that came doubled, out of turn or after the end.
+	dropped int
 	// begun is called once, when the first chunk comes.
 	begun func()
 }
@@ -36,6 +38,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.ended() || index != len(o.chunks) {
+		o.dropped++
 		return false
 	}
 	o.last = time.Now()
@@ -124,6 +127,13 @@
 	}
 }
 
+// late returns the number of chunks that were dropped.
+func (o *output) late() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dropped
+}
+
 // length returns the number of chunks so far.
 func (o *output) length() int {
 	o.mu.Lock()
