--- a/entry/pool.go
+++ b/entry/pool.go
@@ -17,6 +17,7 @@
 	defer q.mu.Unlock()
 	q.init()
 	q.place = place
+	left := q.known
 	q.known = map[dotterelpulley.EndpointID]known{}
 	q.sharers = map[dotterelpulley.ServiceID]int{}
 	before := q.kinds
@@ -36,6 +37,17 @@
 		q.usePart(service, byService[service])
 		q.run(now, service)
 	}
+	q.forget(left)
+}
+
+// forget drops what is known of endpoints that this host uses no longer.
+func (q *queue) forget(left map[dotterelpulley.EndpointID]known) {
+	for id := range left {
+		if _, used := q.known[id]; !used {
+			q.limiter.Forget(id)
+			delete(q.caches, id)
+		}
+	}
 }
 
 // usePart hands the picker this host's part of the service's endpoints.
@@ -113,3 +125,23 @@
 	q.picker.Report(now, before.ID, picker.Report{Running: r.running, Waiting: r.waiting, MeasuredAt: r.measured})
 	q.run(now, before.Service)
 }
+
+// suspect keeps new work from an endpoint that another host knows to leave.
+func (q *queue) suspect(id dotterelpulley.EndpointID, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	q.picker.Suspect(id, until)
+}
+
+// load returns the highest share of this host's part of a service that runs and waits.
+func (q *queue) load() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.init()
+	highest := 0.0
+	for service := range q.kinds {
+		highest = max(highest, q.admitter.Load(service))
+	}
+	return highest
+}
