--- a/assessor/reference.go
+++ b/assessor/reference.go
@@ -37,12 +37,21 @@
 }
 
 // trials returns the new version's requests in the cell as trials; latency without a reference is not judged.
+//
+// Only what is recent is held against the past alone: an overload that is over holds no step.
 func (r *reference) trials(m measure, cell Cell, recent bool) (trials, bool) {
+	t, known := r.measure(m, cell, recent)
+	if !recent {
+		t.expected = t.tolerated
+	}
+	return t, known && t.requests > 0
+}
+
+func (r *reference) measure(m measure, cell Cell, recent bool) (trials, bool) {
 	pair := r.cells[cell]
 	span := pair.span(recent)
 	if m == measureFailures {
-		t := trials{span.New.Requests, span.New.Failures, r.failureRates(cell, recent)}
-		return t, t.requests > 0
+		return trials{span.New.Requests, span.New.Failures, r.failureRates(cell, recent)}, true
 	}
 	old := histogramOf(m, &pair.Old)
 	// Other routes and tiers have unlike lengths, so only the cell itself is a reference.
@@ -53,7 +62,7 @@
 	beside, fresh := histogramOf(m, &span.Old), histogramOf(m, &span.New)
 	slow := measured(old.beyond(limit), beside.beyond(limit))
 	seen := fresh.beyond(limit)
-	return trials{seen.of, seen.count, slow.atLeast(minSlow)}, seen.of > 0
+	return trials{seen.of, seen.count, slow.atLeast(minSlow)}, true
 }
 
 // failureRates returns the rates of failures for the cell.
