--- a/assessor/exposure.go
+++ b/assessor/exposure.go
@@ -7,7 +7,7 @@
 )
 
 // recentWindow is half of the longest time that recent evidence covers.
-const recentWindow = 10 * time.Second
+const recentWindow = 5 * time.Second
 
 // halveEvery is how often the reference is halved between moves, so that it is of the last quarter of an hour.
 const halveEvery = 5 * time.Minute
