Keep silent connections silent, and prove silence before the first token

A silent connection still told its end when the stand-in had done with it, so that a stream that ended early was resumed at once; now it stays up until the stand-in ends. An urgent request whose engine sends the answer's head with the first token is lost when its connection falls silent before that: the entry host waits for the first byte past the request's deadline (10.1 s, answered outcome-unknown).

--- a/internal/prover/entry.go
+++ b/internal/prover/entry.go
@@ -36,6 +36,9 @@
 	client        http.Client
 }
 
+// IdleTimeout is the entry hosts' longest wait for a stream's next byte.
+const IdleTimeout = 2 * time.Second
+
 const (
 	operatorTimeout = 2 * time.Second
 
@@ -48,8 +51,7 @@
 host-list-address = %q
 
 [timeouts]
-first-byte = "10s"
-idle = "2s"
+idle = %q
 drain = "30s"
 keep-entries = "1s"
 host-list-every = "100ms"
@@ -93,6 +95,7 @@
 	}
 	text := fmt.Sprintf(
 		entrySettings, id, e.Host.Zone, e.Callers.Target, e.Peers.Target, e.Operators, e.Log.Address(), e.HostList.Address(),
+		IdleTimeout,
 	)
 	moverText := fmt.Sprintf(moverSettings, id, e.Host.Zone, address(ip, 7103), e.Log.Address(), e.HostList.Address())
 	e.settings = filepath.Join(s.dir, id+".toml")
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -65,15 +65,26 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection; a silent one closes without a word to the other end until the stand-in ends.
+// Close closes the connection; the other end of a silent one hears nothing of it until the stand-in ends.
 func (c *conn) Close() error {
 	var err error
 	c.once.Do(func() {
 		close(c.ended)
-		c.server.mu.Lock()
-		delete(c.server.conns, c)
-		c.server.mu.Unlock()
-		err = c.Conn.Close()
+		if !c.server.leave(c) {
+			err = c.Conn.Close()
+		}
 	})
 	return err
 }
+
+// leave takes the connection out of the open ones and reports whether it has to stay up, silent as it is.
+func (s *server) leave(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	mute := c.silent.Load() && !s.closed
+	if mute {
+		s.mute = append(s.mute, c.Conn)
+	}
+	return mute
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -41,6 +41,8 @@
 	CacheBytes int
 	// Grace is how long a run goes on when its connection has broken; 10 s if zero.
 	Grace time.Duration
+	// LateHead makes a streamed answer's head come with its first token, as many engines do.
+	LateHead bool
 	// ReportLag is how old a load report is; 0.5 s if zero.
 	ReportLag time.Duration
 	// EventLag is how late cache events come.
--- a/internal/standin/engine_stream.go
+++ b/internal/standin/engine_stream.go
@@ -12,7 +12,7 @@
 // stream sends the job's tokens from the given one on, as they come.
 func (e *Engine) stream(c fiber.Ctx, j *job, from int) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
-	c.RequestCtx().Response.ImmediateHeaderFlush = true
+	c.RequestCtx().Response.ImmediateHeaderFlush = !e.LateHead
 	e.open.Add(1)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer e.open.Done()
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -175,7 +175,18 @@
 	c.Assert(e.SilenceConnections() >= 1, qt.IsTrue)
 	rest := newCaller(c).open(e.Address(), "/v1/resume", map[string]any{"request_id": "r1", "from": 0}).rest()
 	c.Assert(rest.whole, qt.IsTrue)
+	ended := make(chan struct{})
+	go func() {
+		s.rest()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		c.Error("the silent connection told of its end")
+	case <-time.After(10 * slowStep):
+	}
 	c.Assert(s.body.Close(), qt.IsNil)
+	<-ended
 }
 
 func TestVersionsShowTheirBehaviour(t *testing.T) {
--- a/internal/standin/file.go
+++ b/internal/standin/file.go
@@ -57,6 +57,7 @@
 	CacheBytes    int          `toml:"cache-bytes"`
 	Grace         wireDuration `toml:"grace"`
 	ReportLag     wireDuration `toml:"report-lag"`
+	LateHead      bool         `toml:"late-head"`
 	EventLag      wireDuration `toml:"event-lag"`
 	EventGap      int          `toml:"event-gap"`
 	ChecksFence   bool         `toml:"checks-fence"`
@@ -167,6 +168,7 @@
 		CacheBytes:  w.CacheBytes,
 		Grace:       time.Duration(w.Grace),
 		ReportLag:   time.Duration(w.ReportLag),
+		LateHead:    w.LateHead,
 		EventLag:    time.Duration(w.EventLag),
 		EventGap:    w.EventGap,
 		ChecksFence: w.ChecksFence,
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -25,10 +25,12 @@
 
 // server is what all stand-ins share: a listener, its connections and the faults of both.
 type server struct {
-	mu          sync.Mutex
-	bound       dotterelpulley.Address
-	listener    net.Listener
-	conns       map[*conn]struct{}
+	mu       sync.Mutex
+	bound    dotterelpulley.Address
+	listener net.Listener
+	conns    map[*conn]struct{}
+	// mute are silent connections that the server has done with.
+	mute        []net.Conn
 	delay       time.Duration
 	loseAnswers int
 	lost        int
@@ -227,7 +229,11 @@
 	}
 	s.closed = true
 	close(s.done)
+	mute := s.mute
 	s.mu.Unlock()
+	for _, c := range mute {
+		_ = c.Close()
+	}
 	s.Stop()
 	s.open.Wait()
 	s.tasks.Wait()
--- a/proof/call_test.go
+++ b/proof/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -103,6 +104,30 @@
 	}
 }
 
+// TestUrgentRequestOutlivesSilenceBeforeItsFirstToken silences the connections while engines work through long prompts.
+func TestUrgentRequestOutlivesSilenceBeforeItsFirstToken(t *testing.T) {
+	const (
+		promptBytes = 16 << 10
+		budget      = 32
+	)
+	s := runningWith(t, func(shape *prover.Shape) {
+		for _, e := range shape.Engines {
+			e.LateHead = true
+			e.Budget = budget
+		}
+	})
+	call := plan(strings.Repeat("x", promptBytes), 20)
+	call.Request.Tier = dotterelpulley.TierUrgent
+	call.Within = dotterelpulley.TierUrgent.DefaultDeadline()
+	var tasks conc.WaitGroup
+	var answer prover.Answer
+	tasks.Go(func() { answer = s.send(call, s.Entries[0]) })
+	s.awaitRuns(1)
+	enginesSilent(s)
+	tasks.Wait()
+	s.wholeOnce(call, answer)
+}
+
 func TestStreamOutlivesCutsToTheEngine(t *testing.T) {
 	s := running(t)
 	calls, answers := s.duringStreams(func() {
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -27,6 +27,8 @@
 	strike func(site) (heal func())
 	// whole takes the requests that must be answered whole all the same.
 	whole func(loader.Result) bool
+	// notice is the time that the entry hosts may take to notice.
+	notice time.Duration
 }
 
 func nothing(loader.Result) bool {
