Answer at the deadline, keep a call that began, and take only a proof as one

Cause, found by reading: a call of a plain service was cut at the request's deadline, so a booking that took longer could never be learned of again; any status 503 counted as proof that nothing started, also one of something between host and endpoint, and led to a second attempt; the cancel call to an engine came before the caller's final answer and could hold it up. A call that may have begun now goes on, the caller hears at its deadline that the outcome is unknown and when to come back, and a resend attaches to the run. A 503 counts as not admitted only when it says so; else the outcome is unknown.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,6 +46,9 @@
 func (attemptFailed) attemptResult()     {}
 func (attemptCancelled) attemptResult()  {}
 
+// errUnproved is a refusal that does not say whether anything started.
+var errUnproved = errors.New("the endpoint refused without saying that nothing started")
+
 var errLeaseEnded = errors.New("the host may not dispatch the request any more")
 
 // call is one HTTP call on a connection of its own: a new connection proves that
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -72,17 +72,33 @@
 		}
 		c.Set(headerKey, string(req.Key.Idempotency))
 		if stream {
-			return e.streamAnswer(c, w)
+			return e.streamAnswer(c, w, req.Deadline)
 		}
-		return e.wholeAnswer(c, w)
+		return e.wholeAnswer(c, w, req.Deadline)
 	}
 }
 
-func (e *Entry) wholeAnswer(c fiber.Ctx, w watch) error {
+// answerGrace is the wait past a request's deadline for the word of the host that runs it.
+const answerGrace = 250 * time.Millisecond
+
+// stillRuns is told at the deadline of a request that goes on.
+func stillRuns() *dotterelpulley.Refusal {
+	return dotterelpulley.Refuse(dotterelpulley.ErrorOutcomeUnknown, time.Second,
+		"the request's time ended while it ran; sent again under its key it gets the answer of that run")
+}
+
+func (e *Entry) wholeAnswer(c fiber.Ctx, w watch, deadline time.Time) error {
 	defer w.leave()
+	late := time.NewTimer(time.Until(deadline) + answerGrace)
+	defer late.Stop()
 	v := w.from(0)
 	for !v.ended() {
-		<-v.changed
+		select {
+		case <-v.changed:
+		case <-late.C:
+			e.counters.Inc("answered-late")
+			return e.refuse(c, stillRuns())
+		}
 		v = w.from(0)
 	}
 	if v.refusal != nil {
@@ -96,19 +112,21 @@
 	})
 }
 
-func (e *Entry) streamAnswer(c fiber.Ctx, w watch) error {
+func (e *Entry) streamAnswer(c fiber.Ctx, w watch, deadline time.Time) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-store")
 	return c.SendStreamWriter(func(to *bufio.Writer) {
 		defer w.leave()
-		if err := writeEvents(to, w.output); err != nil {
+		if err := writeEvents(to, w.output, deadline); err != nil {
 			e.counters.Inc("caller-gone")
 		}
 	})
 }
 
 // writeEvents copies the output as server-sent events until it ends or the caller has gone.
-func writeEvents(to *bufio.Writer, out *output) error {
+func writeEvents(to *bufio.Writer, out *output, deadline time.Time) error {
+	late := time.NewTimer(time.Until(deadline) + answerGrace)
+	defer late.Stop()
 	tick := time.NewTicker(waitingEvery)
 	defer tick.Stop()
 	sent := 0
@@ -135,6 +153,9 @@
 		}
 		select {
 		case <-v.changed:
+		case <-late.C:
+			writeEvent(to, "error", refusalToWire(stillRuns()))
+			return to.Flush()
 		case <-tick.C:
 			_, _ = to.WriteString(": waiting\n\n")
 		}
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -27,6 +27,12 @@
 	RequestID string `json:"request_id"`
 }
 
+type wireEngineError struct {
+	Error struct {
+		Type string `json:"type"`
+	} `json:"error"`
+}
+
 type wireToken struct {
 	Choices []struct {
 		Text         string  `json:"text"`
@@ -43,7 +49,11 @@
 	headerKind         = "Kind"
 	headerNotAdmitted  = "Not-Admitted"
 
+	// engineNotAdmitted is the error type that proves that nothing started.
+	engineNotAdmitted = "not_admitted"
+
 	maxEventBytes = 1 << 20
+	maxErrorBytes = 4 << 10
 )
 
 // complete runs the request at an engine and streams its tokens into the run's output.
@@ -105,7 +115,7 @@
 	switch status := c.response.StatusCode(); status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
-		return attemptNotStarted{reason: notAdmitted}
+		return refusedBy(c)
 	case http.StatusNotFound:
 		return attemptFailed{detail: "the engine does not know the run or the version"}
 	default:
@@ -123,6 +133,19 @@
 	return attemptBroken{err: err}
 }
 
+// refusedBy judges a status 503: only one that says so proves that nothing started.
+func refusedBy(c *call) attemptResult {
+	var w wireEngineError
+	text, err := io.ReadAll(io.LimitReader(c.body(), maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(text, &w)
+	}
+	if err == nil && w.Error.Type == engineNotAdmitted {
+		return attemptNotStarted{reason: notAdmitted}
+	}
+	return attemptBroken{err: errUnproved}
+}
+
 // unanswered judges a call that got no answer's head.
 func unanswered(ctx context.Context, c *call, err error) attemptResult {
 	if !c.sent.Load() {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -15,6 +15,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
@@ -198,3 +200,16 @@
 	files.Authority = ""
 	s.CallerFiles = files
 }
+
+// serve runs an HTTP server until the test ends and returns its address.
+func (f *fleet) serve(server *fasthttp.Server) dotterelpulley.Address {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	var wait conc.WaitGroup
+	wait.Go(func() { _ = server.Serve(listener) })
+	f.Cleanup(func() {
+		f.Check(server.Shutdown(), qt.IsNil)
+		wait.Wait()
+	})
+	return dotterelpulley.Address(listener.Addr().String())
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -33,7 +33,7 @@
 // forward runs the request on the host that the claimer names and copies the answer into an output of this host.
 func (e *Entry) forward(req dotterelpulley.Request, to claimer.Forward, passed []dotterelpulley.HostID) watch {
 	out := newOutput()
-	ctx, cancel := context.WithDeadline(e.ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(e.ctx, req.Deadline.Add(answerGrace))
 	end := e.runs.pass()
 	e.wait.Go(func() {
 		defer end()
@@ -52,6 +52,10 @@
 		if err == nil {
 			return
 		}
+		if expired(ctx) {
+			out.fail(stillRuns())
+			return
+		}
 		if ctx.Err() != nil || time.Now().After(giveUp) {
 			out.fail(unreachable(to.To, err))
 			return
--- a/entry/life.go
+++ b/entry/life.go
@@ -146,7 +146,7 @@
 // give ends the request with a refusal and notes an endpoint that has died.
 func (e *Entry) give(g grant, id string, step dispatcher.Give, result attemptResult) *dotterelpulley.Refusal {
 	if step.Cancel {
-		e.cancelRun(g, id)
+		e.wait.Go(func() { e.cancelRun(g, id) })
 	}
 	_, broken := result.(attemptBroken)
 	if step.Dead || broken && refuses(g.endpoint.Address, e.settings.Timeouts.Dial) {
@@ -215,5 +215,5 @@
 	if g.endpoint.kind == lister.KindEngine {
 		return e.complete(r.ctx, r, g, id)
 	}
-	return e.callPlain(r.ctx, r, g, id)
+	return e.callPlain(e.ctx, r, g, id)
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -7,7 +7,8 @@
 	"net/http"
 )
 
-// callPlain runs the request at a plain service.
+// callPlain runs the request at a plain service; a call that may have begun goes on past the request's deadline,
+// so that a resend learns how it ended.
 func (e *Entry) callPlain(ctx context.Context, r *run, g grant, id string) attemptResult {
 	c := newCall(g.endpoint.Address, "/v1/call", e.settings.Timeouts)
 	defer c.close()
@@ -37,8 +38,11 @@
 
 func plainRefusal(c *call, status int) attemptResult {
 	proved := string(c.response.Header.Peek(headerNotAdmitted)) == "true"
-	if status == http.StatusServiceUnavailable && proved {
+	switch {
+	case status == http.StatusServiceUnavailable && proved:
 		return attemptNotStarted{reason: notAdmitted}
+	case status == http.StatusServiceUnavailable:
+		return attemptBroken{err: errUnproved}
 	}
 	return attemptFailed{detail: fmt.Sprintf("the service answered status %d", status)}
 }
