Ask again on a new connection while the first token is awaited

Cause: the wait for the first byte, 30 s, was longer than an urgent request's deadline, so a connection that went silent before it was never dropped and the run never resumed. Engines that send their head at once hid this behind the idle time-out of 3 s, which in turn broke off prompts that take longer than that to work through. One connection to an engine now gets a quarter of the request's remaining time, 1 s at least, until the first new token; the idle time-out counts from there on.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,17 +60,27 @@
 	sent     atomic.Bool
 	// mayStart is asked right before the first byte leaves; nil means yes.
 	mayStart func() bool
-	conn     atomic.Pointer[trackedConn]
+	// began tells whether the answer itself has begun; nil means with its first byte.
+	began func() bool
+	// firstByte is the wait until the answer has begun, idle the wait for each read from then on.
+	firstByte time.Duration
+	idle      time.Duration
+	conn      atomic.Pointer[trackedConn]
 }
 
 func newCall(address dotterelpulley.Address, path string, timeouts Timeouts) *call {
-	c := &call{request: fasthttp.AcquireRequest(), response: fasthttp.AcquireResponse()}
+	c := &call{
+		request:   fasthttp.AcquireRequest(),
+		response:  fasthttp.AcquireResponse(),
+		firstByte: timeouts.FirstByte,
+		idle:      timeouts.Idle,
+	}
 	c.client = fasthttp.HostClient{
 		Addr:                      string(address),
 		StreamResponseBody:        true,
 		MaxIdemponentCallAttempts: 1,
 		Dial: func(addr string) (net.Conn, error) {
-			return c.dial(addr, timeouts)
+			return c.dial(addr, timeouts.Dial)
 		},
 	}
 	c.request.SetRequestURI("http://" + string(address) + path)
@@ -80,15 +90,15 @@
 	return c
 }
 
-func (c *call) dial(addr string, timeouts Timeouts) (net.Conn, error) {
+func (c *call) dial(addr string, timeout time.Duration) (net.Conn, error) {
 	if c.sent.Load() {
 		return nil, errors.New("the call was already sent")
 	}
-	conn, err := net.DialTimeout("tcp", addr, timeouts.Dial)
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, call: c, firstByte: timeouts.FirstByte, idle: timeouts.Idle}
+	tracked := &trackedConn{Conn: conn, call: c}
 	c.conn.Store(tracked)
 	return tracked, nil
 }
@@ -123,10 +133,8 @@
 // trackedConn notes when a byte may have left and bounds the wait for each read.
 type trackedConn struct {
 	net.Conn
-	call      *call
-	firstByte time.Duration
-	idle      time.Duration
-	answered  bool
+	call     *call
+	answered bool
 }
 
 // Write marks the call as sent before the first byte may leave.
@@ -138,11 +146,19 @@
 	return t.Conn.Write(p)
 }
 
-// Read waits at most the idle time-out, or the first-byte time-out for the first read.
+// begun reports whether the answer itself has begun.
+func (t *trackedConn) begun() bool {
+	if t.call.began != nil {
+		return t.call.began()
+	}
+	return t.answered
+}
+
+// Read waits at most the idle time-out, or the first-byte time-out until the answer has begun.
 func (t *trackedConn) Read(p []byte) (int, error) {
-	wait := t.idle
-	if !t.answered {
-		wait = t.firstByte
+	wait := t.call.idle
+	if !t.begun() {
+		wait = t.call.firstByte
 	}
 	if err := t.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return 0, err
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 type wireCompletion struct {
@@ -75,9 +76,29 @@
 		return attemptNotStarted{reason: "encode"}
 	}
 	c.request.SetBody(body)
+	e.boundFirstToken(ctx, r, c)
 	return e.stream(ctx, r, c)
 }
 
+const (
+	// firstTokenShare is the part of a request's remaining time that one connection may take for its first token.
+	firstTokenShare = 4
+	// leastFirstToken bounds that time from below.
+	leastFirstToken = time.Second
+)
+
+// boundFirstToken leaves time to ask again on a new connection when this one says nothing of the answer.
+func (e *Entry) boundFirstToken(ctx context.Context, r *run, c *call) {
+	from := r.output.length()
+	c.began = func() bool { return r.output.length() > from }
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	share := max(time.Until(deadline)/firstTokenShare, leastFirstToken)
+	c.firstByte = min(c.firstByte, share)
+}
+
 // resume reads the rest of a run that an engine still holds, and returns the answer's status, 0 for none.
 func (e *Entry) resume(ctx context.Context, r *run, g grant, id string) (attemptResult, int) {
 	c := newCall(g.endpoint.Address, "/v1/resume", e.settings.Timeouts)
@@ -87,6 +108,7 @@
 		return attemptBroken{err: err}, 0
 	}
 	c.request.SetBody(body)
+	e.boundFirstToken(ctx, r, c)
 	result := e.stream(ctx, r, c)
 	if _, answered := result.(attemptFailed); !answered {
 		return result, 0
