--- a/cmd/dotterel-mover/actions.go
+++ b/carrier/actions.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"encoding/json"
@@ -16,18 +16,18 @@
 	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
 
-func (p *process) append(a mover.Append) {
+func (c *Carrier) append(a mover.Append) {
 	data, err := recorder.Encode(a.Envelope)
 	if err == nil {
-		_, err = p.client.Append(a.Stream, data)
+		_, err = c.client.Append(a.Stream, data)
 	}
 	if err != nil {
-		p.counters.Inc("retry-append")
-		p.log.Warn().Str("event", "append-failed").Str("stream", string(a.Stream)).Err(err).Msg("")
+		c.counters.Inc("retry-append")
+		c.log.Warn().Str("event", "append-failed").Str("stream", string(a.Stream)).Err(err).Msg("")
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mover.Appended(a.Envelope.ID, time.Now(), err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mover.Appended(a.Envelope.ID, time.Now(), err)
 }
 
 type wireWant struct {
@@ -47,8 +47,8 @@
 )
 
 // order sends one order; the lease is checked last of all.
-func (p *process) order(o mover.Order) {
-	address, known := p.address(o.Endpoint)
+func (c *Carrier) order(o mover.Order) {
+	address, known := c.address(o.Endpoint)
 	if !known {
 		return
 	}
@@ -58,33 +58,33 @@
 	}
 	body, err := json.Marshal(w)
 	if err == nil {
-		err = p.post(address, "/v1/orders", body, func() bool {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			return p.mover.MaySend(o, time.Now())
+		err = c.post(address, "/v1/orders", body, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.mover.MaySend(o, time.Now())
 		})
 	}
 	switch {
 	case err == nil:
-		p.counters.Inc("orders-taken")
+		c.counters.Inc("orders-taken")
 	case errors.Is(err, errLeaseTooShort):
-		p.counters.Inc("orders-withheld")
+		c.counters.Inc("orders-withheld")
 	case errors.Is(err, errStaleFence):
-		p.counters.Inc("orders-refused-stale-fence")
+		c.counters.Inc("orders-refused-stale-fence")
 	default:
-		p.counters.Inc("retry-order")
+		c.counters.Inc("retry-order")
 	}
-	p.log.Info().Str("event", "order").Str("endpoint", string(o.Endpoint)).Int64("fence", int64(o.Fence)).
+	c.log.Info().Str("event", "order").Str("endpoint", string(o.Endpoint)).Int64("fence", int64(o.Fence)).
 		Strs("want", w.Want.Versions).AnErr("error", err).Msg("")
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mover.Ordered(o, time.Now(), err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mover.Ordered(o, time.Now(), err)
 }
 
-func (p *process) address(id dotterelpulley.EndpointID) (dotterelpulley.Address, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, h := range p.list.Hosts {
+func (c *Carrier) address(id dotterelpulley.EndpointID) (dotterelpulley.Address, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.list.Hosts {
 		if h.Endpoint().ID == id && h.Kind != lister.KindEntry {
 			return h.Address, true
 		}
@@ -92,7 +92,7 @@
 	return "", false
 }
 
-func (p *process) post(address dotterelpulley.Address, path string, body []byte, allowed func() bool) error {
+func (c *Carrier) post(address dotterelpulley.Address, path string, body []byte, allowed func() bool) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -104,7 +104,7 @@
 	if !allowed() {
 		return errLeaseTooShort
 	}
-	if err := p.http.DoTimeout(req, resp, p.settings.OrderTimeout); err != nil {
+	if err := c.http.DoTimeout(req, resp, c.settings.OrderTimeout); err != nil {
 		return fmt.Errorf("post %q to %q: %w", path, address, err)
 	}
 	switch resp.StatusCode() {
@@ -117,24 +117,24 @@
 }
 
 // spread tells every entry host of a bad version.
-func (p *process) spread(s mover.Spread) {
-	p.log.Warn().Str("event", "bad-version").Str("move", s.Bad.Move.String()).Str("reason", s.Bad.Reason).Msg("")
+func (c *Carrier) spread(s mover.Spread) {
+	c.log.Warn().Str("event", "bad-version").Str("move", s.Bad.Move.String()).Str("reason", s.Bad.Reason).Msg("")
 	data, err := recorder.Encode(recorder.Envelope{ID: recorder.RecordID(uuid.NewString()), Body: s.Bad})
 	if err != nil {
-		p.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
+		c.log.Error().Str("event", "bad-version-not-encoded").Err(err).Msg("")
 		return
 	}
-	p.mu.Lock()
-	p.follower.Mark(s.Bad)
-	hosts := p.list.Hosts
-	p.mu.Unlock()
+	c.mu.Lock()
+	c.follower.Mark(s.Bad)
+	hosts := c.list.Hosts
+	c.mu.Unlock()
 	for _, h := range hosts {
 		if h.Kind != lister.KindEntry {
 			continue
 		}
-		p.wait.Go(func() {
-			if _, err := p.peers.call(p.ctx, http.MethodPost, h.PeerAddress, "/v1/bad-versions", data); err != nil {
-				p.counters.Inc("bad-version-not-told")
+		c.wait.Go(func() {
+			if _, err := c.peers.call(c.ctx, http.MethodPost, h.PeerAddress, "/v1/bad-versions", data); err != nil {
+				c.counters.Inc("bad-version-not-told")
 			}
 		})
 	}
--- a/cmd/dotterel-mover/process.go
+++ b/carrier/carrier.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"context"
@@ -18,6 +18,7 @@
 	"github.com/dotterelpulley/dotterelpulley/lister"
 	"github.com/dotterelpulley/dotterelpulley/mover"
 	"github.com/dotterelpulley/dotterelpulley/recorder"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
 const (
@@ -29,8 +30,8 @@
 	shutdownLimit = 2 * time.Second
 )
 
-// process joins the mover with the log, the host list, the endpoints and the entry hosts.
-type process struct {
+// Carrier is the process that carries out release notes; Start begins it and Close ends it.
+type Carrier struct {
 	settings mover.Settings
 	log      *log.Logger
 	counters counter.Set
@@ -58,8 +59,9 @@
 	operators operators
 }
 
-func newProcess(settings mover.Settings, logger *log.Logger) *process {
-	p := &process{
+// New returns a process with checked settings; it does nothing before Start.
+func New(settings mover.Settings, logger *log.Logger) *Carrier {
+	c := &Carrier{
 		settings:  settings,
 		log:       logger,
 		client:    appender.Client{Address: settings.Log},
@@ -69,113 +71,98 @@
 		endpoints: map[dotterelpulley.EndpointID]mover.Endpoint{},
 		evidence:  map[dotterelpulley.HostID][]*assessor.Evidence{},
 	}
-	p.ctx, p.cancel = context.WithCancel(context.Background())
-	return p
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
 }
 
-func (p *process) start() error {
-	if err := p.peers.start(p.settings.PeerFiles, p.settings.OrderTimeout); err != nil {
+// Counters returns the process's counters.
+func (c *Carrier) Counters() *counter.Set {
+	return &c.counters
+}
+
+// Start opens the operators' listener and begins to work.
+func (c *Carrier) Start() error {
+	if err := c.peers.start(c.settings.PeerFiles, c.settings.OrderTimeout); err != nil {
 		return err
 	}
-	if err := p.operators.start(p); err != nil {
+	if err := c.operators.start(c); err != nil {
 		return err
 	}
-	p.wait.Go(func() { p.every(certificatesEvery, p.reloadCertificates) })
-	p.wait.Go(func() { p.follow(appender.StreamConfiguration) })
-	p.wait.Go(func() { p.follow(appender.StreamMoves) })
-	p.wait.Go(func() { p.every(pollEvery, p.poll) })
-	p.wait.Go(func() { p.every(tickEvery, p.tick) })
-	p.log.Info().Str("event", "started").Str("host", string(p.settings.Host)).Msg("")
+	c.wait.Go(func() { repeater.Every(c.ctx, certificatesEvery, c.reloadCertificates) })
+	c.wait.Go(func() { c.follow(appender.StreamConfiguration) })
+	c.wait.Go(func() { c.follow(appender.StreamMoves) })
+	c.wait.Go(func() { repeater.Every(c.ctx, pollEvery, c.poll) })
+	c.wait.Go(func() { repeater.Every(c.ctx, tickEvery, c.tick) })
+	c.log.Info().Str("event", "started").Str("host", string(c.settings.Host)).Msg("")
 	return nil
 }
 
-// every calls do at once and then at each interval until the process ends.
-func (p *process) every(interval time.Duration, do func()) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		do()
-		select {
-		case <-tick.C:
-		case <-p.ctx.Done():
-			return
-		}
-	}
-}
-
 // follow reads the stream until the process ends.
-func (p *process) follow(stream appender.Stream) {
-	for p.ctx.Err() == nil {
-		p.mu.Lock()
-		next := p.follower.Next(stream)
-		p.mu.Unlock()
+func (c *Carrier) follow(stream appender.Stream) {
+	for c.ctx.Err() == nil {
+		c.mu.Lock()
+		next := c.follower.Next(stream)
+		c.mu.Unlock()
 		begun := time.Now()
-		page, err := p.client.Read(stream, next, readWait)
+		page, err := c.client.Read(stream, next, readWait)
 		if err != nil {
-			p.counters.Inc("retry-log-read")
-			p.pause(readRetry)
+			c.counters.Inc("retry-log-read")
+			repeater.Pause(c.ctx, readRetry)
 			continue
 		}
-		p.take(stream, page, begun)
+		c.take(stream, page, begun)
 	}
 }
 
-func (p *process) take(stream appender.Stream, page appender.Page, begun time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, change := range p.follower.ApplyPage(stream, page) {
-		p.mover.Observe(change.Verdict)
-		p.tell(change)
+func (c *Carrier) take(stream appender.Stream, page appender.Page, begun time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, change := range c.follower.ApplyPage(stream, page) {
+		c.mover.Observe(change.Verdict)
+		c.tell(change)
 	}
 	if len(page.Records) == 0 {
-		p.read[stream] = begun
-	}
-}
-
-func (p *process) pause(d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-p.ctx.Done():
+		c.read[stream] = begun
 	}
 }
 
-func (p *process) reloadCertificates() {
-	if err := p.peers.reload(); err != nil {
-		p.counters.Inc("certificate-failed")
-		p.log.Error().Str("event", "certificate-failed").Err(err).Msg("")
+func (c *Carrier) reloadCertificates() {
+	if err := c.peers.reload(); err != nil {
+		c.counters.Inc("certificate-failed")
+		c.log.Error().Str("event", "certificate-failed").Err(err).Msg("")
 	}
 }
 
 // tick asks the mover what to do and does it.
-func (p *process) tick() {
-	p.mu.Lock()
+func (c *Carrier) tick() {
+	c.mu.Lock()
 	now := time.Now()
-	view := p.view()
-	actions := p.mover.Tick(now, view)
-	p.mu.Unlock()
+	view := c.view()
+	actions := c.mover.Tick(now, view)
+	c.mu.Unlock()
 	for _, action := range actions {
 		switch a := action.(type) {
 		case mover.Append:
-			p.wait.Go(func() { p.append(a) })
+			c.wait.Go(func() { c.append(a) })
 		case mover.Order:
-			p.wait.Go(func() { p.order(a) })
+			c.wait.Go(func() { c.order(a) })
 		case mover.Spread:
-			p.wait.Go(func() { p.spread(a) })
+			c.wait.Go(func() { c.spread(a) })
 		}
 	}
 }
 
 // Close gives the lease up, ends the process's work and waits for it.
-func (p *process) Close() error {
-	p.mu.Lock()
-	farewell, held := p.mover.Farewell(time.Now(), p.view())
-	p.mu.Unlock()
+func (c *Carrier) Close() error {
+	c.mu.Lock()
+	farewell, held := c.mover.Farewell(time.Now(), c.view())
+	c.mu.Unlock()
 	if held {
-		p.append(farewell)
+		c.append(farewell)
 	}
-	p.cancel()
-	err := p.operators.close()
-	p.wait.Wait()
-	p.log.Info().Str("event", "stopped").Msg("")
+	c.cancel()
+	err := c.operators.close()
+	c.wait.Wait()
+	c.log.Info().Str("event", "stopped").Msg("")
 	return err
 }
--- a/cmd/dotterel-mover/operators.go
+++ b/carrier/operators.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"expvar"
@@ -39,26 +39,26 @@
 	Reason   string  `json:"reason"`
 }
 
-func (o *operators) start(p *process) error {
+func (o *operators) start(c *Carrier) error {
 	o.app = fiber.New(fiber.Config{ReadTimeout: operatorReadTimeout})
-	o.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
-	o.app.Get("/readyz", func(c fiber.Ctx) error {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if !p.follower.Ready() {
-			return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	o.app.Get("/healthz", func(r fiber.Ctx) error { return r.SendString("ok\n") })
+	o.app.Get("/readyz", func(r fiber.Ctx) error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.follower.Ready() {
+			return r.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
 		}
-		return c.SendString("ready\n")
+		return r.SendString("ready\n")
 	})
-	o.app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(p.status()) })
+	o.app.Get("/v1/status", func(r fiber.Ctx) error { return r.JSON(c.status()) })
 	o.app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
-	listener, err := net.Listen("tcp", string(p.settings.Operators))
+	listener, err := net.Listen("tcp", string(c.settings.Operators))
 	if err != nil {
-		return fmt.Errorf("listen on %q: %w", p.settings.Operators, err)
+		return fmt.Errorf("listen on %q: %w", c.settings.Operators, err)
 	}
-	p.wait.Go(func() {
+	c.wait.Go(func() {
 		if err := o.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-			p.log.Error().Str("event", "listener-ended").Err(err).Msg("")
+			c.log.Error().Str("event", "listener-ended").Err(err).Msg("")
 		}
 	})
 	return nil
@@ -68,15 +68,15 @@
 	return o.app.ShutdownWithTimeout(shutdownLimit)
 }
 
-func (p *process) status() wireStatus {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (c *Carrier) status() wireStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
-	view := p.view()
+	view := c.view()
 	status := wireStatus{
-		Host:    string(p.settings.Host),
-		Leading: p.mover.Leading(view),
-		Active:  p.mover.Active(now, view),
+		Host:    string(c.settings.Host),
+		Leading: c.mover.Leading(view),
+		Active:  c.mover.Active(now, view),
 		Holder:  string(view.Moves.Lease.Holder),
 		Fence:   int64(view.Moves.Lease.Fence),
 	}
--- a/cmd/dotterel-mover/peers.go
+++ b/carrier/peers.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"bytes"
--- a/cmd/dotterel-mover/poll.go
+++ b/carrier/poll.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"encoding/json"
@@ -18,50 +18,50 @@
 )
 
 // poll reads the host list and, while this host leads, the endpoints' states and the entry hosts' evidence.
-func (p *process) poll() {
-	list, err := p.hosts.Fetch()
-	p.mu.Lock()
-	if err == nil && list.Revision >= p.list.Revision {
-		p.list = list
+func (c *Carrier) poll() {
+	list, err := c.hosts.Fetch()
+	c.mu.Lock()
+	if err == nil && list.Revision >= c.list.Revision {
+		c.list = list
 	}
-	hosts := p.list.Hosts
-	leading := p.mover.Leading(p.view())
-	p.mu.Unlock()
+	hosts := c.list.Hosts
+	leading := c.mover.Leading(c.view())
+	c.mu.Unlock()
 	if err != nil {
-		p.counters.Inc("retry-host-list")
+		c.counters.Inc("retry-host-list")
 	}
 	if !leading {
 		return
 	}
-	due := p.evidenceDue(time.Now())
+	due := c.evidenceDue(time.Now())
 	var polls conc.WaitGroup
 	for _, h := range hosts {
 		switch h.Kind {
 		case lister.KindEngine:
-			polls.Go(func() { p.pollEndpoint(h) })
+			polls.Go(func() { c.pollEndpoint(h) })
 		case lister.KindEntry:
 			if due {
-				polls.Go(func() { p.pollEvidence(h) })
+				polls.Go(func() { c.pollEvidence(h) })
 			}
 		case lister.KindPlain:
 		}
 	}
 	polls.Wait()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.assessAll(time.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.assessAll(time.Now())
 }
 
 // evidenceDue reports whether a move runs and the entry hosts' evidence was not asked for lately.
-func (p *process) evidenceDue(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	state := p.follower.MovesState()
+func (c *Carrier) evidenceDue(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.follower.MovesState()
 	running := slices.ContainsFunc(state.Moves, recorder.Move.Running)
-	if !running || now.Sub(p.evidenceAt) < evidenceEvery-pollEvery/2 {
+	if !running || now.Sub(c.evidenceAt) < evidenceEvery-pollEvery/2 {
 		return false
 	}
-	p.evidenceAt = now
+	c.evidenceAt = now
 	return true
 }
 
@@ -89,52 +89,52 @@
 	return e
 }
 
-func (p *process) pollEndpoint(h lister.Host) {
-	data, err := p.get(h.Address, "/v1/orders")
+func (c *Carrier) pollEndpoint(h lister.Host) {
+	data, err := c.get(h.Address, "/v1/orders")
 	var w wireOrderState
 	if err == nil {
 		err = json.Unmarshal(data, &w)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
-		p.counters.Inc("retry-endpoint-state")
-		delete(p.endpoints, dotterelpulley.EndpointID(h.ID))
+		c.counters.Inc("retry-endpoint-state")
+		delete(c.endpoints, dotterelpulley.EndpointID(h.ID))
 		return
 	}
-	p.endpoints[dotterelpulley.EndpointID(h.ID)] = w.fromWire(h)
+	c.endpoints[dotterelpulley.EndpointID(h.ID)] = w.fromWire(h)
 }
 
-func (p *process) pollEvidence(h lister.Host) {
-	data, err := p.peers.call(p.ctx, http.MethodGet, h.PeerAddress, "/v1/evidence", nil)
+func (c *Carrier) pollEvidence(h lister.Host) {
+	data, err := c.peers.call(c.ctx, http.MethodGet, h.PeerAddress, "/v1/evidence", nil)
 	if err != nil {
-		p.counters.Inc("retry-evidence")
+		c.counters.Inc("retry-evidence")
 		return
 	}
 	report, err := assessor.DecodeReport(data)
 	if err != nil {
-		p.counters.Inc("evidence-damaged")
+		c.counters.Inc("evidence-damaged")
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.evidence[h.ID] = report.Evidence
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence[h.ID] = report.Evidence
 	for _, fact := range report.Bad {
 		env, err := recorder.Decode(fact)
 		bad, ok := env.Body.(recorder.BadVersion)
-		if err == nil && ok && p.follower.Mark(bad) {
-			p.counters.Inc("bad-version-heard")
+		if err == nil && ok && c.follower.Mark(bad) {
+			c.counters.Inc("bad-version-heard")
 		}
 	}
 }
 
-func (p *process) get(address dotterelpulley.Address, path string) ([]byte, error) {
+func (c *Carrier) get(address dotterelpulley.Address, path string) ([]byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + string(address) + path)
-	if err := p.http.DoTimeout(req, resp, p.settings.OrderTimeout); err != nil {
+	if err := c.http.DoTimeout(req, resp, c.settings.OrderTimeout); err != nil {
 		return nil, fmt.Errorf("get %q of %q: %w", path, address, err)
 	}
 	if resp.StatusCode() != http.StatusOK {
--- a/cmd/dotterel-mover/tell.go
+++ b/carrier/tell.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"github.com/dotterelpulley/dotterelpulley/follower"
@@ -6,37 +6,37 @@
 )
 
 // tell logs and counts what a record did.
-func (p *process) tell(change follower.Change) {
+func (c *Carrier) tell(change follower.Change) {
 	v := change.Verdict
 	if !v.Accepted {
-		p.counters.Inc("records-refused")
-		p.log.Info().Str("event", "record-refused").Str("stream", string(change.Stream)).
+		c.counters.Inc("records-refused")
+		c.log.Info().Str("event", "record-refused").Str("stream", string(change.Stream)).
 			Int64("offset", int64(v.Offset)).Str("reason", v.Reason).Msg("")
 		return
 	}
 	switch body := change.Body.(type) {
 	case recorder.Claim:
-		p.counters.Inc("leases-claimed")
-		p.log.Info().Str("event", "lease").Str("holder", string(body.Holder)).Int64("fence", int64(v.Offset)).Msg("")
+		c.counters.Inc("leases-claimed")
+		c.log.Info().Str("event", "lease").Str("holder", string(body.Holder)).Int64("fence", int64(v.Offset)).Msg("")
 	case recorder.Opening:
-		p.counters.Inc("moves-opened")
-		p.log.Info().Str("event", "opened").Str("move", body.Move.String()).Msg("")
+		c.counters.Inc("moves-opened")
+		c.log.Info().Str("event", "opened").Str("move", body.Move.String()).Msg("")
 	case recorder.Step:
-		p.counters.Inc("steps")
-		p.log.Info().Str("event", "step").Str("move", body.Move.String()).
+		c.counters.Inc("steps")
+		c.log.Info().Str("event", "step").Str("move", body.Move.String()).
 			Float64("share", body.Share).Str("reason", body.Reason).Msg("")
 	case recorder.Outcome:
 		event := recorder.PhaseUndone.String()
 		if body.Done {
 			event = recorder.PhaseDone.String()
 		}
-		p.counters.Inc("moves-" + event)
-		p.log.Info().Str("event", event).Str("move", body.Move.String()).Str("reason", body.Reason).Msg("")
+		c.counters.Inc("moves-" + event)
+		c.log.Info().Str("event", event).Str("move", body.Move.String()).Str("reason", body.Reason).Msg("")
 	case recorder.BadVersion:
-		p.counters.Inc("versions-bad")
-		p.log.Warn().Str("event", "bad").Str("move", body.Move.String()).Str("reason", body.Reason).Msg("")
+		c.counters.Inc("versions-bad")
+		c.log.Warn().Str("event", "bad").Str("move", body.Move.String()).Str("reason", body.Reason).Msg("")
 	case recorder.Delta, recorder.Note:
-		p.counters.Inc("configuration-records")
+		c.counters.Inc("configuration-records")
 	case recorder.Renewal, recorder.Release, recorder.ConfigurationSnapshot, recorder.MovesSnapshot:
 	}
 }
--- a/cmd/dotterel-mover/view.go
+++ b/carrier/view.go
@@ -1,4 +1,4 @@
-package main
+package carrier
 
 import (
 	"time"
@@ -10,66 +10,66 @@
 	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
 
-// view gathers what the mover decides from; p.mu is held.
-func (p *process) view() *mover.View {
+// view gathers what the mover decides from; c.mu is held.
+func (c *Carrier) view() *mover.View {
 	v := &mover.View{
-		Configuration: p.follower.ConfigurationState(),
-		Moves:         p.follower.MovesState(),
-		CaughtUp:      p.caughtUp(),
-		Marked:        p.follower.Marked(),
+		Configuration: c.follower.ConfigurationState(),
+		Moves:         c.follower.MovesState(),
+		CaughtUp:      c.caughtUp(),
+		Marked:        c.follower.Marked(),
 		Assessments:   map[recorder.MoveID]mover.Assessment{},
 		Tails: mover.Tails{
-			Configuration: p.tail(appender.StreamConfiguration),
-			Moves:         p.tail(appender.StreamMoves),
+			Configuration: c.tail(appender.StreamConfiguration),
+			Moves:         c.tail(appender.StreamMoves),
 		},
 	}
-	for _, h := range p.list.Hosts {
-		if e, known := p.endpoints[h.Endpoint().ID]; known && h.Kind == lister.KindEngine {
+	for _, h := range c.list.Hosts {
+		if e, known := c.endpoints[h.Endpoint().ID]; known && h.Kind == lister.KindEngine {
 			v.Endpoints = append(v.Endpoints, e)
 		}
 	}
-	for id, a := range p.assessments {
+	for id, a := range c.assessments {
 		v.Assessments[id] = a
 	}
 	return v
 }
 
-// assessAll judges every running move anew; p.mu is held.
-func (p *process) assessAll(now time.Time) {
-	p.assessments = map[recorder.MoveID]mover.Assessment{}
-	for _, m := range p.follower.MovesState().Moves {
+// assessAll judges every running move anew; c.mu is held.
+func (c *Carrier) assessAll(now time.Time) {
+	c.assessments = map[recorder.MoveID]mover.Assessment{}
+	for _, m := range c.follower.MovesState().Moves {
 		if m.Running() && m.Number > 0 {
-			p.assessments[m.ID] = p.assess(m, now)
+			c.assessments[m.ID] = c.assess(m, now)
 		}
 	}
 }
 
 // caughtUp returns when both streams were last read to their end, and the zero time while earlier records are missing.
-func (p *process) caughtUp() time.Time {
-	if !p.follower.Ready() {
+func (c *Carrier) caughtUp() time.Time {
+	if !c.follower.Ready() {
 		return time.Time{}
 	}
-	configuration, moves := p.read[appender.StreamConfiguration], p.read[appender.StreamMoves]
+	configuration, moves := c.read[appender.StreamConfiguration], c.read[appender.StreamMoves]
 	if configuration.Before(moves) {
 		return configuration
 	}
 	return moves
 }
 
-func (p *process) tail(stream appender.Stream) mover.Tail {
-	records, oldest := p.follower.Tail(stream)
+func (c *Carrier) tail(stream appender.Stream) mover.Tail {
+	records, oldest := c.follower.Tail(stream)
 	return mover.Tail{
 		Records: records,
 		Oldest:  oldest,
-		Through: recorder.Place{Offset: p.follower.Next(stream) - 1},
+		Through: recorder.Place{Offset: c.follower.Next(stream) - 1},
 	}
 }
 
 // assess judges the evidence of all entry hosts on the move's newest step.
-func (p *process) assess(m recorder.Move, now time.Time) mover.Assessment {
+func (c *Carrier) assess(m recorder.Move, now time.Time) mover.Assessment {
 	exposure := exposureOf(m)
 	total := assessor.Evidence{Exposure: exposure}
-	for _, host := range p.evidence {
+	for _, host := range c.evidence {
 		for _, e := range host {
 			if e.Exposure == exposure {
 				total.Merge(e)
@@ -79,7 +79,7 @@
 	if len(total.Cells) == 0 {
 		return mover.Assessment{Reason: "no evidence yet"}
 	}
-	a := p.assessor.Assess(&total, now)
+	a := c.assessor.Assess(&total, now)
 	return mover.Assessment{
 		Step:     m.Number,
 		Requests: a.Requests,
--- a/cmd/dotterel-mover/main.go
+++ b/cmd/dotterel-mover/main.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"github.com/dotterelpulley/dotterelpulley/carrier"
 	"github.com/dotterelpulley/dotterelpulley/mover"
 )
 
@@ -46,13 +47,13 @@
 		return err
 	}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
-	p := newProcess(settings, logger)
-	p.counters.Publish("dotterel-mover")
-	if err := p.start(); err != nil {
+	c := carrier.New(settings, logger)
+	c.Counters().Publish("dotterel-mover")
+	if err := c.Start(); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	<-ctx.Done()
-	return p.Close()
+	return c.Close()
 }
--- /dev/null
+++ b/repeater/doc.go
@@ -0,0 +1,2 @@
+// Package repeater repeats and pauses work until a process ends.
+package repeater
