--- a/entry/claims_act.go
+++ b/entry/claims_act.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
 // act does one thing that the claimer wants done; it never waits.
@@ -139,7 +140,7 @@
 	}
 	if err != nil {
 		s.entry.counters.Inc("retry-log-append")
-		s.entry.pause(appendRetry)
+		repeater.Pause(s.entry.ctx, appendRetry)
 	}
 	s.step(claimer.AppendEnded{ID: id, Landed: err == nil})
 }
--- a/entry/claims_read.go
+++ b/entry/claims_read.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
 const (
@@ -49,7 +50,7 @@
 	for s.entry.ctx.Err() == nil && !s.over() {
 		if err := read(logReadWait); err != nil {
 			s.entry.counters.Inc("retry-log-read")
-			s.entry.pause(logReadRetry)
+			repeater.Pause(s.entry.ctx, logReadRetry)
 		}
 	}
 }
@@ -125,7 +126,7 @@
 				break
 			}
 		}
-		s.entry.pause(askRosterEvery)
+		repeater.Pause(s.entry.ctx, askRosterEvery)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/dotterelpulley/dotterelpulley/drainer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
 	"github.com/dotterelpulley/dotterelpulley/lister"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
 const (
@@ -109,18 +110,18 @@
 	if err := e.servePeers(); err != nil {
 		return err
 	}
-	e.wait.Go(func() { e.every(e.settings.Timeouts.HostListEvery, e.pollHosts) })
-	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollLoads) })
-	e.wait.Go(func() { e.every(queueEvery, e.queue.dispatch) })
-	e.wait.Go(func() { e.every(gossipEvery, e.gossip.tick) })
-	e.wait.Go(func() { e.every(e.settings.Timeouts.LoadEvery, e.pollCaches) })
+	e.wait.Go(func() { repeater.Every(e.ctx, e.settings.Timeouts.HostListEvery, e.pollHosts) })
+	e.wait.Go(func() { repeater.Every(e.ctx, e.settings.Timeouts.LoadEvery, e.pollLoads) })
+	e.wait.Go(func() { repeater.Every(e.ctx, queueEvery, e.queue.dispatch) })
+	e.wait.Go(func() { repeater.Every(e.ctx, gossipEvery, e.gossip.tick) })
+	e.wait.Go(func() { repeater.Every(e.ctx, e.settings.Timeouts.LoadEvery, e.pollCaches) })
 	e.wait.Go(func() { e.followLog(appender.StreamConfiguration) })
 	e.wait.Go(func() { e.followLog(appender.StreamMoves) })
-	e.wait.Go(func() { e.every(assessEvery, e.assess) })
-	e.wait.Go(func() { e.every(relayEvery, e.askPeer) })
-	e.wait.Go(func() { e.every(e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
-	e.wait.Go(func() { e.every(pruneEvery, e.isolation.prune) })
-	e.wait.Go(func() { e.every(sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
+	e.wait.Go(func() { repeater.Every(e.ctx, assessEvery, e.assess) })
+	e.wait.Go(func() { repeater.Every(e.ctx, relayEvery, e.askPeer) })
+	e.wait.Go(func() { repeater.Every(e.ctx, e.settings.Timeouts.CertificatesEvery, e.reloadCertificates) })
+	e.wait.Go(func() { repeater.Every(e.ctx, pruneEvery, e.isolation.prune) })
+	e.wait.Go(func() { repeater.Every(e.ctx, sweepEvery, func() { e.runs.sweep(time.Now(), e.settings.Timeouts) }) })
 	e.log.Info().Str("event", "started").Str("host", string(e.settings.Host)).Msg("")
 	return nil
 }
--- a/entry/followed.go
+++ b/entry/followed.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelpulley/dotterelpulley/assessor"
 	"github.com/dotterelpulley/dotterelpulley/follower"
 	"github.com/dotterelpulley/dotterelpulley/recorder"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 	"github.com/dotterelpulley/dotterelpulley/splitter"
 )
 
@@ -62,23 +63,16 @@
 		page, err := e.platform.Read(stream, next, wait)
 		if err != nil {
 			e.counters.Inc("retry-log-read")
-			e.pause(logReadRetry)
+			repeater.Pause(e.ctx, logReadRetry)
 			continue
 		}
 		e.inForce(e.followed.applyPage(stream, page))
 		if len(page.Records) == 0 && wait == 0 {
-			e.pause(logReadPause)
+			repeater.Pause(e.ctx, logReadPause)
 		}
 	}
 }
 
-func (e *Entry) pause(d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-e.ctx.Done():
-	}
-}
-
 // inForce logs and counts what records changed, and tries what waits again.
 func (e *Entry) inForce(changes []follower.Change) {
 	for _, change := range changes {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
+	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
 const (
@@ -61,7 +62,7 @@
 			return
 		}
 		e.counters.Inc("retry-forward")
-		e.pause(seekAgain)
+		repeater.Pause(e.ctx, seekAgain)
 		v := e.claims.session().begin(req, claimer.Begin{Passed: passed})
 		switch {
 		case v.refusal != nil:
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -35,20 +35,6 @@
 	}
 }
 
-// every calls do at once and then at each interval until the process ends.
-func (e *Entry) every(interval time.Duration, do func()) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		do()
-		select {
-		case <-tick.C:
-		case <-e.ctx.Done():
-			return
-		}
-	}
-}
-
 func (e *Entry) pollHosts() {
 	list, err := e.hosts.Fetch()
 	if err != nil {
