Let a request that silence swallowed end as outcome-unknown

Trace: two urgent requests, sent 0.2 s before the connections went silent, asked again on a new connection after a quarter of their time; the engine did not know the run, so they were answered outcome-unknown. No endpoint had started them, but their bytes could still arrive, so to send them again is what at-most-once forbids.

--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -29,6 +29,8 @@
 	whole func(loader.Result) bool
 	// notice is the time that the entry hosts may take to notice.
 	notice time.Duration
+	// losesOnTheWay tells that requests may be lost before an endpoint has read them.
+	losesOnTheWay bool
 }
 
 func nothing(loader.Result) bool {
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+	"github.com/dotterelpulley/dotterelpulley/internal/standin"
 	"github.com/dotterelpulley/dotterelpulley/loader"
 )
 
@@ -108,6 +109,23 @@
 	}
 }
 
+// lostOnTheWay returns the requests that no endpoint has started and whose callers were told that the outcome is
+// unknown: their bytes may still be on a connection that went silent, so they must not be sent again.
+func (s site) lostOnTheWay(results []loader.Result) map[dotterelpulley.Key]bool {
+	starts := standin.Starts(s.Runs())
+	lost := map[dotterelpulley.Key]bool{}
+	for _, r := range results {
+		key := r.Arrival.Request.Key
+		told := slices.ContainsFunc(r.Sends, func(send loader.Send) bool {
+			return send.Refused.Kind == dotterelpulley.ErrorOutcomeUnknown
+		})
+		if _, whole := r.Whole(); !whole && told && starts[key.String()] == 0 {
+			lost[key] = true
+		}
+	}
+	return lost
+}
+
 func everyRequest(loader.Result) bool {
 	return true
 }
