--- a/claimer/takeover.go
+++ b/claimer/takeover.go
@@ -103,38 +103,40 @@
 	for _, m := range c.roster.Members {
 		latest[m.Host] = m
 	}
-	rank := 0
-	for _, m := range c.roster.Members {
-		if m.Incarnation == c.Self.Incarnation {
-			break
-		}
-		rank++
-	}
+	rank := min(c.roster.index(c.Self.Incarnation), longestRank)
 	for _, m := range c.roster.Members {
 		if m.Incarnation == c.Self.Incarnation {
 			continue
 		}
-		if _, ok := s.heard[m.Incarnation]; !ok {
-			s.heard[m.Incarnation] = c.now
-		}
-		proof, gone := c.proof(m, latest)
-		if !gone {
-			delete(s.cases, m.Incarnation)
-			continue
-		}
-		k, ok := s.cases[m.Incarnation]
-		if !ok {
-			k = &suspicion{since: c.now, gone: c.now}
-			s.cases[m.Incarnation] = k
-		}
-		k.proof = proof
-		if missing, ok := s.missing[m.Incarnation]; ok && proof == ProofUnlisted {
-			k.gone = missing
+		if k := c.suspect(m, latest); k != nil {
+			c.advanceCase(m, k, rank)
 		}
-		c.advanceCase(m, k, min(rank, longestRank))
 	}
 }
 
+// suspect returns the case of a member that is known to be gone, or nil.
+func (c *Claimer) suspect(m RosterMember, latest map[dotterelpulley.HostID]RosterMember) *suspicion {
+	s := &c.suspects
+	if _, ok := s.heard[m.Incarnation]; !ok {
+		s.heard[m.Incarnation] = c.now
+	}
+	proof, gone := c.proof(m, latest)
+	if !gone {
+		delete(s.cases, m.Incarnation)
+		return nil
+	}
+	k, ok := s.cases[m.Incarnation]
+	if !ok {
+		k = &suspicion{since: c.now, gone: c.now}
+		s.cases[m.Incarnation] = k
+	}
+	k.proof = proof
+	if missing, ok := s.missing[m.Incarnation]; ok && proof == ProofUnlisted {
+		k.gone = missing
+	}
+	return k
+}
+
 func (c *Claimer) advanceCase(m RosterMember, k *suspicion, rank int) {
 	wait := time.Duration(rank) * rankDelay
 	if c.now.Sub(k.since) < wait {
--- a/cmd/dotterelctl/watch.go
+++ b/cmd/dotterelctl/watch.go
@@ -59,15 +59,20 @@
 		if flags.until != "" && time.Now().After(s.deadline) {
 			return exitError{exitUnknown, fmt.Errorf("release note %q has not ended within %s", flags.until, flags.wait)}
 		}
-		for _, stream := range []appender.Stream{appender.StreamConfiguration, appender.StreamMoves} {
-			page, err := s.client.Read(stream, s.follower.Next(stream), longPollWait/2)
-			if err != nil {
-				time.Sleep(retryPause)
-				continue
-			}
-			for _, change := range s.follower.ApplyPage(stream, page) {
-				show(flags, change)
-			}
+		showNew(s, flags)
+	}
+}
+
+// showNew reads both streams once and shows what is new.
+func showNew(s *source, flags watchFlags) {
+	for _, stream := range []appender.Stream{appender.StreamConfiguration, appender.StreamMoves} {
+		page, err := s.client.Read(stream, s.follower.Next(stream), longPollWait/2)
+		if err != nil {
+			time.Sleep(retryPause)
+			continue
+		}
+		for _, change := range s.follower.ApplyPage(stream, page) {
+			show(flags, change)
 		}
 	}
 }
