Tell of an endpoint's death in few facts, not one for each request on it

A fact now holds what ran in lists, 40 attempts in each; attempts are named by 8 bytes, the same on every host. Facts of binaries before this one are refused.

--- a/entry/facts.go
+++ b/entry/facts.go
@@ -1,14 +1,16 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
-	"strconv"
+	"slices"
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/gossiper"
+	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
@@ -21,19 +23,11 @@
 	// maxReason bounds the reason of a verdict as it is passed on, in bytes.
 	maxReason = 256
 	// maxFactValue bounds what a fact says, in bytes.
-	maxFactValue    = 1 << 10
-	fingerprintBase = 16
+	maxFactValue = 1 << 10
+	// attemptsPerFact keeps a crash fact below that.
+	attemptsPerFact = 40
 )
 
-// wireDeath is the value of a crash fact.
-type wireDeath struct {
-	Fingerprint string    `json:"fingerprint"`
-	Endpoint    string    `json:"endpoint"`
-	Attempt     string    `json:"attempt"`
-	Started     time.Time `json:"started"`
-	At          time.Time `json:"at"`
-}
-
 // badFact returns the verdict as a fact; there is one for each move.
 func badFact(now time.Time, bad recorder.BadVersion) (gossiper.Fact, error) {
 	bad.Reason = strings.ToValidUTF8(bad.Reason[:min(len(bad.Reason), maxReason)], "")
@@ -57,40 +51,60 @@
 	return bad, nil
 }
 
-// deathFact returns the death as a fact; there is one for each attempt.
-func deathFact(d isolator.Death) (gossiper.Fact, error) {
-	value, err := json.Marshal(wireDeath{
-		Fingerprint: strconv.FormatUint(uint64(d.Fingerprint), fingerprintBase),
-		Endpoint:    string(d.Endpoint),
-		Attempt:     string(d.Attempt),
-		Started:     d.Started,
-		At:          d.At,
-	})
-	if err != nil {
-		return gossiper.Fact{}, err
+// crashFacts returns what ran on an endpoint that died as facts, each with as many attempts as it may hold.
+func crashFacts(deaths []isolator.Death) ([]gossiper.Fact, error) {
+	var facts []gossiper.Fact
+	for part := range slices.Chunk(deaths, attemptsPerFact) {
+		value, err := proto.Marshal(crashToWire(part))
+		if err != nil {
+			return nil, fmt.Errorf("encode crash of endpoint %q: %w", part[0].Endpoint, err)
+		}
+		facts = append(facts, gossiper.Fact{
+			Kind:     gossiper.KindCrash,
+			Subject:  part[0].Attempt.String(),
+			Revision: 1,
+			Value:    value,
+			Expires:  part[0].At.Add(crashFor),
+		})
 	}
-	return gossiper.Fact{Kind: gossiper.KindCrash, Subject: string(d.Attempt), Revision: 1, Value: value, Expires: d.At.Add(crashFor)}, nil
+	return facts, nil
 }
 
-func deathOf(f gossiper.Fact) (isolator.Death, error) {
-	var w wireDeath
-	if err := json.Unmarshal(f.Value, &w); err != nil {
-		return isolator.Death{}, fmt.Errorf("decode crash %q: %w", f.Subject, err)
+func crashToWire(deaths []isolator.Death) *peerpb.Crash {
+	w := &peerpb.Crash{Endpoint: string(deaths[0].Endpoint), AtUnixNanos: deaths[0].At.UnixNano()}
+	for _, d := range deaths {
+		w.Fingerprints = append(w.Fingerprints, uint64(d.Fingerprint))
+		w.Attempts = append(w.Attempts, uint64(d.Attempt))
+		w.RanMillis = append(w.RanMillis, d.At.Sub(d.Started).Milliseconds())
 	}
-	fingerprint, err := strconv.ParseUint(w.Fingerprint, fingerprintBase, 64)
-	if err != nil {
-		return isolator.Death{}, fmt.Errorf("decode fingerprint of crash %q: %w", f.Subject, err)
+	return w
+}
+
+// deathsOf returns what a crash fact tells of.
+func deathsOf(f gossiper.Fact) ([]isolator.Death, error) {
+	var w peerpb.Crash
+	if err := proto.Unmarshal(f.Value, &w); err != nil {
+		return nil, fmt.Errorf("decode crash %q: %w", f.Subject, err)
+	}
+	n := len(w.GetAttempts())
+	if w.GetEndpoint() == "" || n == 0 || len(w.GetFingerprints()) != n || len(w.GetRanMillis()) != n {
+		return nil, fmt.Errorf("crash %q of endpoint %q is not whole", f.Subject, w.GetEndpoint())
+	}
+	if first := isolator.AttemptID(w.GetAttempts()[0]); first.String() != f.Subject {
+		return nil, fmt.Errorf("crash %q tells of attempt %q", f.Subject, first)
 	}
-	if w.Endpoint == "" || w.Attempt != f.Subject {
-		return isolator.Death{}, fmt.Errorf("crash %q tells of attempt %q on endpoint %q", f.Subject, w.Attempt, w.Endpoint)
+	at := time.Unix(0, w.GetAtUnixNanos())
+	deaths := make([]isolator.Death, 0, n)
+	for i, attempt := range w.GetAttempts() {
+		deaths = append(deaths, isolator.Death{
+			Fingerprint: isolator.Fingerprint(w.GetFingerprints()[i]),
+			Endpoint:    dotterelpulley.EndpointID(w.GetEndpoint()),
+			Attempt:     isolator.AttemptID(attempt),
+			Started:     at.Add(-time.Duration(w.GetRanMillis()[i]) * time.Millisecond),
+			At:          at,
+		})
 	}
-	return isolator.Death{
-		Fingerprint: isolator.Fingerprint(fingerprint),
-		Endpoint:    dotterelpulley.EndpointID(w.Endpoint),
-		Attempt:     isolator.AttemptID(w.Attempt),
-		Started:     w.Started,
-		At:          w.At,
-	}, nil
+	return deaths, nil
 }
 
 // readable reports whether this host can act on another's fact; it passes no other on.
@@ -103,7 +117,7 @@
 		bad, err := decodeBad(f.Value)
 		return err == nil && bad.Move.String() == f.Subject
 	case gossiper.KindCrash:
-		_, err := deathOf(f)
+		_, err := deathsOf(f)
 		return err == nil
 	case gossiper.KindLeavingEndpoint, gossiper.KindDrainingHost, gossiper.KindSuspectHost:
 		return true
@@ -123,23 +137,24 @@
 
 // spreadDeaths tells the others what ran on an endpoint that died.
 func (g *gossip) spreadDeaths(now time.Time, deaths []isolator.Death) {
-	facts := make([]gossiper.Fact, 0, len(deaths))
-	for _, d := range deaths {
-		if f, err := deathFact(d); err == nil {
-			facts = append(facts, f)
-		}
+	facts, err := crashFacts(deaths)
+	if err != nil {
+		g.entry.log.Error().Str("event", "crash-not-encoded").Err(err).Msg("")
+		return
 	}
 	g.spread(now, facts...)
 }
 
-// learnDeath takes another host's crash fact.
-func (e *Entry) learnDeath(f gossiper.Fact) {
-	d, err := deathOf(f)
+// learnDeaths takes another host's crash fact.
+func (e *Entry) learnDeaths(f gossiper.Fact) {
+	deaths, err := deathsOf(f)
 	if err != nil {
 		e.gossip.refuse(1)
 		return
 	}
-	if e.isolation.learn(d) {
-		e.counters.Inc("crash-facts-heard")
+	for _, d := range deaths {
+		if e.isolation.learn(d) {
+			e.counters.Inc("crash-facts-heard")
+		}
 	}
 }
--- a/entry/facts_test.go
+++ b/entry/facts_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,15 +18,16 @@
 func TestCrashFactsReachEveryHostAndDamagedOnesNone(t *testing.T) {
 	f := newFleet(t, 3, nil)
 	now := time.Now()
-	death := isolator.Death{Fingerprint: 7, Endpoint: "draft-1", Attempt: "a1", Started: now.Add(-time.Second), At: now}
+	death := isolator.Death{Fingerprint: 7, Endpoint: "draft-1", Attempt: isolator.AttemptOf("a1"), Started: now.Add(-time.Second), At: now}
 	f.entries[0].gossip.spreadDeaths(now, []isolator.Death{death})
 	for _, e := range f.entries[1:] {
 		f.until("the crash is known", func() bool { return e.counters.Get("crash-facts-heard") == 1 })
 		v, _ := e.isolation.judge(7)
 		f.Check(v, qt.Equals, isolator.Suspect)
 	}
-	good, err := deathFact(death)
+	crashes, err := crashFacts([]isolator.Death{death})
 	f.Assert(err, qt.IsNil)
+	good := crashes[0]
 	verdict, err := badFact(now, recorder.BadVersion{Move: recorder.MoveID{Note: "n", Service: "s"}, Version: "v", By: "h"})
 	f.Assert(err, qt.IsNil)
 	f.Check(readable(good) && readable(verdict), qt.IsTrue)
@@ -44,6 +46,35 @@
 	f.Check(e.counters.Get("facts-refused"), qt.Equals, int64(len(facts)))
 }
 
+func TestManyDeathsFitIntoFewFacts(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1, 0)
+	var deaths []isolator.Death
+	for i := range 100 {
+		deaths = append(deaths, isolator.Death{
+			Fingerprint: isolator.Fingerprint(i),
+			Endpoint:    "draft-1",
+			Attempt:     isolator.AttemptOf(fmt.Sprint(i)),
+			Started:     at.Add(-time.Duration(i) * time.Hour),
+			At:          at,
+		})
+	}
+	facts, err := crashFacts(deaths)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(facts) <= 3, qt.IsTrue, qt.Commentf("%d facts", len(facts)))
+	var back []isolator.Death
+	bytes := 0
+	for _, f := range facts {
+		c.Check(readable(f), qt.IsTrue, qt.Commentf("fact of %d bytes", len(f.Value)))
+		some, err := deathsOf(f)
+		c.Assert(err, qt.IsNil)
+		back = append(back, some...)
+		bytes += len(f.Value)
+	}
+	c.Check(back, qt.DeepEquals, deaths)
+	t.Logf("%d deaths in %d facts of %d bytes", len(deaths), len(facts), bytes)
+}
+
 func TestAVerdictPostedToOneHostReachesAll(t *testing.T) {
 	f := newFleet(t, 3, nil)
 	bad := recorder.BadVersion{Move: recorder.MoveID{Note: "n", Service: testService}, Version: "v", Reason: strings.Repeat("slow ", 1000), By: "mover"}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -129,7 +129,7 @@
 				g.refuse(1)
 			}
 		case gossiper.KindCrash:
-			g.entry.learnDeath(f)
+			g.entry.learnDeaths(f)
 		case gossiper.KindDrainingHost, gossiper.KindSuspectHost:
 		}
 	}
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -32,13 +32,13 @@
 func (i *isolation) started(f isolator.Fingerprint, endpoint dotterelpulley.EndpointID, id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.core.Started(time.Now(), f, endpoint, isolator.AttemptID(id))
+	i.core.Started(time.Now(), f, endpoint, isolator.AttemptOf(id))
 }
 
 func (i *isolation) ended(endpoint dotterelpulley.EndpointID, id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.core.Ended(endpoint, isolator.AttemptID(id))
+	i.core.Ended(endpoint, isolator.AttemptOf(id))
 }
 
 func (i *isolation) whole(f isolator.Fingerprint) {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -1,6 +1,8 @@
 package gossiper_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +79,37 @@
 	}
 }
 
+// TestAnEndpointsDeathWithManyRequestsReachesEverybody spreads a hundred attempts as the facts that hold them.
+func TestAnEndpointsDeathWithManyRequestsReachesEverybody(t *testing.T) {
+	c := qt.New(t)
+	const facts, valueBytes, membersToday = 3, 860, 8
+	for _, members := range []int{8, 30, 350} {
+		n := newNet(1, members, loss)
+		n.run(10*time.Second, never)
+		var crashes []gossiper.Fact
+		for i := range facts {
+			f := badVersion
+			f.Kind, f.Subject, f.Value = gossiper.KindCrash, fmt.Sprint("attempt-", i), make([]byte, valueBytes)
+			crashes = append(crashes, f)
+		}
+		now := func() time.Time { return n.now }
+		n.forget()
+		began := n.now
+		n.send(0, n.nodes[0].Spread(n.now, crashes...))
+		took := n.run(spell, func() bool {
+			return !slices.ContainsFunc(crashes, func(f gossiper.Fact) bool { return !n.everybody(knows(f, now))() })
+		})
+		n.run(spell-n.now.Sub(began), never)
+		after, _ := n.perSecond(spell)
+		at := qt.Commentf("%d members: %s, %.0f bytes/s over %s", members, took, after, spell)
+		t.Log(at)
+		if members <= membersToday {
+			c.Check(took <= criticalWithin, qt.IsTrue, at)
+		}
+		c.Check(after <= bytesPerSecond, qt.IsTrue, at)
+	}
+}
+
 func TestRefusedFactsAreCountedAndGoNoFurther(t *testing.T) {
 	c := qt.New(t)
 	n := newNet(1, 3, 0)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,7 +24,17 @@
 }
 
 // AttemptID names one attempt of a request at an endpoint.
-type AttemptID string
+type AttemptID uint64
+
+// AttemptOf returns the id of the attempt that an endpoint knows by the request id.
+func AttemptOf(requestID string) AttemptID {
+	return AttemptID(xxhash.Sum64String(requestID))
+}
+
+// String returns the id in hexadecimal digits.
+func (a AttemptID) String() string {
+	return strconv.FormatUint(uint64(a), 16)
+}
 
 // Death says that an endpoint died while an attempt of the request ran on it.
 type Death struct {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -30,7 +30,7 @@
 
 func (b *bench) attempt() isolator.AttemptID {
 	b.attempts++
-	return isolator.AttemptID(fmt.Sprint(b.attempts))
+	return isolator.AttemptOf(fmt.Sprint(b.attempts))
 }
 
 // run sends the request through a host, which loses its endpoint if it is the killer.
@@ -101,7 +101,7 @@
 			if v, _ := i.Judge(now, f); v == isolator.Suspect && f != killer {
 				continue
 			}
-			i.Started(now, f, endpoint, isolator.AttemptID(fmt.Sprint(death, "-", f)))
+			i.Started(now, f, endpoint, isolator.AttemptOf(fmt.Sprint(death, "-", f)))
 		}
 		for f := isolator.Fingerprint(1); f <= 3; f++ {
 			naive[f]++
@@ -120,17 +120,17 @@
 	c := qt.New(t)
 	var i isolator.Isolator
 	now := time.Unix(1_800_000_000, 0)
-	i.Started(now.Add(-time.Second), 7, "e1", "a")
+	i.Started(now.Add(-time.Second), 7, "e1", isolator.AttemptOf("a"))
 	c.Assert(i.Died(now, "e1"), qt.HasLen, 1)
 	v, _ := i.Judge(now, 7)
 	c.Check(v, qt.Equals, isolator.Suspect)
 	i.Whole(now.Add(time.Second), 7)
 	v, _ = i.Judge(now.Add(time.Second), 7)
 	c.Check(v, qt.Equals, isolator.Free)
-	for _, attempt := range []isolator.AttemptID{"b", "c"} {
-		c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: dotterelpulley.EndpointID("e" + attempt), Attempt: attempt, Started: now.Add(-time.Second), At: now}), qt.IsTrue)
+	for _, attempt := range []string{"b", "c"} {
+		c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: dotterelpulley.EndpointID("e" + attempt), Attempt: isolator.AttemptOf(attempt), Started: now.Add(-time.Second), At: now}), qt.IsTrue)
 	}
-	c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: "e2", Attempt: "c", At: now}), qt.IsFalse)
+	c.Check(i.Learn(isolator.Death{Fingerprint: 8, Endpoint: "e2", Attempt: isolator.AttemptOf("c"), At: now}), qt.IsFalse)
 	v, _ = i.Judge(now, 8)
 	c.Check(v, qt.Equals, isolator.Isolated)
 	later := now.Add(2 * time.Hour)
