Make the HTTP client between peers in one place

Cause: the entry host and the mover's process each built the same HTTP/2 client, with the same dial, pings and scheme, around their certificates. The certifier makes it for both now. Ruled out: one load loop for both, since the entry host holds two certificates and the mover one.

--- a/carrier/peers.go
+++ b/carrier/peers.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -28,17 +27,7 @@
 func (p *peers) start(files certifier.Files, timeout time.Duration) error {
 	p.timeout = timeout
 	p.certifier = certifier.Certifier{Files: files, Protocols: []string{"h2"}, DialTimeout: timeout}
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	protocols.SetHTTP2(true)
-	p.client = &http.Client{Transport: &http.Transport{
-		Protocols:   &protocols,
-		DialContext: (&net.Dialer{Timeout: timeout}).DialContext,
-		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return p.certifier.Dial(ctx, network, address)
-		},
-		HTTP2: &http.HTTP2Config{SendPingTimeout: timeout, PingTimeout: timeout},
-	}}
+	p.client = p.certifier.Client(timeout)
 	return p.reload()
 }
 
@@ -53,11 +42,7 @@
 func (p *peers) call(ctx context.Context, method string, address dotterelpulley.Address, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	scheme := "http"
-	if p.certifier.Files.Given() {
-		scheme = "https"
-	}
-	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+string(address)+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, p.certifier.Scheme()+"://"+string(address)+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("call %q of entry host %q: %w", path, address, err)
 	}
--- a/entry/certificates.go
+++ b/entry/certificates.go
@@ -1,11 +1,9 @@
 package entry
 
 import (
-	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/certifier"
@@ -45,45 +43,17 @@
 	return tls.NewListener(listener, c.Server())
 }
 
-// peerScheme returns the scheme of calls between entry hosts.
-func (e *Entry) peerScheme() string {
-	if e.certificates.peers.Files.Given() {
-		return "https"
-	}
-	return "http"
-}
-
 func (e *Entry) peerURL(address dotterelpulley.Address) string {
-	return e.peerScheme() + "://" + string(address)
+	return e.certificates.peers.Scheme() + "://" + string(address)
 }
 
-// newPeerHTTP returns a client for calls between entry hosts over HTTP/2.
-func newPeerHTTP(dial time.Duration, c *certifier.Certifier) *http.Client {
-	dialer := &net.Dialer{Timeout: dial}
-	c.DialTimeout = dial
-	return &http.Client{Transport: &http.Transport{
-		Protocols:   peerProtocols(),
-		DialContext: dialer.DialContext,
-		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return c.Dial(ctx, network, address)
-		},
-		HTTP2: peerPings(),
-	}}
-}
-
-// peerProtocols are spoken between entry hosts.
-func peerProtocols() *http.Protocols {
+// peerListenerProtocols are HTTP/2 for entry hosts and movers, and HTTP/1.1.
+func peerListenerProtocols() *http.Protocols {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP2(true)
-	return &protocols
-}
-
-// peerListenerProtocols add what movers speak.
-func peerListenerProtocols() *http.Protocols {
-	protocols := peerProtocols()
 	protocols.SetHTTP1(true)
-	return protocols
+	return &protocols
 }
 
 // peerPings makes a silent peer connection end.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,7 +76,8 @@
 	}
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerFiles, Protocols: []string{"http/1.1"}}
 	e.certificates.peers = certifier.Certifier{Files: settings.PeerFiles, Protocols: []string{"h2", "http/1.1"}}
-	e.peerHTTP = newPeerHTTP(settings.Timeouts.Dial, &e.certificates.peers)
+	e.certificates.peers.DialTimeout = settings.Timeouts.Dial
+	e.peerHTTP = e.certificates.peers.Client(peerPingAfter)
 	e.queue.endpoints = &e.endpoints
 	e.queue.followed = &e.followed
 	e.queue.counters = &e.counters
