--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -197,9 +198,10 @@
 	if q.organisation == "" {
 		return nil
 	}
-	if after, ok := g.rations.Take(now, q.organisation, q.amount); !ok {
-		no := refuse(dotterelpulley.ErrorShed, "over the organisation's cap")
-		no.retryAfter = max(after, unreadyRetry)
+	if over, ok := g.rations.Take(now, q.organisation, q.amount); !ok {
+		no := refuse(dotterelpulley.ErrorShed, fmt.Sprintf("over the cap: %.0f asked, %.0f saved up, %.0f of %.0f used in the window",
+			q.amount, over.Level, over.Used, over.Allowed))
+		no.retryAfter = max(over.RetryAfter, unreadyRetry)
 		return no
 	}
 	return nil
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -131,20 +131,32 @@
 	return b.used(now)+amount <= b.allowed(b.Cap, b.age(now)) || b.used(now) <= 0
 }
 
-// Take admits a request of the organisation, or returns the time after which to come back.
-func (r *Rationer) Take(now time.Time, id dotterelpulley.OrganisationID, amount Amount) (time.Duration, bool) {
+// Refusal is what a refused request was judged by.
+type Refusal struct {
+	// RetryAfter is when the amount may fit.
+	RetryAfter time.Duration
+	// Level is what the organisation could use at once; Used and Allowed are its use in the window and the bound on it.
+	Level   Amount
+	Used    Amount
+	Allowed Amount
+}
+
+// Take admits a request of the organisation, or tells why it is refused.
+func (r *Rationer) Take(now time.Time, id dotterelpulley.OrganisationID, amount Amount) (Refusal, bool) {
 	b, ok := r.buckets[id]
 	if !ok {
-		return 0, true
+		return Refusal{}, true
 	}
 	b.refill(now)
 	r.chargeSilent(now)
 	if !b.fits(now, amount) {
-		return b.comeBack(now, amount), false
+		return Refusal{
+			RetryAfter: b.comeBack(now, amount), Level: b.level, Used: b.used(now), Allowed: b.allowed(b.Cap, b.age(now)),
+		}, false
 	}
 	b.charge(amount)
 	b.admitted += amount
-	return 0, true
+	return Refusal{}, true
 }
 
 // comeBack is when the amount may fit.
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -23,10 +23,10 @@
 	// The burst and half a second's rate have been saved up.
 	_, ok := r.Take(now, organisation, 100)
 	c.Assert(ok, qt.IsTrue)
-	after, ok := r.Take(now, organisation, 10)
+	over, ok := r.Take(now, organisation, 10)
 	c.Assert(ok, qt.IsFalse)
-	c.Assert(after, qt.Equals, 100*time.Millisecond)
-	_, ok = r.Take(now.Add(after), organisation, 10)
+	c.Assert(over.RetryAfter, qt.Equals, 100*time.Millisecond)
+	_, ok = r.Take(now.Add(over.RetryAfter), organisation, 10)
 	c.Assert(ok, qt.IsTrue)
 }
 
