Count what other hosts use between their words against a cap

Each of 86 hosts hears of each other one every 1.6 s, and judged by what it had last heard. Change: the pace at which each host used the cap before is taken to go on until its next word; sums over all hosts keep the estimate's cost independent of their number.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -54,8 +54,9 @@
 type bucket struct {
 	Cap
 	window
-	level Amount
-	at    time.Time
+	others unheard
+	level  Amount
+	at     time.Time
 	// admitted is what this host has admitted since its start.
 	admitted Amount
 }
@@ -65,6 +66,8 @@
 	heard       time.Time
 	charged     time.Time
 	used        map[dotterelpulley.OrganisationID]Use
+	// paces is what the host uses a second.
+	paces map[dotterelpulley.OrganisationID]Amount
 	// assumed is what was charged for the host while it was silent.
 	assumed map[dotterelpulley.OrganisationID]Amount
 }
@@ -109,6 +112,9 @@
 // Drop forgets the cap of an organisation.
 func (r *Rationer) Drop(id dotterelpulley.OrganisationID) {
 	delete(r.buckets, id)
+	for _, h := range r.hosts {
+		delete(h.paces, id)
+	}
 }
 
 func (b *bucket) refill(now time.Time) {
@@ -123,12 +129,19 @@
 	b.add(b.at, amount)
 }
 
+// estimate returns what the organisation may use at once and has used in the window, with what hosts haven't told yet.
+func (b *bucket) estimate(now time.Time) (level, used Amount) {
+	others := b.others.at(now.Sub(b.began))
+	return b.level - others, b.used(now) + others
+}
+
 // fits reports whether the amount is within what has been saved up and within the window.
 func (b *bucket) fits(now time.Time, amount Amount) bool {
-	if b.level < amount && b.level < b.most() {
+	level, used := b.estimate(now)
+	if level < amount && level < b.most() {
 		return false
 	}
-	return b.used(now)+amount <= b.allowed(b.Cap, b.age(now)) || b.used(now) <= 0
+	return used+amount <= b.allowed(b.Cap, b.age(now)) || used <= 0
 }
 
 // Refusal is what a refused request was judged by.
@@ -150,8 +163,9 @@
 	b.refill(now)
 	r.chargeSilent(now)
 	if !b.fits(now, amount) {
+		level, used := b.estimate(now)
 		return Refusal{
-			RetryAfter: b.comeBack(now, amount), Level: b.level, Used: b.used(now), Allowed: b.allowed(b.Cap, b.age(now)),
+			RetryAfter: b.comeBack(now, amount), Level: level, Used: used, Allowed: b.allowed(b.Cap, b.age(now)),
 		}, false
 	}
 	b.charge(amount)
@@ -164,7 +178,8 @@
 	if b.Rate <= 0 {
 		return b.span
 	}
-	lacking := max(amount-b.level, b.used(now)+amount-b.allowed(b.Cap, b.age(now)), 0)
+	level, used := b.estimate(now)
+	lacking := max(amount-level, used+amount-b.allowed(b.Cap, b.age(now)), 0)
 	return min(time.Duration(float64(lacking/b.Rate)*float64(time.Second)), b.span)
 }
 
@@ -200,13 +215,16 @@
 func (r *Rationer) Heard(now time.Time, id dotterelpulley.HostID, incarnation uint64, used map[dotterelpulley.OrganisationID]Use) {
 	r.init()
 	h, ok := r.hosts[id]
+	if ok && h.incarnation != incarnation {
+		r.expectNothing(h)
+	}
 	if !ok || h.incarnation != incarnation {
 		// What an unknown host used before it was heard isn't charged; a restarted one began at nothing.
 		before := used
 		if ok {
 			before = nil
 		}
-		h = &host{incarnation: incarnation, used: before, assumed: map[dotterelpulley.OrganisationID]Amount{}}
+		h = &host{incarnation: incarnation, heard: now, used: before, assumed: map[dotterelpulley.OrganisationID]Amount{}}
 		r.hosts[id] = h
 	}
 	for organisation, use := range used {
@@ -215,7 +233,9 @@
 			continue
 		}
 		b.refill(now)
-		b.charge(use.Admitted - h.used[organisation].Admitted - h.assumed[organisation])
+		since := use.Admitted - h.used[organisation].Admitted
+		b.charge(since - h.assumed[organisation])
+		r.expect(h, organisation, h.pace(now, organisation, since), now)
 		if !ok && b.age(now) < youngFor {
 			// Once for each host: what it tells later is charged, and stands in others' levels already.
 			b.level = min(b.level, use.Level)
@@ -237,12 +257,14 @@
 	for id, h := range r.hosts {
 		silent := now.Sub(h.heard)
 		if silent > forgetAfter {
+			r.expectNothing(h)
 			delete(r.hosts, id)
 			continue
 		}
 		if silent < r.silence() {
 			continue
 		}
+		r.expectNothing(h)
 		passed := Amount(now.Sub(h.charged).Seconds())
 		h.charged = now
 		for organisation, b := range r.buckets {
@@ -255,5 +277,8 @@
 
 // Gone tells that a host has signed off and uses nothing any more.
 func (r *Rationer) Gone(id dotterelpulley.HostID) {
-	delete(r.hosts, id)
+	if h, ok := r.hosts[id]; ok {
+		r.expectNothing(h)
+		delete(r.hosts, id)
+	}
 }
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -247,3 +248,70 @@
 		c.Check(most <= allowed, qt.IsTrue, qt.Commentf("restart at %v: %.0f in a window, %.0f allowed", restart, float64(most), float64(allowed)))
 	}
 }
+
+// In a large fleet a host hears of each other one only every second or two; what they use in between counts as well.
+// Found by the standard days of laotus-plaan-grown, trouble-3: 4,165,953 tokens where 4,159,083 were allowed.
+func TestALargeFleetKeepsTheWindow(t *testing.T) {
+	c := qt.New(t)
+	const (
+		count   = 86
+		rate    = Amount(320_000)
+		burst   = Amount(1_090_000)
+		request = Amount(5_000)
+		every   = 20 * time.Millisecond
+		// interval is the time between two words of a host on its use, each to some of the others.
+		interval = 300 * time.Millisecond
+		told     = 16
+		// demand is what the organisation asks for, as a multiple of its rate.
+		demand = 2.8
+		surge  = 8 * time.Second
+		span   = 24 * time.Second
+		// overrun is what the bounds allow hosts that count apart; their slack is left to restarts.
+		overrun = 0.1
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	hosts := make([]Rationer, count)
+	for i := range hosts {
+		hosts[i].Silence = 5 * time.Second
+		hosts[i].Set(start, organisation, Cap{Rate: rate, Burst: burst})
+	}
+	admitted := make([]Amount, int(span/every))
+	asked := 0.0
+	turn := 0
+	for step := range admitted {
+		at := time.Duration(step) * every
+		now := start.Add(at)
+		times := 0.5
+		if at >= surge {
+			times = demand
+		}
+		for asked += times * float64(rate) * every.Seconds(); asked >= float64(request); asked -= float64(request) {
+			turn++
+			if _, ok := hosts[turn*31%count].Take(now, organisation, request); ok {
+				admitted[step] += request
+			}
+		}
+		for i := range hosts {
+			if (step+i)%int(interval/every) != 0 {
+				continue
+			}
+			for _, j := range random.Perm(count)[:told] {
+				if i != j {
+					hosts[j].Heard(now, dotterelpulley.HostID(fmt.Sprint(i)), 1, hosts[i].Used(now))
+				}
+			}
+		}
+	}
+	allowed := rate*Amount(defaultWindow.Seconds()) + burst
+	most, steady := Amount(0), Amount(0)
+	for from := 0; from+int(defaultWindow/every) <= len(admitted); from++ {
+		sum := Amount(0)
+		for _, amount := range admitted[from : from+int(defaultWindow/every)] {
+			sum += amount
+		}
+		most, steady = max(most, sum), sum
+	}
+	c.Logf("%.2f of the cap in the busiest window, %.2f in the last", float64(most/allowed), float64(steady/allowed))
+	c.Check(most <= allowed*(1+overrun), qt.IsTrue, qt.Commentf("%.0f in a window", float64(most)))
+	c.Check(steady >= rate*Amount(defaultWindow.Seconds())*0.9, qt.IsTrue, qt.Commentf("%.0f in the last window", float64(steady)))
+}
