Charge a young host the part of each cap that hosts it hasn't heard may use

Change: a young host counts the hosts that it knows by name as using their part, begins with its own part of the burst, and its first digests are full ones in a large fleet too.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -16,6 +16,8 @@
 	fullMesh = 16
 	// fullEvery is how many digests there are to one full one in a larger fleet, to spare the links between zones.
 	fullEvery = 4
+	// youngDigests is how many digests of a start are full in any fleet, some seconds' worth, as nobody knows its use yet.
+	youngDigests = 40
 	// silentAfter is the time without a digest after which a host isn't told to callers in a full mesh.
 	silentAfter = 900 * time.Millisecond
 	// forgetAfter is the time without a digest after which a host gets none either.
@@ -36,7 +38,7 @@
 
 // Brief reports whether a host's next digest is to leave out what changes slowly, where there are many hosts.
 func (a *Announcer) Brief(sequence uint64) bool {
-	return len(a.members) > fullMesh && sequence%fullEvery != 0
+	return len(a.members) > fullMesh && sequence > youngDigests && sequence%fullEvery != 0
 }
 
 // Announcer is one host's view of the others; set Self before the first call.
@@ -182,3 +184,14 @@
 	}
 	return n
 }
+
+// Expected returns how many hosts there may be, this one and those known only by name included.
+func (a *Announcer) Expected() int {
+	n := 1
+	for _, m := range a.members {
+		if m.State != Left {
+			n++
+		}
+	}
+	return n
+}
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -114,3 +114,20 @@
 	}
 	c.Assert(told, qt.HasLen, count)
 }
+
+func TestAStartTellsItsUseAtOnce(t *testing.T) {
+	c := qt.New(t)
+	a := Announcer{Self: Host{ID: "self"}}
+	for i := range fullMesh + 1 {
+		a.Named(start, Host{ID: dotterelpulley.HostID(fmt.Sprint(i)), Peer: "peer:1"})
+	}
+	c.Assert(a.Expected(), qt.Equals, fullMesh+2)
+	brief := 0
+	for sequence := uint64(1); sequence <= youngDigests; sequence++ {
+		if a.Brief(sequence) {
+			brief++
+		}
+	}
+	c.Assert(brief, qt.Equals, 0)
+	c.Assert(a.Brief(youngDigests+1), qt.IsTrue)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -162,6 +162,7 @@
 	b := g.bounds.Load()
 	g.rations.Window = b.UsageWindow
 	g.rations.Silence = g.peers.silence()
+	g.rations.Hosts = g.peers.expected()
 	g.budget.Ratio = b.RetryRatio * budgetPart
 	// What the platform allows beside the ratio is the burst; hosts count apart, so none comes on top of it.
 	g.budget.PerSecond = -1
--- a/gateway/introduction.go
+++ b/gateway/introduction.go
@@ -57,4 +57,7 @@
 		}
 		g.peers.named(announcer.Host{ID: dotterelpulley.HostID(r.Key), Zone: h.Zone, Peer: h.Peer, Callers: h.Callers})
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.applyBounds()
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -91,6 +91,13 @@
 	return p.announcer.Known()
 }
 
+// expected is how many hosts there may be.
+func (p *peers) expected() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.announcer.Expected()
+}
+
 // silence is the time after which a host that was not heard counts as silent.
 func (p *peers) silence() time.Duration {
 	p.mutex.Lock()
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -44,6 +44,9 @@
 type Rationer struct {
 	// Window is the span in which use stays within the rate's part and the burst; 8 s if zero.
 	Window time.Duration
+	// Hosts is how many hosts there may be, this one included; while a host is young, those that it hasn't heard yet
+	// are taken to use their part of each cap.
+	Hosts int
 	// Silence is the time without word from a host after which its use is estimated; 500 ms if zero.
 	Silence time.Duration
 
@@ -59,6 +62,8 @@
 	at     time.Time
 	// admitted is what this host has admitted since its start.
 	admitted Amount
+	// charged is until when the hosts that weren't heard yet are charged.
+	charged time.Time
 }
 
 type host struct {
@@ -85,7 +90,10 @@
 	b, ok := r.buckets[id]
 	if !ok {
 		// The use before this host's start isn't known, so it begins with a part of the burst.
-		r.buckets[id] = &bucket{Cap: c, at: now, level: c.Burst * firstPart, window: window{span: r.window(), began: now}}
+		r.buckets[id] = &bucket{
+			Cap: c, at: now, level: c.Burst * firstPart / Amount(max(r.Hosts, 1)), charged: now,
+			window: window{span: r.window(), began: now},
+		}
 		return
 	}
 	b.refill(now)
@@ -254,6 +262,7 @@
 
 // chargeSilent charges an equal part of each cap for every host that has fallen silent and may still serve.
 func (r *Rationer) chargeSilent(now time.Time) {
+	r.chargeUnheard(now)
 	for id, h := range r.hosts {
 		silent := now.Sub(h.heard)
 		if silent > forgetAfter {
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -249,69 +250,119 @@
 	}
 }
 
-// In a large fleet a host hears of each other one only every second or two; what they use in between counts as well.
-// Found by the standard days of laotus-plaan-grown, trouble-3: 4,165,953 tokens where 4,159,083 were allowed.
-func TestALargeFleetKeepsTheWindow(t *testing.T) {
-	c := qt.New(t)
+// largeFleet is a fleet in which a host hears of each other one only every second or two.
+type largeFleet struct {
+	// times is what the organisation asks for at a time, as a multiple of its rate.
+	times func(at time.Duration) float64
+	// restart is when all hosts are killed and started again; zero for never.
+	restart time.Duration
+	span    time.Duration
+}
+
+// The cap is that of the organisation in the run that broke it.
+var largeCap = Cap{Rate: 320_000, Burst: 1_090_000}
+
+// windows returns the use in each window, in the order of their beginnings.
+func (f largeFleet) windows() []Amount {
 	const (
 		count   = 86
-		rate    = Amount(320_000)
-		burst   = Amount(1_090_000)
 		request = Amount(5_000)
-		every   = 20 * time.Millisecond
-		// interval is the time between two words of a host on its use, each to some of the others.
+		every   = 25 * time.Millisecond
+		// interval and young are the times between two words of a host on its use, later and in its first seconds,
+		// each to some of the others.
 		interval = 300 * time.Millisecond
+		young    = 75 * time.Millisecond
+		youth    = 3 * time.Second
 		told     = 16
-		// demand is what the organisation asks for, as a multiple of its rate.
-		demand = 2.8
-		surge  = 8 * time.Second
-		span   = 24 * time.Second
-		// overrun is what the bounds allow hosts that count apart; their slack is left to restarts.
-		overrun = 0.1
 	)
 	random := rand.New(rand.NewPCG(1, 1))
 	hosts := make([]Rationer, count)
-	for i := range hosts {
-		hosts[i].Silence = 5 * time.Second
-		hosts[i].Set(start, organisation, Cap{Rate: rate, Burst: burst})
+	incarnation := uint64(0)
+	begun := time.Duration(0)
+	begin := func(at time.Duration) {
+		incarnation++
+		begun = at
+		for i := range hosts {
+			hosts[i] = Rationer{Silence: 5 * time.Second, Hosts: count}
+			hosts[i].Set(start.Add(at), organisation, largeCap)
+		}
 	}
-	admitted := make([]Amount, int(span/every))
+	begin(0)
+	admitted := make([]Amount, int(f.span/every))
 	asked := 0.0
-	turn := 0
 	for step := range admitted {
 		at := time.Duration(step) * every
 		now := start.Add(at)
-		times := 0.5
-		if at >= surge {
-			times = demand
+		if f.restart > 0 && at == f.restart {
+			begin(at)
 		}
-		for asked += times * float64(rate) * every.Seconds(); asked >= float64(request); asked -= float64(request) {
-			turn++
-			if _, ok := hosts[turn*31%count].Take(now, organisation, request); ok {
+		for asked += f.times(at) * float64(largeCap.Rate) * every.Seconds(); asked >= float64(request); asked -= float64(request) {
+			if _, ok := hosts[random.IntN(count)].Take(now, organisation, request); ok {
 				admitted[step] += request
 			}
 		}
+		gap := interval
+		if at-begun < youth {
+			gap = young
+		}
 		for i := range hosts {
-			if (step+i)%int(interval/every) != 0 {
+			if (step+i)%int(gap/every) != 0 {
 				continue
 			}
 			for _, j := range random.Perm(count)[:told] {
 				if i != j {
-					hosts[j].Heard(now, dotterelpulley.HostID(fmt.Sprint(i)), 1, hosts[i].Used(now))
+					hosts[j].Heard(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnation, hosts[i].Used(now))
 				}
 			}
 		}
 	}
-	allowed := rate*Amount(defaultWindow.Seconds()) + burst
-	most, steady := Amount(0), Amount(0)
+	var sums []Amount
 	for from := 0; from+int(defaultWindow/every) <= len(admitted); from++ {
 		sum := Amount(0)
 		for _, amount := range admitted[from : from+int(defaultWindow/every)] {
 			sum += amount
 		}
-		most, steady = max(most, sum), sum
+		sums = append(sums, sum)
 	}
-	c.Logf("%.2f of the cap in the busiest window, %.2f in the last", float64(most/allowed), float64(steady/allowed))
+	return sums
+}
+
+// surge is half the rate for a while, then far beyond the cap.
+func surge(at time.Duration) float64 {
+	if at < 8*time.Second {
+		return 0.5
+	}
+	return 2.8
+}
+
+// What hosts use between their words counts as well.
+// Found by the standard days of laotus-plaan-grown, trouble-3: 4,165,953 tokens where 4,159,083 were allowed.
+func TestALargeFleetKeepsTheWindow(t *testing.T) {
+	c := qt.New(t)
+	// The bounds allow hosts that count apart a tenth; their slack is left to restarts.
+	const overrun = 0.1
+	windows := largeFleet{times: surge, span: 24 * time.Second}.windows()
+	most, last := slices.Max(windows), windows[len(windows)-1]
+	allowed := largeCap.Rate*Amount(defaultWindow.Seconds()) + largeCap.Burst
+	c.Logf("%.2f of the cap in the busiest window, %.2f in the last", float64(most/allowed), float64(last/allowed))
 	c.Check(most <= allowed*(1+overrun), qt.IsTrue, qt.Commentf("%.0f in a window", float64(most)))
-	c.Check(steady >= rate*Amount(defaultWindow.Seconds())*0.9, qt.IsTrue, qt.Commentf("%.0f in the last window", float64(steady)))
+	c.Check(last >= largeCap.Rate*Amount(defaultWindow.Seconds())*0.9, qt.IsTrue, qt.Commentf("%.0f in the last window", float64(last)))
+}
+
+// All hosts of a large fleet are killed while an organisation sends far beyond its cap, and none knows the others' use.
+// Found by a run of laotus-plaan-grown trouble-3: 4,453,219 tokens where 4,159,083 were allowed.
+func TestARestartOfALargeFleetKeepsTheWindow(t *testing.T) {
+	c := qt.New(t)
+	const (
+		overrun = 0.1
+		slack   = Amount(140_000)
+	)
+	for _, restart := range []time.Duration{12 * time.Second, 15 * time.Second, 17 * time.Second, 20 * time.Second} {
+		windows := largeFleet{times: surge, restart: restart, span: 30 * time.Second}.windows()
+		most, last := slices.Max(windows), windows[len(windows)-1]
+		allowed := (largeCap.Rate*Amount(defaultWindow.Seconds())+largeCap.Burst)*(1+overrun) + slack
+		c.Logf("restart at %v: %.2f of what is allowed", restart, float64(most/allowed))
+		c.Check(most <= allowed, qt.IsTrue, qt.Commentf("restart at %v: %.0f in a window", restart, float64(most)))
+		c.Check(last >= largeCap.Rate*Amount(defaultWindow.Seconds())*0.9, qt.IsTrue, qt.Commentf("%.0f in the last window", float64(last)))
+	}
 }
--- a/rationer/unheard.go
+++ b/rationer/unheard.go
@@ -58,3 +58,16 @@
 	}
 	h.paces = nil
 }
+
+// chargeUnheard charges a young host's buckets an equal part of the cap for every host that it hasn't heard yet.
+//
+// After a restart of all hosts each would otherwise use the whole cap until it hears of the others.
+func (r *Rationer) chargeUnheard(now time.Time) {
+	missing := r.Hosts - 1 - len(r.hosts)
+	for _, b := range r.buckets {
+		if missing > 0 && b.age(now) < b.span {
+			b.charge(Amount(now.Sub(b.charged).Seconds()) * b.Rate * Amount(missing) / Amount(r.Hosts))
+		}
+		b.charged = now
+	}
+}
