Tell hosts of the own zone more often in a large fleet

Change: of the 16 targets of a brief digest 12 are of the host's own zone, whose hosts place work on the same endpoints; full digests go to all alike, as caps are judged by them. Test: TestHostsOfTheOwnZoneAreToldMoreOften.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -14,6 +14,8 @@
 	Interval = 75 * time.Millisecond
 	// fullMesh is the number of hosts up to which each tells all others at every interval.
 	fullMesh = 16
+	// nearTargets is how many of the targets of a brief digest are left to hosts of the own zone.
+	nearTargets = 12
 	// fullEvery is how many digests there are to one full one in a larger fleet, to spare the links between zones.
 	fullEvery = 4
 	// youngDigests is how many digests of a start are full in any fleet, some seconds' worth, as nobody knows its use yet.
@@ -122,7 +124,7 @@
 }
 
 // Targets returns where this host's digest goes now.
-func (a *Announcer) Targets(now time.Time) []dotterelpulley.Address {
+func (a *Announcer) Targets(now time.Time, d Digest) []dotterelpulley.Address {
 	a.init()
 	var live []*Member
 	var targets []dotterelpulley.Address
@@ -153,7 +155,7 @@
 	if len(live) > fullMesh {
 		slices.SortFunc(live, func(x, y *Member) int { return cmp.Compare(x.ID, y.ID) })
 		a.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		live = live[:fullMesh]
+		live = a.some(live, d)
 	}
 	for _, m := range live {
 		targets = append(targets, m.Peer)
@@ -162,6 +164,25 @@
 	return targets
 }
 
+// some returns the members that a digest goes to where there are too many for all.
+//
+// A brief one tells what the host runs, which hosts of its own zone need most, as they place work on the same
+// endpoints; bytes between zones cost more.
+func (a *Announcer) some(live []*Member, d Digest) []*Member {
+	if !d.Brief {
+		return live[:fullMesh]
+	}
+	near, far := nearTargets, fullMesh-nearTargets
+	return slices.DeleteFunc(live, func(m *Member) bool {
+		left := &far
+		if m.Zone == a.Self.Zone {
+			left = &near
+		}
+		*left--
+		return *left < 0
+	})
+}
+
 // Live returns the other hosts that have been heard of late and have not left, by id.
 func (a *Announcer) Live(now time.Time) []Member {
 	var live []Member
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -70,9 +70,9 @@
 	a.Seeded("seed:1")
 	a.Seeded("self:1")
 	a.Hear(start, digest("b", 1, 1))
-	c.Assert(a.Targets(start), qt.DeepEquals, []dotterelpulley.Address{"b:1", "named:1", "seed:1"})
-	c.Assert(a.Targets(start.Add(Interval)), qt.DeepEquals, []dotterelpulley.Address{"b:1"})
-	c.Assert(a.Targets(start.Add(forgetAfter+time.Second)), qt.DeepEquals, []dotterelpulley.Address{"seed:1"})
+	c.Assert(a.Targets(start, Digest{}), qt.DeepEquals, []dotterelpulley.Address{"b:1", "named:1", "seed:1"})
+	c.Assert(a.Targets(start.Add(Interval), Digest{}), qt.DeepEquals, []dotterelpulley.Address{"b:1"})
+	c.Assert(a.Targets(start.Add(forgetAfter+time.Second), Digest{}), qt.DeepEquals, []dotterelpulley.Address{"seed:1"})
 	c.Assert(a.Known(), qt.Equals, 1)
 }
 
@@ -106,7 +106,7 @@
 	}
 	told := map[dotterelpulley.Address]bool{}
 	for range 60 {
-		targets := a.Targets(start)
+		targets := a.Targets(start, Digest{})
 		c.Assert(targets, qt.HasLen, fullMesh)
 		for _, one := range targets {
 			told[one] = true
@@ -131,3 +131,35 @@
 	c.Assert(brief, qt.Equals, 0)
 	c.Assert(a.Brief(youngDigests+1), qt.IsTrue)
 }
+
+// Bytes between zones cost more, and hosts of one zone place most work on the same endpoints.
+func TestHostsOfTheOwnZoneAreToldMoreOften(t *testing.T) {
+	c := qt.New(t)
+	a := Announcer{Self: Host{ID: "self", Zone: "near", Peer: "self:1"}, Seed: 1}
+	for i := range 80 {
+		d := digest(fmt.Sprint("h", i), 1, 1)
+		d.Zone = "far"
+		if i%4 == 0 {
+			d.Zone = "near"
+		}
+		a.Hear(start, d)
+	}
+	told := map[dotterelpulley.Address]int{}
+	for range 100 {
+		for _, one := range a.Targets(start, Digest{Brief: true}) {
+			told[one]++
+		}
+	}
+	near, far := 0, 0
+	for i := range 80 {
+		n := told[dotterelpulley.Address(fmt.Sprint("h", i, ":1"))]
+		c.Assert(n > 0, qt.IsTrue, qt.Commentf("h%d was never told", i))
+		if i%4 == 0 {
+			near += n
+		} else {
+			far += n
+		}
+	}
+	c.Assert(near, qt.Equals, 100*nearTargets)
+	c.Assert(far, qt.Equals, 100*(fullMesh-nearTargets))
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -173,7 +173,7 @@
 	g.peers.sequence++
 	d.Sequence = g.peers.sequence
 	d.Brief = state != announcer.Left && g.peers.announcer.Brief(d.Sequence)
-	targets := g.peers.announcer.Targets(now)
+	targets := g.peers.announcer.Targets(now, d)
 	g.peers.mutex.Unlock()
 	if !d.Brief {
 		g.tellUse(now, &d)
