--- /dev/null
+++ b/cmd/dotterel-soak/main.go
@@ -0,0 +1,103 @@
+// Command dotterel-soak strikes gateways with seeded faults and checks that every promise holds.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dotterelpulley/dotterelpulley/internal/soaker"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+var errFindings = errors.New("a promise was broken")
+
+func command() *cobra.Command {
+	var settings soaker.Settings
+	var seeds int
+	var minutes float64
+	c := &cobra.Command{
+		Use:   "dotterel-soak",
+		Short: "Strike gateways with seeded faults and check that every promise holds",
+		Long: "Starts gateways as processes beside stand-ins of the platform, strikes them with a seeded series of faults\n" +
+			"from outside, and checks from what callers and endpoints see that every promise held.\n" +
+			"Exits with 0 if all did, with 1 if one was broken or the soak could not be played.",
+		Example:       "  dotterel-soak --seeds 50 --first-seed 1\n  dotterel-soak --minutes 5\n  dotterel-soak --processes 120 --callers 200 --strikes 60",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), settings, seeds, time.Duration(minutes*float64(time.Minute)))
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&settings.Gateway, "gateway", "target/dotterel-gateway", "the program under test")
+	f.StringVar(&settings.Directory, "directory", os.TempDir(), "where settings and the logs of failed seeds go")
+	f.Uint64Var(&settings.Seed, "first-seed", 0, "the first seed; 0 takes a fresh one")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds to play, one after another")
+	f.Float64Var(&minutes, "minutes", 0, "play fresh seeds for that long instead")
+	f.IntVar(&settings.Hosts, "processes", 0, "how many gateways run (5)")
+	f.IntVar(&settings.Callers, "callers", 0, "how many callers send (24)")
+	f.IntVar(&settings.Strikes, "strikes", 0, "how many faults strike (14)")
+	f.DurationVar(&settings.Span, "span", 0, "the time within which all faults begin (12s)")
+	return c
+}
+
+func run(ctx context.Context, settings soaker.Settings, seeds int, length time.Duration) error {
+	if seeds < 1 || length < 0 {
+		return fmt.Errorf("%d seeds for %s: there must be a seed, and the time can't be negative", seeds, length)
+	}
+	if settings.Seed == 0 {
+		settings.Seed = uint64(time.Now().UnixNano())
+	}
+	begun := time.Now()
+	broken := false
+	for n := 0; ctx.Err() == nil; n++ {
+		if length > 0 && time.Since(begun) >= length || length == 0 && n >= seeds {
+			break
+		}
+		report, err := soaker.Run(ctx, settings)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", settings.Seed, err)
+		}
+		show(report)
+		broken = broken || len(report.Findings) > 0
+		settings.Seed++
+	}
+	if broken {
+		return errFindings
+	}
+	return ctx.Err()
+}
+
+// show prints one soak's report.
+func show(r soaker.Report) {
+	fmt.Printf("seed %d: %d sent, %d served, %d starts of hosts, %d faults, %d findings\n",
+		r.Seed, r.Sent, r.Served, r.Starts, len(r.Strikes), len(r.Findings))
+	if len(r.Findings) == 0 {
+		return
+	}
+	for _, f := range r.Findings {
+		fmt.Println("  " + f.String())
+	}
+	for _, s := range r.Strikes {
+		fmt.Println("  fault: " + s)
+	}
+	for _, path := range r.Logs {
+		fmt.Println("  log: " + path)
+	}
+}
--- a/internal/prover/process.go
+++ b/internal/prover/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -23,9 +24,26 @@
 	tasks  conc.WaitGroup
 }
 
-// startProcess starts the program; its log names it.
+// Program is how a process is started.
+type Program struct {
+	// Name is what the process is called in logs.
+	Name string
+	Path string
+	Args []string
+	// Environment is added to the caller's own, as NAME=text.
+	Environment []string
+}
+
+// startProcess starts the program without settings in its environment.
 func startProcess(name, path string, args ...string) (*Process, error) {
-	p := &Process{Name: name, cmd: exec.Command(path, args...), exited: make(chan struct{})}
+	return Program{Name: name, Path: path, Args: args}.Start()
+}
+
+// Start starts the program; its log names it.
+func (g Program) Start() (*Process, error) {
+	name := g.Name
+	p := &Process{Name: name, cmd: exec.Command(g.Path, g.Args...), exited: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), g.Environment...)
 	p.cmd.Stdout = &p.log
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
@@ -63,6 +81,11 @@
 	return strings.Join(lines[max(0, len(lines)-logTailLines):], "\n")
 }
 
+// WholeLog returns all that the process wrote.
+func (p *Process) WholeLog() string {
+	return p.log.String()
+}
+
 // Close kills the process if it still runs, and waits for its end.
 func (p *Process) Close() error {
 	_ = p.cmd.Process.Kill()
--- /dev/null
+++ b/internal/soaker/soak_test.go
@@ -0,0 +1,33 @@
+package soaker
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+)
+
+// TestSoak plays a short soak of real processes, and every seed that ever failed.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes; the whole run has it")
+	}
+	c := qt.New(t)
+	dir := t.TempDir()
+	if _, err := prover.Build(t.Context(), filepath.Join("..", ".."), dir); err != nil {
+		t.Fatal(err)
+	}
+	for _, settings := range []Settings{
+		{Seed: 1, Hosts: 3, Callers: 8, Strikes: 8, Span: 6 * time.Second},
+	} {
+		settings.Gateway, settings.Directory = filepath.Join(dir, "dotterel-gateway"), dir
+		report, err := Run(t.Context(), settings)
+		c.Assert(err, qt.IsNil)
+		c.Logf("seed %d: %d sent, %d served, %d starts of hosts, %v", report.Seed, report.Sent, report.Served, report.Starts, report.Strikes)
+		c.Check(report.Findings, qt.HasLen, 0)
+		c.Check(report.Served > 0, qt.IsTrue)
+	}
+}
