--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -37,6 +37,7 @@
 // endpoint is a stand-in behind a proxy.
 type endpoint struct {
 	*standin.Endpoint
+
 	proxy  *proxy.Proxy
 	ledger *ledger
 
@@ -50,7 +51,7 @@
 	e.Endpoint = standin.StartEndpoint(id, service, e.behave)
 	e.proxy = &proxy.Proxy{Target: e.Address()}
 	if err := e.proxy.Start("127.0.0.1:0"); err != nil {
-		e.Endpoint.Close()
+		e.Close()
 		return nil, err
 	}
 	return e, nil
@@ -58,7 +59,7 @@
 
 func (e *endpoint) close() error {
 	err := e.proxy.Close()
-	e.Endpoint.Close()
+	e.Close()
 	return err
 }
 
--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -38,7 +38,7 @@
 }
 
 // finishes reports whether the work's answer is likely to be whole before its deadline.
-func (v *service) finishes(now time.Time, e *endpoint, has backlog, w Work) bool {
+func (v *service) finishes(now time.Time, e *endpoint, w Work) bool {
 	if w.Answer == 0 || w.Prompt == 0 || w.Deadline.IsZero() {
 		return true
 	}
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -112,7 +112,7 @@
 		if t == turnOnTime && !v.smooth(e, has, w) {
 			continue
 		}
-		if !v.finishes(now, e, has, w) {
+		if !v.finishes(now, e, w) {
 			continue
 		}
 		if score := s.score(v, e, has); score < lowest {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -166,7 +166,7 @@
 
 // before orders waiting work: by urgency, then by arrival.
 func before(a, b Work) int {
-	return cmp.Or(a.Urgency.Compare(b.Urgency), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(a.Compare(b.Urgency), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
 // Decide places what has room and refuses what has waited too long.
