Keep the sums of what hosts tell up to date word by word, and look at each endpoint once a decision

Cause: each digest of another host summed up the loads of all anew, 85 hosts' at some 200 digests a second in a large fleet, and each piece of waiting work estimated every endpoint's load again. Change: a word replaces its host's part of the sums; a decision estimates each endpoint once and after a placement. Test: TestSumsAreThoseOfTheHostsLastWords compares with the sums of all last words.

--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -71,6 +71,9 @@
 	recent       float64
 	recentPrompt float64
 	recentAt     time.Time
+	// open and has are whether the endpoint may get work and what it is taken to have, for the decision under way.
+	open bool
+	has  backlog
 }
 
 // KeyOf returns the short name of an endpoint in what hosts tell each other.
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -74,10 +74,12 @@
 	return latest
 }
 
-// prepare brings what is taken for unknown endpoints up to date: the best that is known, so that they are tried.
-func (v *service) prepare() {
+// prepare brings what a decision needs of each endpoint up to date, and what is taken for unknown ones: the best
+// that is known, so that they are tried.
+func (v *service) prepare(now time.Time, others int) {
 	v.pace, v.reading = 0, 0
 	for _, e := range v.order {
+		e.open, e.has = e.usable(now), e.backlog(now, others)
 		if e.pace > 0 && (v.pace == 0 || e.pace < v.pace) {
 			v.pace = e.pace
 		}
@@ -99,10 +101,10 @@
 	lowest := math.Inf(1)
 	left := w.Arrived.Add(w.Objective).Sub(now)
 	for _, e := range v.order {
-		if !e.usable(now) || w.Except[e.ID] {
+		if !e.open || w.Except[e.ID] {
 			continue
 		}
-		has := e.backlog(now, len(s.hosts))
+		has := e.has
 		if !s.room(e, has, w, t) {
 			continue
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,6 +26,10 @@
 	services map[dotterelpulley.ServiceID]*service
 	runs     map[ID]*run
 	hosts    map[dotterelpulley.HostID]hostLoads
+	// byKey are all endpoints, loads and waiting the sums of what the other hosts tell.
+	byKey   map[uint32]*endpoint
+	loads   map[uint32]Load
+	waiting map[waitingKey]int
 }
 
 // service holds the endpoints and the queue of one service.
@@ -68,6 +72,9 @@
 		s.services = map[dotterelpulley.ServiceID]*service{}
 		s.runs = map[ID]*run{}
 		s.hosts = map[dotterelpulley.HostID]hostLoads{}
+		s.byKey = map[uint32]*endpoint{}
+		s.loads = map[uint32]Load{}
+		s.waiting = map[waitingKey]int{}
 	}
 }
 
@@ -85,6 +92,12 @@
 func (s *Scheduler) SetEndpoints(id dotterelpulley.ServiceID, endpoints []Endpoint) {
 	v := s.service(id)
 	old := v.endpoints
+	for _, e := range old {
+		// It may be another service's by now.
+		if s.byKey[e.key] == e {
+			delete(s.byKey, e.key)
+		}
+	}
 	v.endpoints = make(map[dotterelpulley.EndpointID]*endpoint, len(endpoints))
 	v.order = v.order[:0]
 	for _, one := range endpoints {
@@ -93,11 +106,12 @@
 			e = &endpoint{key: KeyOf(one.ID)}
 		}
 		e.Endpoint = one
+		e.others = s.loads[e.key]
 		v.endpoints[one.ID] = e
+		s.byKey[e.key] = e
 		v.order = append(v.order, e)
 	}
 	slices.SortFunc(v.order, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	s.sumLoads()
 }
 
 // Services returns the services that have endpoints or work.
@@ -113,33 +127,36 @@
 // Heard takes another host's word on its runs and on what waits there.
 func (s *Scheduler) Heard(now time.Time, host dotterelpulley.HostID, loads []Load, waiting []Waiting) {
 	s.init()
+	s.tally(s.hosts[host], -1)
 	s.hosts[host] = hostLoads{at: now, loads: loads, waiting: waiting}
-	s.forget(now)
-	s.sumLoads()
-}
-
-func (s *Scheduler) forget(now time.Time) {
+	s.tally(s.hosts[host], 1)
 	for id, h := range s.hosts {
 		if now.Sub(h.at) > forgetLoads {
+			s.tally(h, -1)
 			delete(s.hosts, id)
 		}
 	}
 }
 
-// sumLoads adds up what the other hosts run on each endpoint.
-func (s *Scheduler) sumLoads() {
-	sums := map[uint32]Load{}
-	for _, h := range s.hosts {
-		for _, l := range h.loads {
-			sum := sums[l.Key]
-			sum.Running += l.Running
-			sum.Prompt += l.Prompt
-			sums[l.Key] = sum
+// tally adds what a host told to the sums, or takes it out where the sign is negative.
+func (s *Scheduler) tally(h hostLoads, sign int) {
+	for _, l := range h.loads {
+		sum := s.loads[l.Key]
+		sum.Running += sign * l.Running
+		sum.Prompt += dotterelpulley.Tokens(sign) * l.Prompt
+		s.loads[l.Key] = sum
+		if sum == (Load{}) {
+			delete(s.loads, l.Key)
+		}
+		if e, ok := s.byKey[l.Key]; ok {
+			e.others = sum
 		}
 	}
-	for _, v := range s.services {
-		for _, e := range v.order {
-			e.others = sums[e.key]
+	for _, w := range h.waiting {
+		key := waitingKey{w.Urgency, w.Service}
+		s.waiting[key] += sign * w.Count
+		if s.waiting[key] == 0 {
+			delete(s.waiting, key)
 		}
 	}
 }
@@ -184,12 +201,12 @@
 	if len(v.queue) == 0 {
 		return decisions
 	}
-	v.prepare()
+	v.prepare(now, len(s.hosts))
 	for _, turn := range []turn{turnOnTime, turnLate} {
 		kept := v.queue[:0]
 		for _, w := range v.queue {
 			var e *endpoint
-			if !s.yields(now, v, w, turn) {
+			if !s.yields(v, w, turn) {
 				e = s.choose(now, v, w, turn)
 			}
 			if e == nil {
@@ -198,6 +215,7 @@
 			}
 			decisions = append(decisions, Placed{ID: w.ID, Endpoint: e.Endpoint, Load: e.load(), LoadAge: s.loadAge(now)})
 			s.start(now, v, w, e)
+			e.has = e.backlog(now, len(s.hosts))
 		}
 		clear(v.queue[len(kept):])
 		v.queue = kept
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"maps"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/dotterelpulley/dotterelpulley"
 )
@@ -226,3 +228,59 @@
 	s.Ended(start, short.ID, ResultWhole)
 	c.Assert(offer(s, start, endless), qt.IsNotNil)
 }
+
+// What all hosts together run and what waits on them is kept up to date word by word.
+func TestSumsAreThoseOfTheHostsLastWords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []dotterelpulley.EndpointID{"a", "b", "c"}
+		s := with(4, ids...)
+		type word struct {
+			at      time.Time
+			loads   []Load
+			waiting []Waiting
+		}
+		words := map[dotterelpulley.HostID]word{}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "words") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "gap")) * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "replaced") == 0 {
+				s.SetEndpoints("other", []Endpoint{{Endpoint: dotterelpulley.Endpoint{ID: "c", Address: "c"}}})
+				s.SetEndpoints(pool, []Endpoint{{Endpoint: dotterelpulley.Endpoint{ID: "a", Address: "a"}}, {Endpoint: dotterelpulley.Endpoint{ID: "b", Address: "b"}}})
+			}
+			host := dotterelpulley.HostID(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "host"))
+			w := word{at: now}
+			for _, id := range ids {
+				if n := rapid.IntRange(0, 3).Draw(t, "running"); n > 0 {
+					w.loads = append(w.loads, Load{Key: KeyOf(id), Running: n, Prompt: dotterelpulley.Tokens(n * 10)})
+				}
+			}
+			if n := rapid.IntRange(0, 2).Draw(t, "waiting"); n > 0 {
+				w.waiting = append(w.waiting, Waiting{Service: s.service(pool).key, Urgency: Urgency{Rank: Priority(n)}, Count: n})
+			}
+			words[host] = w
+			s.Heard(now, host, w.loads, w.waiting)
+		}
+		want, waits := map[uint32]Load{}, map[waitingKey]int{}
+		for _, w := range words {
+			if now.Sub(w.at) > forgetLoads {
+				continue
+			}
+			for _, l := range w.loads {
+				want[l.Key] = Load{Running: want[l.Key].Running + l.Running, Prompt: want[l.Key].Prompt + l.Prompt}
+			}
+			for _, one := range w.waiting {
+				waits[waitingKey{one.Urgency, one.Service}] += one.Count
+			}
+		}
+		for _, v := range s.services {
+			for _, e := range v.order {
+				if e.others != want[e.key] {
+					t.Fatalf("%s: %+v, the last words say %+v", e.ID, e.others, want[e.key])
+				}
+			}
+		}
+		if !maps.Equal(s.waiting, waits) {
+			t.Fatalf("waiting %v, the last words say %v", s.waiting, waits)
+		}
+	})
+}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -29,26 +29,30 @@
 	return all
 }
 
+// waitingKey is what work waits for, and how urgently.
+type waitingKey struct {
+	Urgency
+	service uint32
+}
+
 // yields reports whether the free slots are needed by more urgent work that waits on other hosts; short answers
 // don't hold them for long.
-func (s *Scheduler) yields(now time.Time, v *service, w Work, t turn) bool {
+func (s *Scheduler) yields(v *service, w Work, t turn) bool {
 	ahead := 0
-	for _, h := range s.hosts {
-		for _, one := range h.waiting {
-			if one.Service == v.key && (t == turnLate || one.Compare(w.Urgency) < 0) {
-				ahead += one.Count
-			}
+	for key, count := range s.waiting {
+		if key.service == v.key && (t == turnLate || key.Compare(w.Urgency) < 0) {
+			ahead += count
 		}
 	}
-	return ahead > 0 && v.free(now, len(s.hosts)) <= float64(ahead)*holding(w)
+	return ahead > 0 && v.free() <= float64(ahead)*holding(w)
 }
 
 // free is how many slots of the service's endpoints are taken to be free.
-func (v *service) free(now time.Time, others int) float64 {
+func (v *service) free() float64 {
 	free := 0.0
 	for _, e := range v.order {
-		if e.usable(now) {
-			free += max(float64(e.slots())-e.backlog(now, others).runs, 0)
+		if e.open {
+			free += max(float64(e.slots())-e.has.runs, 0)
 		}
 	}
 	return free
