--- a/cmd/dotterelctl/main.go
+++ b/cmd/dotterelctl/main.go
@@ -58,6 +58,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(checkCommand(), publishCommand(), watchCommand(), statusCommand(), tokenCommand())
+	cmd.AddCommand(checkCommand(), publishCommand(), watchCommand(), statusCommand(), hostCommand(), tokenCommand())
 	return cmd
 }
--- /dev/null
+++ b/describer/describer_test.go
@@ -0,0 +1,34 @@
+package describer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestAStateSurvivesTheWire(t *testing.T) {
+	c := qt.New(t)
+	h := Host{
+		ID: "h", Zone: "z", State: "serving", Configuration: 7, Proved: 1200 * time.Millisecond, Reads: true, StoreLost: true,
+		Members: []Member{{ID: "m", Zone: "y", State: "draining", Heard: 80 * time.Millisecond, Configuration: 6}},
+		Endpoints: []Endpoint{{
+			ID: "e", Service: "s", Address: "127.0.0.1:1", State: "live", Slots: 11, Running: 2, Others: 3, Unread: 4000,
+			Pace: 24 * time.Millisecond, Reading: 20 * time.Microsecond, Barred: 300 * time.Millisecond,
+		}},
+		Caps: []Cap{{Organisation: "o", Level: 1.5, Used: 10, Allowed: 20}},
+	}
+	data, err := Encode(h)
+	c.Assert(err, qt.IsNil)
+	got, err := Decode(data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, h)
+}
+
+func TestABadStateIsAnError(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"", "{", `{"proved":"soon"}`} {
+		_, err := Decode([]byte(text))
+		c.Check(err, qt.ErrorMatches, "decode state: .*", qt.Commentf("%q", text))
+	}
+}
--- /dev/null
+++ b/describer/wire.go
@@ -0,0 +1,119 @@
+package describer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+type wireHost struct {
+	ID            string         `json:"host"`
+	Zone          string         `json:"zone"`
+	State         string         `json:"state"`
+	Configuration int64          `json:"configuration"`
+	Proved        string         `json:"proved"`
+	Reads         bool           `json:"reads"`
+	StoreLost     bool           `json:"store-lost"`
+	Members       []wireMember   `json:"members"`
+	Endpoints     []wireEndpoint `json:"endpoints"`
+	Caps          []wireCap      `json:"caps"`
+}
+
+type wireMember struct {
+	ID            string `json:"host"`
+	Zone          string `json:"zone"`
+	State         string `json:"state"`
+	Heard         string `json:"heard"`
+	Configuration int64  `json:"configuration"`
+}
+
+type wireEndpoint struct {
+	ID      string `json:"endpoint"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Others  int    `json:"others"`
+	Unread  int    `json:"unread"`
+	Pace    string `json:"pace"`
+	Reading string `json:"reading"`
+	Barred  string `json:"barred"`
+}
+
+type wireCap struct {
+	Organisation string  `json:"organisation"`
+	Level        float64 `json:"level"`
+	Used         float64 `json:"used"`
+	Allowed      float64 `json:"allowed"`
+}
+
+// Encode returns the state as JSON.
+func Encode(h Host) ([]byte, error) {
+	w := wireHost{
+		ID: string(h.ID), Zone: string(h.Zone), State: h.State, Configuration: h.Configuration, Proved: h.Proved.String(),
+		Reads: h.Reads, StoreLost: h.StoreLost, Members: []wireMember{}, Endpoints: []wireEndpoint{}, Caps: []wireCap{},
+	}
+	for _, m := range h.Members {
+		w.Members = append(w.Members, wireMember{string(m.ID), string(m.Zone), m.State, m.Heard.String(), m.Configuration})
+	}
+	for _, e := range h.Endpoints {
+		w.Endpoints = append(w.Endpoints, wireEndpoint{
+			ID: string(e.ID), Service: string(e.Service), Address: string(e.Address), State: e.State, Slots: e.Slots,
+			Running: e.Running, Others: e.Others, Unread: int(e.Unread),
+			Pace: e.Pace.String(), Reading: e.Reading.String(), Barred: e.Barred.String(),
+		})
+	}
+	for _, c := range h.Caps {
+		w.Caps = append(w.Caps, wireCap{string(c.Organisation), c.Level, c.Used, c.Allowed})
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+// Decode returns the state in the JSON.
+func Decode(data []byte) (Host, error) {
+	var w wireHost
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Host{}, fmt.Errorf("decode state: %w", err)
+	}
+	var spans spans
+	h := Host{
+		ID: dotterelpulley.HostID(w.ID), Zone: dotterelpulley.ZoneID(w.Zone), State: w.State, Configuration: w.Configuration,
+		Proved: spans.parse(w.Proved), Reads: w.Reads, StoreLost: w.StoreLost,
+	}
+	for _, m := range w.Members {
+		h.Members = append(h.Members, Member{
+			dotterelpulley.HostID(m.ID), dotterelpulley.ZoneID(m.Zone), m.State, spans.parse(m.Heard), m.Configuration,
+		})
+	}
+	for _, e := range w.Endpoints {
+		h.Endpoints = append(h.Endpoints, Endpoint{
+			ID: dotterelpulley.EndpointID(e.ID), Service: dotterelpulley.ServiceID(e.Service), Address: dotterelpulley.Address(e.Address),
+			State: e.State, Slots: e.Slots, Running: e.Running, Others: e.Others, Unread: dotterelpulley.Tokens(e.Unread),
+			Pace: spans.parse(e.Pace), Reading: spans.parse(e.Reading), Barred: spans.parse(e.Barred),
+		})
+	}
+	for _, c := range w.Caps {
+		h.Caps = append(h.Caps, Cap{dotterelpulley.OrganisationID(c.Organisation), c.Level, c.Used, c.Allowed})
+	}
+	return h, spans.err
+}
+
+// spans parses durations and keeps the first error.
+type spans struct {
+	err error
+}
+
+func (s *spans) parse(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil && s.err == nil {
+		s.err = fmt.Errorf("decode state: %w", err)
+	}
+	return d
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -62,6 +62,7 @@
 // metricsHandler shows counters and histograms as text, a name and a value a line.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc(statePath, g.serveState)
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		out := bufio.NewWriter(w)
 		g.metrics.counts.Do(func(kv expvar.KeyValue) { fmt.Fprintf(out, "%s %s\n", kv.Key, kv.Value) })
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/dotterelpulley/dotterelpulley/describer"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
+)
+
+// statePath shows operators what the host believes, on the metrics address.
+const statePath = "/state"
+
+// describe returns what the host believes now.
+func (g *Gateway) describe(now time.Time) describer.Host {
+	self := g.peers.self()
+	h := describer.Host{
+		ID: self.ID, Zone: self.Zone, State: g.state().String(), Reads: g.reads(now), StoreLost: g.reading.isLost(now),
+	}
+	if t := g.table.Load(); t != nil {
+		h.Configuration = t.Version
+	}
+	if age, ok := g.contact.age(); ok {
+		h.Proved = age
+	}
+	for _, m := range g.peers.live(now) {
+		h.Members = append(h.Members, describer.Member{
+			ID: m.ID, Zone: m.Zone, State: m.State.String(), Heard: now.Sub(m.Heard), Configuration: m.Configuration,
+		})
+	}
+	g.queue.note(func(now time.Time, s *scheduler.Scheduler) {
+		for _, v := range s.Views(now) {
+			h.Endpoints = append(h.Endpoints, describer.Endpoint{
+				ID: v.ID, Service: v.Service, Address: v.Address, State: v.State.String(), Slots: v.Slots,
+				Running: v.Running, Others: v.Others, Unread: v.Unread, Pace: v.Pace, Reading: v.Reading, Barred: v.Barred,
+			})
+		}
+	})
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, v := range g.rations.Views(now) {
+		h.Caps = append(h.Caps, describer.Cap{
+			Organisation: v.Organisation, Level: float64(v.Level), Used: float64(v.Used), Allowed: float64(v.Allowed),
+		})
+	}
+	return h
+}
+
+func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
+	data, err := describer.Encode(g.describe(time.Now()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(data); err != nil {
+		g.event(log.DebugLevel, "state-unsent").Err(err).Msg("")
+	}
+}
--- /dev/null
+++ b/gateway/state_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/describer"
+)
+
+func TestAHostShowsWhatItBelieves(t *testing.T) {
+	s := newSite(t)
+	s.configure(3, 100)
+	s.endpoint("e1", "plain", hello)
+	first, second := s.gateway(), s.gateway()
+	first.peers.named(second.peers.self())
+	s.until("the hosts have heard each other", func() bool { return first.peers.known() == 2 })
+	response, err := http.Get("http://" + string(first.metricsAddress()) + statePath)
+	s.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	s.Assert(err, qt.IsNil)
+	h, err := describer.Decode(data)
+	s.Assert(err, qt.IsNil)
+	s.Check(h.ID, qt.Equals, first.settings.Host)
+	s.Check(h.State, qt.Equals, "serving")
+	s.Check(h.Configuration, qt.Equals, int64(3))
+	s.Check(h.Proved > 0, qt.IsTrue)
+	s.Assert(h.Members, qt.HasLen, 1)
+	s.Check(h.Members[0].ID, qt.Equals, second.settings.Host)
+	s.Assert(h.Endpoints, qt.HasLen, 1)
+	s.Check(string(h.Endpoints[0].ID), qt.Equals, "e1")
+	s.Assert(h.Caps, qt.HasLen, 1)
+	s.Check(h.Caps[0].Allowed > 0, qt.IsTrue)
+}
