Tell other hosts which endpoints refuse connections

Change: a host's word names the endpoints that refuse its connections, while it keeps work from them; others keep work from them too, until some time after the word, unless they heard them live since. What only can't be reached isn't told: the way may be cut for one host. Test: TestADeadEndpointIsKnownOnAllHosts.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -64,6 +64,8 @@
 	Used  map[dotterelpulley.OrganisationID]Use
 	// Waiting is the work that waits on the host and can still be on time.
 	Waiting []Waiting
+	// Dead are the short names of endpoints that refuse the host's connections.
+	Dead []uint32
 	// Crashes are the endpoints' ends that the host saw lately, with what they ran.
 	Crashes []Crash
 }
@@ -115,6 +117,7 @@
 	fieldStoreLost
 	fieldBrief
 	fieldWaiting
+	fieldDead
 )
 
 // Encode returns the digest in the protocol buffers' wire format.
@@ -145,6 +148,9 @@
 	for _, w := range d.Waiting {
 		b = appendNumbers(b, fieldWaiting, uint64(w.Service), uint64(w.Priority), uint64(w.Rank), uint64(w.Count))
 	}
+	for _, key := range d.Dead {
+		b = fields.AppendNumber(b, fieldDead, uint64(key))
+	}
 	for id, use := range d.Used {
 		inner := protowire.AppendFixed32(nil, math.Float32bits(float32(use.Level)))
 		inner = protowire.AppendFixed64(inner, math.Float64bits(use.Admitted))
@@ -189,6 +195,8 @@
 		d.Configuration = int64(value)
 	case fieldStoreLost:
 		d.StoreLost = protowire.DecodeBool(value)
+	case fieldDead:
+		d.Dead = append(d.Dead, uint32(value))
 	case fieldBrief:
 		d.Brief = protowire.DecodeBool(value)
 	}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -366,14 +366,13 @@
 
 // tell passes a host's loads on to the others.
 func (r *fleetRun) tell(h *fleetHost) {
-	loads := h.scheduler.Loads()
-	var waiting []scheduler.Waiting
-	if !r.Reticent {
-		waiting = h.scheduler.Queued(r.clock.now())
+	word := h.scheduler.Tell(r.clock.now())
+	if r.Reticent {
+		word.Waiting = nil
 	}
 	for _, other := range r.hosts {
 		if other != h {
-			other.scheduler.Heard(r.clock.now(), h.id, loads, waiting)
+			other.scheduler.Heard(r.clock.now(), h.id, word)
 			if !r.Forward {
 				r.decide(other)
 			}
--- a/gateway/life.go
+++ b/gateway/life.go
@@ -168,7 +168,11 @@
 	sent := !errors.As(err, &failure) || failure.Sent
 	if !sent {
 		l.g.connector.Forget(t.Endpoint.Address)
-		l.end(t, scheduler.ResultUnreached, err)
+		result := scheduler.ResultUnreached
+		if failure.Refused {
+			result = scheduler.ResultDead
+		}
+		l.end(t, result, err)
 		return l.elsewhere()
 	}
 	l.ran++
@@ -191,7 +195,7 @@
 		l.g.died(time.Now(), t.Endpoint.ID)
 		l.g.mutex.Unlock()
 		l.g.connector.Forget(t.Endpoint.Address)
-		l.end(t, scheduler.ResultUnreached, fmt.Errorf("the endpoint crashed: %w", err))
+		l.end(t, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 	} else {
 		l.end(t, scheduler.ResultFailed, err)
 	}
@@ -248,7 +252,7 @@
 
 var resultNames = map[scheduler.Result]string{
 	scheduler.ResultWhole: "whole", scheduler.ResultRefused: "refused", scheduler.ResultFailed: "failed",
-	scheduler.ResultUnreached: "unreached", scheduler.ResultMoved: "moved", scheduler.ResultLeft: "left",
+	scheduler.ResultUnreached: "unreached", scheduler.ResultDead: "dead", scheduler.ResultMoved: "moved", scheduler.ResultLeft: "left",
 }
 
 // refuse ends a request that no endpoint has run, or that one may have run in part.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -160,14 +160,7 @@
 	}
 	d.StoreLost = g.reading.isLost(now)
 	g.queue.note(func(now time.Time, s *scheduler.Scheduler) {
-		for _, l := range s.Loads() {
-			d.Loads = append(d.Loads, announcer.Load{Key: l.Key, Running: l.Running, Prompt: l.Prompt})
-		}
-		for _, w := range s.Queued(now) {
-			d.Waiting = append(d.Waiting, announcer.Waiting{
-				Service: w.Service, Priority: int(w.Priority), Rank: int(w.Rank), Count: w.Count,
-			})
-		}
+		tellWord(&d, s.Tell(now))
 	})
 	g.peers.mutex.Lock()
 	g.peers.sequence++
@@ -191,6 +184,34 @@
 	}
 }
 
+// tellWord adds the scheduler's word.
+func tellWord(d *announcer.Digest, w scheduler.Word) {
+	for _, l := range w.Loads {
+		d.Loads = append(d.Loads, announcer.Load{Key: l.Key, Running: l.Running, Prompt: l.Prompt})
+	}
+	for _, one := range w.Waiting {
+		d.Waiting = append(d.Waiting, announcer.Waiting{
+			Service: one.Service, Priority: int(one.Priority), Rank: int(one.Rank), Count: one.Count,
+		})
+	}
+	d.Dead = w.Dead
+}
+
+// wordOf returns the word of a scheduler in another host's digest.
+func wordOf(d announcer.Digest) scheduler.Word {
+	w := scheduler.Word{Dead: d.Dead}
+	for _, l := range d.Loads {
+		w.Loads = append(w.Loads, scheduler.Load{Key: l.Key, Running: l.Running, Prompt: l.Prompt})
+	}
+	for _, one := range d.Waiting {
+		w.Waiting = append(w.Waiting, scheduler.Waiting{
+			Service: one.Service, Count: one.Count,
+			Urgency: scheduler.Urgency{Priority: scheduler.Priority(one.Priority), Rank: scheduler.Priority(one.Rank)},
+		})
+	}
+	return w
+}
+
 // tellUse adds what the organisations used here and the crashes that this host saw.
 func (g *Gateway) tellUse(now time.Time, d *announcer.Digest) {
 	g.mutex.Lock()
@@ -238,17 +259,7 @@
 			Str("state", d.State.String()).Msg("")
 		g.peers.hurry()
 	}
-	loads := make([]scheduler.Load, 0, len(d.Loads))
-	for _, l := range d.Loads {
-		loads = append(loads, scheduler.Load{Key: l.Key, Running: l.Running, Prompt: l.Prompt})
-	}
-	waiting := make([]scheduler.Waiting, 0, len(d.Waiting))
-	for _, w := range d.Waiting {
-		waiting = append(waiting, scheduler.Waiting{
-			Service: w.Service, Urgency: scheduler.Urgency{Priority: scheduler.Priority(w.Priority), Rank: scheduler.Priority(w.Rank)}, Count: w.Count,
-		})
-	}
-	g.queue.update(func(now time.Time, s *scheduler.Scheduler) { s.Heard(now, d.ID, loads, waiting) })
+	g.queue.update(func(now time.Time, s *scheduler.Scheduler) { s.Heard(now, d.ID, wordOf(d)) })
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if !d.Brief {
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -35,6 +35,8 @@
 	// leastSuspicion and mostSuspicion bound the time for which an unreachable endpoint gets nothing.
 	leastSuspicion = 400 * time.Millisecond
 	mostSuspicion  = 3 * time.Second
+	// deadTold keeps work from an endpoint that another host says is dead, until some time after that host's next word.
+	deadTold = 500 * time.Millisecond
 	// movedPause keeps work from an endpoint whose address another one has, until its entry lapses or comes anew.
 	movedPause = 5 * time.Second
 	// silence is the time without an event of any run after which an endpoint gets nothing more, some times the longest step.
@@ -65,6 +67,8 @@
 	// barred is until when it gets nothing.
 	barred    time.Time
 	unreached int
+	// dead is until when this host tells the others that the endpoint refuses connections.
+	dead time.Time
 	// heard is when a run of this host last showed that the endpoint lives.
 	heard time.Time
 	// recent and recentPrompt are this host's own placements of late, fading since recentAt.
@@ -148,7 +152,7 @@
 func (e *endpoint) ended(now time.Time, r Result) {
 	switch r {
 	case ResultWhole:
-		e.unreached = 0
+		e.unreached, e.dead = 0, time.Time{}
 		e.failures -= failureWeight * e.failures
 	case ResultRefused:
 		e.bar(now.Add(refusalPause))
@@ -156,9 +160,12 @@
 		e.failures += failureWeight * (1 - e.failures)
 	case ResultMoved:
 		e.bar(now.Add(movedPause))
-	case ResultUnreached:
+	case ResultUnreached, ResultDead:
 		e.unreached++
 		e.bar(now.Add(min(leastSuspicion<<min(e.unreached-1, 4), mostSuspicion)))
+		if r == ResultDead {
+			e.dead = e.barred
+		}
 	case ResultLeft:
 	}
 }
@@ -184,11 +191,3 @@
 	}
 	e.reading += time.Duration(readingWeight * float64(sample-e.reading))
 }
-
-// Load is what one host tells others of its runs on an endpoint.
-type Load struct {
-	Key     uint32
-	Running int
-	// Prompt is the number of tokens of runs that have no first event yet.
-	Prompt dotterelpulley.Tokens
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,7 +25,7 @@
 	random   *rand.Rand
 	services map[dotterelpulley.ServiceID]*service
 	runs     map[ID]*run
-	hosts    map[dotterelpulley.HostID]hostLoads
+	hosts    map[dotterelpulley.HostID]told
 	// byKey are all endpoints, loads and waiting the sums of what the other hosts tell.
 	byKey   map[uint32]*endpoint
 	loads   map[uint32]Load
@@ -60,10 +60,10 @@
 	ahead dotterelpulley.Tokens
 }
 
-type hostLoads struct {
-	at      time.Time
-	loads   []Load
-	waiting []Waiting
+// told is another host's last word.
+type told struct {
+	Word
+	at time.Time
 }
 
 func (s *Scheduler) init() {
@@ -71,7 +71,7 @@
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 		s.services = map[dotterelpulley.ServiceID]*service{}
 		s.runs = map[ID]*run{}
-		s.hosts = map[dotterelpulley.HostID]hostLoads{}
+		s.hosts = map[dotterelpulley.HostID]told{}
 		s.byKey = map[uint32]*endpoint{}
 		s.loads = map[uint32]Load{}
 		s.waiting = map[waitingKey]int{}
@@ -124,23 +124,28 @@
 	return ids
 }
 
-// Heard takes another host's word on its runs and on what waits there.
-func (s *Scheduler) Heard(now time.Time, host dotterelpulley.HostID, loads []Load, waiting []Waiting) {
+// Heard takes another host's word.
+func (s *Scheduler) Heard(now time.Time, host dotterelpulley.HostID, w Word) {
 	s.init()
-	s.tally(s.hosts[host], -1)
-	s.hosts[host] = hostLoads{at: now, loads: loads, waiting: waiting}
-	s.tally(s.hosts[host], 1)
+	s.tally(s.hosts[host].Word, -1)
+	s.hosts[host] = told{Word: w, at: now}
+	s.tally(w, 1)
 	for id, h := range s.hosts {
 		if now.Sub(h.at) > forgetLoads {
-			s.tally(h, -1)
+			s.tally(h.Word, -1)
 			delete(s.hosts, id)
 		}
 	}
+	for _, key := range w.Dead {
+		if e, ok := s.byKey[key]; ok && now.Sub(e.heard) > deadTold {
+			e.bar(now.Add(deadTold))
+		}
+	}
 }
 
 // tally adds what a host told to the sums, or takes it out where the sign is negative.
-func (s *Scheduler) tally(h hostLoads, sign int) {
-	for _, l := range h.loads {
+func (s *Scheduler) tally(word Word, sign int) {
+	for _, l := range word.Loads {
 		sum := s.loads[l.Key]
 		sum.Running += sign * l.Running
 		sum.Prompt += dotterelpulley.Tokens(sign) * l.Prompt
@@ -152,7 +157,7 @@
 			e.others = sum
 		}
 	}
-	for _, w := range h.waiting {
+	for _, w := range word.Waiting {
 		key := waitingKey{w.Urgency, w.Service}
 		s.waiting[key] += sign * w.Count
 		if s.waiting[key] == 0 {
@@ -161,6 +166,24 @@
 	}
 }
 
+// Tell returns this host's word for the others.
+func (s *Scheduler) Tell(now time.Time) Word {
+	return Word{Loads: s.Loads(), Waiting: s.queued(now), Dead: s.dead(now)}
+}
+
+// dead returns the endpoints that refused this host's connections and are barred for it.
+func (s *Scheduler) dead(now time.Time) []uint32 {
+	var keys []uint32
+	for _, id := range s.Services() {
+		for _, e := range s.services[id].order {
+			if now.Before(e.dead) {
+				keys = append(keys, e.key)
+			}
+		}
+	}
+	return keys
+}
+
 // Loads returns this host's own runs on each endpoint, for the other hosts.
 func (s *Scheduler) Loads() []Load {
 	var loads []Load
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -172,9 +172,9 @@
 func TestOtherHostsRunsTakeSlots(t *testing.T) {
 	c := qt.New(t)
 	s := with(2, "a")
-	s.Heard(start, "other", []Load{{Key: KeyOf("a"), Running: 2}}, nil)
+	s.Heard(start, "other", Word{Loads: []Load{{Key: KeyOf("a"), Running: 2}}})
 	c.Assert(offer(s, start, work(1)), qt.IsNil)
-	s.Heard(start, "other", nil, nil)
+	s.Heard(start, "other", Word{})
 	c.Assert(s.Decide(start), qt.HasLen, 1)
 }
 
@@ -185,7 +185,7 @@
 	offer(other, start, work(1))
 	c.Assert(offer(other, start, work(2)), qt.IsNil)
 	s := with(1, "a")
-	s.Heard(start, "other", nil, other.Queued(start))
+	s.Heard(start, "other", Word{Waiting: other.Tell(start).Waiting})
 	low := work(1)
 	low.Rank = 1
 	c.Assert(offer(s, start, low), qt.IsNil)
@@ -193,8 +193,8 @@
 	c.Assert(offer(s, start, work(2)), qt.IsNotNil)
 	s.Ended(start, 2, ResultWhole)
 	late := start.Add(low.Objective)
-	c.Assert(other.Queued(late), qt.HasLen, 0)
-	s.Heard(late, "other", nil, other.Queued(late))
+	c.Assert(other.Tell(late).Waiting, qt.HasLen, 0)
+	s.Heard(late, "other", Word{Waiting: other.Tell(late).Waiting})
 	c.Assert(s.Decide(late), qt.HasLen, 1)
 }
 
@@ -258,7 +258,7 @@
 				w.waiting = append(w.waiting, Waiting{Service: s.service(pool).key, Urgency: Urgency{Rank: Priority(n)}, Count: n})
 			}
 			words[host] = w
-			s.Heard(now, host, w.loads, w.waiting)
+			s.Heard(now, host, Word{Loads: w.loads, Waiting: w.waiting})
 		}
 		want, waits := map[uint32]Load{}, map[waitingKey]int{}
 		for _, w := range words {
@@ -284,3 +284,32 @@
 		}
 	})
 }
+
+// An endpoint that crashed is known on all hosts as soon as one has found it dead, and until it has found otherwise.
+func TestADeadEndpointIsKnownOnAllHosts(t *testing.T) {
+	c := qt.New(t)
+	finder, s := with(4, "a"), with(4, "a")
+	offer(finder, start, work(1))
+	finder.Ended(start, 1, ResultDead)
+	c.Assert(finder.Tell(start).Dead, qt.DeepEquals, []uint32{KeyOf("a")})
+	s.Heard(start, "finder", finder.Tell(start))
+	c.Assert(offer(s, start, work(1)), qt.IsNil)
+	c.Assert(s.Tell(start).Dead, qt.HasLen, 0, qt.Commentf("only what a host saw itself is told"))
+	// The finder tries again after a while, and no longer tells.
+	later := start.Add(leastSuspicion)
+	c.Assert(finder.Tell(later).Dead, qt.HasLen, 0)
+	c.Assert(s.Decide(start.Add(deadTold)), qt.HasLen, 1)
+
+	// A host that has just heard the endpoint knows better.
+	knows := with(4, "a")
+	offer(knows, start, work(1))
+	knows.Began(start, 1)
+	knows.Heard(start, "finder", finder.Tell(start))
+	c.Assert(offer(knows, start, work(2)), qt.IsNotNil)
+
+	// One that can't be reached may be cut off from this host alone.
+	finder = with(4, "a")
+	offer(finder, start, work(1))
+	finder.Ended(start, 1, ResultUnreached)
+	c.Assert(finder.Tell(start).Dead, qt.HasLen, 0)
+}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -10,8 +10,8 @@
 	Count   int
 }
 
-// Queued returns what waits on this host and can still be on time, for the other hosts.
-func (s *Scheduler) Queued(now time.Time) []Waiting {
+// queued returns what waits on this host and can still be on time.
+func (s *Scheduler) queued(now time.Time) []Waiting {
 	var all []Waiting
 	for _, id := range s.Services() {
 		v := s.services[id]
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -104,6 +104,8 @@
 	ResultFailed
 	// ResultUnreached is work that did not reach the endpoint.
 	ResultUnreached
+	// ResultDead is work that did not reach the endpoint, or ended with it, as nothing listens at its address.
+	ResultDead
 	// ResultMoved is work that another instance at the endpoint's address turned away.
 	ResultMoved
 	// ResultLeft is a run that was ended from this side.
