--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -114,7 +114,7 @@
 	standin.Ask{Attempt: string(s.Attempt), Key: s.Key, Patience: routeTimeout}.Apply(r.Header)
 	c.read(r, route, &s)
 	s.Ended = time.Now()
-	c.site.ledger.sent(s)
+	c.site.ledger.note(func(o *Observed) { o.Sent = append(o.Sent, s) })
 	if s.Status == 0 || s.Status == http.StatusServiceUnavailable {
 		c.client.CloseIdleConnections()
 		c.at = nil
--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -88,10 +88,11 @@
 	a := Attempt(asked.Attempt)
 	m := e.next()
 	organisation, version := unversioned(asked.Organisation)
-	e.ledger.arrived(Arrival{
+	arrival := Arrival{
 		Attempt: a, Endpoint: e.ID, Service: e.Service, Organisation: organisation, Version: version, At: time.Now(),
 		Ran: m != mannerFull, KeyPassed: asked.Key != "",
-	})
+	}
+	e.ledger.note(func(o *Observed) { o.Arrivals = append(o.Arrivals, arrival) })
 	switch {
 	case m == mannerFull:
 		standin.NotRun(w)
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -81,34 +81,11 @@
 	seen  Observed
 }
 
-func (l *ledger) sent(s Sent) {
+// note adds to what is observed.
+func (l *ledger) note(add func(o *Observed)) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.seen.Sent = append(l.seen.Sent, s)
-}
-
-func (l *ledger) arrived(a Arrival) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.seen.Arrivals = append(l.seen.Arrivals, a)
-}
-
-func (l *ledger) revoked(r Revocation) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.seen.Revocations = append(l.seen.Revocations, r)
-}
-
-func (l *ledger) left(leave Leave) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.seen.Leaves = append(l.seen.Leaves, leave)
-}
-
-func (l *ledger) troubled(t Trouble) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.seen.Troubles = append(l.seen.Troubles, t)
+	add(&l.seen)
 }
 
 // observed returns what was seen, when nothing is added any more.
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -107,7 +107,8 @@
 	s.mutex.Unlock()
 	if !before {
 		s.configure()
-		s.ledger.revoked(Revocation{Key: revocable, At: time.Now()})
+		r := Revocation{Key: revocable, At: time.Now()}
+		s.ledger.note(func(o *Observed) { o.Revocations = append(o.Revocations, r) })
 	}
 }
 
@@ -150,7 +151,8 @@
 		s.add(old.Service)
 		s.gone = append(s.gone, old)
 		old.register(s.store, "draining")
-		s.ledger.left(Leave{Endpoint: old.ID, At: time.Now()})
+		leave := Leave{Endpoint: old.ID, At: time.Now()}
+		s.ledger.note(func(o *Observed) { o.Leaves = append(o.Leaves, leave) })
 	}
 	s.mutex.Unlock()
 	if !leaves {
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -147,7 +147,8 @@
 			from := time.Now()
 			one.fault.run(ctx, s, rand.New(rand.NewPCG(one.seed, 0)), one.span)
 			if one.fault.onHosts {
-				s.ledger.troubled(Trouble{Name: one.fault.name, From: from, To: time.Now()})
+				t := Trouble{Name: one.fault.name, From: from, To: time.Now()}
+				s.ledger.note(func(o *Observed) { o.Troubles = append(o.Troubles, t) })
 			}
 		})
 	}
