--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -24,6 +24,8 @@
 		Loads:   []Load{{Key: 4, Running: 5, Prompt: 6}, {Key: 7}},
 		Used:    map[dotterelpulley.OrganisationID]Use{"t1": {Admitted: 8.5, Level: -2}, "t2": {Admitted: -1}},
 		Crashes: []Crash{{Fingerprint: 9, Attempt: 10, Endpoint: 11}},
+		Waiting: []Waiting{{Service: 12, Priority: 1, Rank: 2, Count: 13}, {Service: 14, Count: 1}},
+		Dead:    []uint32{15, 1 << 31},
 	}
 	got, err := Decode(d.Encode())
 	c.Assert(err, qt.IsNil)
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley/describer"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 func TestAHostShowsWhatItBelieves(t *testing.T) {
@@ -35,3 +40,21 @@
 	s.Assert(h.Caps, qt.HasLen, 1)
 	s.Check(h.Caps[0].Allowed > 0, qt.IsTrue)
 }
+
+func TestAnEndpointThatRefusesConnectionsIsToldToOtherHosts(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, 100)
+	dead := s.endpoint("e1", "plain", hello)
+	g := s.gateway()
+	dead.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	var caller conc.WaitGroup
+	caller.Go(func() { s.send(s.request(ctx, g, http.MethodPost, "/call/x", "")) })
+	s.until("the endpoint is told to be dead", func() bool {
+		var word scheduler.Word
+		g.queue.note(func(now time.Time, s *scheduler.Scheduler) { word = s.Tell(now) })
+		return slices.Equal(word.Dead, []uint32{scheduler.KeyOf("e1")})
+	})
+	leave()
+	caller.Wait()
+}
