--- a/cmd/dotterel-load/command.go
+++ b/cmd/dotterel-load/command.go
@@ -76,7 +76,7 @@
 	set.IntVar(&f.sends, "sends", 0, "most sends of one request in turn; 0 for the default")
 	set.DurationVar(&f.firstToken, "first-token", 0, "target for the first token; 0 for 740 ms")
 	set.BoolVar(&f.json, "json", false, "write only the JSON line")
-	command.AddCommand(newCost(), newFit())
+	command.AddCommand(newCost(), newFit(), newExperiment())
 	return command
 }
 
