--- a/cmd/dotterel-soak/main.go
+++ b/cmd/dotterel-soak/main.go
@@ -86,8 +86,8 @@
 
 // show prints one soak's report.
 func show(r soaker.Report) {
-	fmt.Printf("seed %d: %d sent, %d served, %d starts of hosts, %d faults, %d findings\n",
-		r.Seed, r.Sent, r.Served, r.Starts, len(r.Strikes), len(r.Findings))
+	fmt.Printf("seed %d: %d sent, %d served, %d starts of hosts, %d faults, held up for %s, %d findings\n",
+		r.Seed, r.Sent, r.Served, r.Starts, len(r.Strikes), r.HeldUp.Round(time.Millisecond), len(r.Findings))
 	if len(r.Findings) == 0 {
 		return
 	}
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -88,6 +88,13 @@
 	add(&l.seen)
 }
 
+// count returns how many requests have ended.
+func (l *ledger) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.seen.Sent)
+}
+
 // observed returns what was seen, when nothing is added any more.
 func (l *ledger) observed(recovered time.Time) Observed {
 	l.mutex.Lock()
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -28,6 +28,7 @@
 type site struct {
 	Settings
 	ledger ledger
+	watch  watch
 	store  *standin.Store
 	hosts  []*host
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -23,6 +24,8 @@
 	defaultSpan    = 12 * time.Second
 	// settled is for how long requests are sent once the system has recovered.
 	settled = 2 * time.Second
+	// enough is how many requests the recovery is judged by at least.
+	enough = 100
 	// startLimit is how long the first start of all hosts may take on a busy machine.
 	startLimit = time.Minute
 )
@@ -70,6 +73,8 @@
 	Starts   int
 	Strikes  []string
 	Findings []Finding
+	// HeldUp is for how long the machine didn't let the soak run.
+	HeldUp time.Duration
 	// Logs are the files that hold what the hosts wrote, kept where there is a finding.
 	Logs []string
 }
@@ -91,6 +96,7 @@
 	begun := time.Now()
 	calling, hangUp := context.WithCancel(ctx)
 	var callers conc.WaitGroup
+	callers.Go(func() { s.watch.run(calling, &s.ledger) })
 	for i := range settings.Callers {
 		c := &caller{
 			site: s, name: fmt.Sprintf("s%d-c%d", settings.Seed, i), faithful: i%2 == 0,
@@ -101,17 +107,18 @@
 	s.strike(ctx, &report, begun)
 	late := s.await(ctx, recoveryLimit)
 	recovered := time.Now()
-	wait(ctx, settled)
+	s.settle(ctx)
 	hangUp()
 	callers.Wait()
 	seen := s.ledger.observed(recovered)
 	report.Findings = Judge(seen)
+	report.HeldUp = s.watch.total()
 	if late != nil {
 		report.Findings = append(report.Findings, Finding{Check: "recovery", What: late.Error()})
 	}
 	report.Sent = len(seen.Sent)
 	for _, one := range seen.Sent {
-		if one.Whole && one.Status < 300 && one.Status > 0 {
+		if one.Whole && one.Status == http.StatusOK {
 			report.Served++
 		}
 	}
@@ -124,17 +131,33 @@
 	return report, err
 }
 
-// await waits until all hosts serve.
+// await waits until all hosts serve; the time in which the machine was held up doesn't count.
 func (s *site) await(ctx context.Context, limit time.Duration) error {
 	for _, h := range s.hosts {
-		p := prover.Patience{Limit: limit}
-		if err := prover.Until(ctx, p, string(h.id)+" is ready", func() bool { return h.ready(ctx) }); err != nil {
-			return err
+		for {
+			held := s.watch.total()
+			p := prover.Patience{Limit: limit}
+			err := prover.Until(ctx, p, string(h.id)+" is ready", func() bool { return h.ready(ctx) })
+			if err == nil {
+				break
+			}
+			if s.watch.total() == held {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// settle sends on for a while, until enough requests have ended to judge by; the machine may be slow.
+func (s *site) settle(ctx context.Context) {
+	before := s.ledger.count()
+	wait(ctx, settled)
+	for ctx.Err() == nil && s.ledger.count()-before < enough {
+		wait(ctx, watchEvery)
+	}
+}
+
 // strike plays the series of faults and waits until all are healed, while configurations change.
 func (s *site) strike(ctx context.Context, report *Report, begun time.Time) {
 	changing, stop := context.WithCancel(ctx)
