End the hosts of a soak whose site could not be started whole, and cut and slow ways in one place

Found in the read-through: a site with an endpoint that failed to start was left with its hosts running; and the same blow stood twice, for the way to the store and the way to an endpoint.

--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dotterelpulley/dotterelpulley/internal/standin/proxy"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
@@ -70,19 +71,13 @@
 		s.store.Trim(platform.EndpointsTopic)
 	}},
 	{"way-to-store-cut", true, func(ctx context.Context, s *site, r *rand.Rand, span time.Duration) {
-		way := s.anyHost(r).store
-		way.Refuse()
-		wait(ctx, span)
-		s.healed(way.Accept())
+		s.cut(ctx, s.anyHost(r).store, span)
 	}},
 	{"way-to-store-silent", true, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
 		s.anyHost(r).store.Silence()
 	}},
 	{"way-to-store-slow", true, func(ctx context.Context, s *site, r *rand.Rand, span time.Duration) {
-		way := s.anyHost(r).store
-		way.Delay(delayed)
-		wait(ctx, span)
-		way.Delay(0)
+		slow(ctx, s.anyHost(r).store, span)
 	}},
 	{"store-answers-lost", true, func(ctx context.Context, s *site, r *rand.Rand, span time.Duration) {
 		way := s.anyHost(r).store
@@ -91,10 +86,7 @@
 		way.LoseAnswers(0)
 	}},
 	{"endpoint-cut", false, func(ctx context.Context, s *site, r *rand.Rand, span time.Duration) {
-		way := s.anyEndpoint(r).proxy
-		way.Refuse()
-		wait(ctx, span)
-		s.healed(way.Accept())
+		s.cut(ctx, s.anyEndpoint(r).proxy, span)
 	}},
 	{"endpoint-reset", false, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
 		s.anyEndpoint(r).proxy.Cut()
@@ -103,10 +95,7 @@
 		s.anyEndpoint(r).proxy.Silence()
 	}},
 	{"endpoint-slow", false, func(ctx context.Context, s *site, r *rand.Rand, span time.Duration) {
-		way := s.anyEndpoint(r).proxy
-		way.Delay(delayed)
-		wait(ctx, span)
-		way.Delay(0)
+		slow(ctx, s.anyEndpoint(r).proxy, span)
 	}},
 	{"endpoint-answers-lost", false, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
 		s.anyEndpoint(r).proxy.LoseAnswers(1 + r.IntN(10))
@@ -125,6 +114,20 @@
 	}},
 }
 
+// cut refuses connections on the way for the span.
+func (s *site) cut(ctx context.Context, way *proxy.Proxy, span time.Duration) {
+	way.Refuse()
+	wait(ctx, span)
+	s.healed(way.Accept())
+}
+
+// slow holds back what goes over the way for the span.
+func slow(ctx context.Context, way *proxy.Proxy, span time.Duration) {
+	way.Delay(delayed)
+	wait(ctx, span)
+	way.Delay(0)
+}
+
 const (
 	leastSpan = 300 * time.Millisecond
 	mostSpan  = 4 * time.Second
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -71,7 +71,10 @@
 			return w, errors.Join(err, w.close())
 		}
 	}
-	return w, errors.Join(w.errs...)
+	if len(w.errs) > 0 {
+		return w, w.close()
+	}
+	return w, nil
 }
 
 // add starts an endpoint of the service; the mutex is held, or nothing else runs yet.
