Log why no other endpoint went on with a cut stream

The cut line said only that the endpoint broke its stream. It couldn't tell a silent endpoint from a broken connection, nor the retry budget from a lack of endpoints. It now carries the last endpoint's error and what kept the stream from going on elsewhere.

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -35,6 +35,9 @@
 	excluded map[dotterelpulley.EndpointID]bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// lastError is why the last attempt ended, notContinued why no other endpoint got the request after it.
+	lastError    error
+	notContinued string
 }
 
 // attempt is one dispatch of the request to one endpoint.
@@ -223,6 +226,7 @@
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 	}
 	if !p.route.Repeatable() || !p.canRunAgain() {
+		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
 	}
 	return p.retry()
@@ -236,6 +240,7 @@
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
 func (p *proxiedRequest) tryNextEndpoint() outcome {
 	if p.attempts >= maxEndpointAttempts {
+		p.notContinued = "the endpoints to try are used up"
 		return outcomeFailed
 	}
 	return outcomeNextEndpoint
@@ -248,6 +253,7 @@
 	p.gateway.mutex.Unlock()
 	if !ok {
 		p.gateway.metrics.Inc("repeats-over-budget")
+		p.notContinued = "over the retry budget"
 		return outcomeFailed
 	}
 	p.gateway.metrics.Inc("repeats")
@@ -266,6 +272,7 @@
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
 	if result != scheduler.ResultCompleted {
 		p.excluded[a.Endpoint.ID] = true
+		p.lastError = err
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
@@ -282,6 +289,7 @@
 func (p *proxiedRequest) refuse(refused *refusal) {
 	if p.runs > 0 {
 		// Only a request that has certainly not run may be refused.
+		p.notContinued = refused.kind.String() + ": " + refused.reason
 		p.fail(context.Background())
 		return
 	}
@@ -300,7 +308,7 @@
 	case ctx.Err() != nil:
 		return "the caller left or the host ended"
 	}
-	return "the endpoint broke the stream and it may not go on elsewhere"
+	return "the endpoint's stream ended early"
 }
 
 // fail ends a request whose outcome is unknown or that no endpoint accepted.
@@ -308,7 +316,8 @@
 	switch {
 	case p.response.headersSent:
 		p.gateway.metrics.Inc("answers-cut")
-		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).Msg("")
+		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).
+			Str("not-continued", p.notContinued).Err(p.lastError).Msg("")
 		panic(http.ErrAbortHandler)
 	case p.runs == 0:
 		refused := newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
