End no stream because its endpoint is silent

Callers saw a begun stream end in the middle, or got 502, although its endpoint was sound and would have gone on after a pause of a second or so.

Cause: on routes that may resume, a stream without an event for 1.2 s (1.5 s before its first) was aborted before it was known that the retry budget allowed another endpoint, that one had room, and that it would answer. Where one of these failed, the answer was lost. A change of the configuration that moves load or makes hosts busy makes that likelier, as each placement is then refused at once.

Six cases of silence_test.go were seen to fail before, with an unexpected EOF or 502 for 200: without another endpoint (midway and before the first event), without budget, and where the other endpoint refuses, breaks or hangs. The other two guard the new design: headers without events, and the hand-over itself.

Now the silent endpoint is read on. Another one is asked only with a retry in the budget and a free slot, at most as many as the route allows, and the silent one is given up when the other's first bytes have come; if it sends an event before that, the other is cancelled. A read's time limit is handled below the body's reader, which would otherwise keep the error for good.

The counters silences and silences-ended show how often endpoints fall silent and go on.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,14 +33,23 @@
 	writer  *bufio.Writer
 	// usableUntil is when the idle connection expires.
 	usableUntil time.Time
+	// onReadTimeout, if set, decides whether a read goes on after its time limit.
+	onReadTimeout func() bool
 }
 
 func newConnection(address dotterelpulley.Address, conn net.Conn) *connection {
-	return &connection{
-		Conn:    conn,
-		address: address,
-		reader:  bufio.NewReaderSize(conn, readBuffer),
-		writer:  bufio.NewWriterSize(conn, writeBuffer),
+	c := &connection{Conn: conn, address: address, writer: bufio.NewWriterSize(conn, writeBuffer)}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// Read reads from the connection. It handles time limits itself, because the readers above it would keep the error.
+func (c *connection) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onReadTimeout == nil || !c.onReadTimeout() {
+			return n, err
+		}
 	}
 }
 
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -206,3 +206,49 @@
 	c.Assert(idleTimeoutOf("timeout=10, max=5"), qt.Equals, 6*time.Second)
 	c.Assert(idleTimeoutOf("timeout=0"), qt.Equals, time.Duration(0))
 }
+
+// A body must be readable to its end after a pause that was longer than the time limit.
+func TestAReadGoesOnAfterItsTimeLimit(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	proceed := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		for _, part := range []string{"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\no", "ne\r\n0\r\n\r\n"} {
+			if _, err := io.WriteString(conn, part); err != nil {
+				return
+			}
+			<-proceed
+		}
+	}()
+	var p Connector
+	defer p.Close()
+	r := newRequest("1")
+	r.Body = nil
+	x, err := p.Do(context.Background(), dotterelpulley.Address(l.Addr().String()), r)
+	c.Assert(err, qt.IsNil)
+	timeouts := 0
+	x.OnReadTimeout(func() bool {
+		timeouts++
+		if timeouts == 2 {
+			close(proceed)
+			return x.SetReadTimeout(0) == nil
+		}
+		return x.SetReadTimeout(time.Millisecond) == nil
+	})
+	c.Assert(x.SetReadTimeout(time.Millisecond), qt.IsNil)
+	data, err := io.ReadAll(x.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(data), qt.Equals, "one")
+	c.Assert(timeouts, qt.Equals, 2)
+	x.Release()
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -138,6 +138,7 @@
 // The body must have been read to its end.
 func (x *Exchange) Release() {
 	x.once.Do(func() {
+		x.conn.onReadTimeout = nil
 		if !x.stopWatching() || !x.reusable() || x.SetReadTimeout(0) != nil {
 			x.conn.Close()
 			return
@@ -174,3 +175,9 @@
 	}
 	return x.conn.SetReadDeadline(time.Now().Add(limit))
 }
+
+// OnReadTimeout sets the function that is called when a read of the body has reached its time limit. The read goes on if it
+// returns true; it may set another limit.
+func (x *Exchange) OnReadTimeout(proceed func() bool) {
+	x.conn.onReadTimeout = proceed
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/phuslu/log"
@@ -22,9 +23,6 @@
 	// maxBufferedResponse is the largest plain response that is read completely before any of it is sent to the caller.
 	maxBufferedResponse = 512 << 10
 	eventStreamType     = "text/event-stream"
-	// firstEventTimeout and nextEventTimeout are how long a resumable stream may send no event before it is moved to another endpoint.
-	firstEventTimeout = 1500 * time.Millisecond
-	nextEventTimeout  = 1200 * time.Millisecond
 )
 
 // responseWriter writes the response to the caller.
@@ -45,7 +43,7 @@
 
 // handleResponse relays a valid response to the caller, or decides how the request continues without it.
 func (p *proxiedRequest) handleResponse(ctx context.Context, a attempt, exchange *connector.Exchange, metadata platform.ResponseMetadata) outcome {
-	success := exchange.StatusCode >= http.StatusOK && exchange.StatusCode < http.StatusMultipleChoices
+	success := isSuccess(exchange.StatusCode)
 	switch {
 	case metadata.NotExecuted:
 		p.drainBody(exchange)
@@ -71,6 +69,10 @@
 	}
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 func isEventStream(h http.Header) bool {
 	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && kind == eventStreamType
@@ -147,29 +149,35 @@
 	var firstEventAt, lastEventAt time.Time
 	events := 0
 	longestPause := time.Duration(0)
+	watch := silenceWatch{proxiedRequest: p, ctx: ctx, attempt: a, exchange: exchange}
+	defer watch.Close()
 	for progress := true; ; {
-		if progress && p.route.Resumable && p.canRunAgain() {
-			timeout := nextEventTimeout
-			if events == 0 {
-				timeout = firstEventTimeout
-			}
-			if err := exchange.SetReadTimeout(timeout); err != nil {
-				p.gateway.metrics.Inc("silence-limits-unset")
-			}
+		if progress {
+			watch.expectEvent(events == 0)
 		}
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event.data) == 0 {
 			break
 		}
 		if err != nil {
+			next := watch.takeSuccessor()
 			exchange.Abort()
-			return p.handleInterruptedRun(ctx, a, err)
+			if next == nil {
+				return p.handleInterruptedRun(ctx, a, err)
+			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				p.finishAttempt(a, scheduler.ResultFailed, err)
+			} else {
+				p.finishFailedRun(ctx, a, err)
+			}
+			return p.handleExchange(ctx, next.attempt, next.exchange, next.err)
 		}
 		// An endpoint that keeps the connection alive by comments alone has stalled like a silent one.
 		if progress = !event.comment; !progress {
 			p.relayComment(exchange, event)
 			continue
 		}
+		watch.eventArrived()
 		now := time.Now()
 		if events == 0 {
 			firstEventAt = now
@@ -191,6 +199,7 @@
 	if events == 0 {
 		p.response.sendHeaders(exchange)
 	}
+	watch.Close()
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
 	p.logAnswered(a, exchange.StatusCode, longestPause, firstEventAt)
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -102,14 +102,7 @@
 	waitCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(callerGone, stop)()
-	decision, err := p.gateway.queue.acquire(waitCtx, scheduler.Work{
-		ID:      scheduler.ID(p.gateway.nextWorkID.Add(1)),
-		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
-		Service: p.service,
-		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
-		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
-		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
-	})
+	decision, err := p.gateway.queue.acquire(waitCtx, p.work())
 	if err != nil {
 		if callerGone.Err() != nil {
 			return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorCancelled, "the caller left")
@@ -131,6 +124,18 @@
 	return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorNoEndpoint, "no decision")
 }
 
+// work describes the request to the scheduler, without the endpoints that have failed it.
+func (p *proxiedRequest) work() scheduler.Work {
+	return scheduler.Work{
+		ID:      scheduler.ID(p.gateway.nextWorkID.Add(1)),
+		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
+		Service: p.service,
+		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
+		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
+		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
+	}
+}
+
 // expectedTokens returns the expected number of tokens of the response.
 func (p *proxiedRequest) expectedTokens() dotterelpulley.Tokens {
 	if p.EstimatedTokens > 0 && (p.MaxTokens == 0 || p.EstimatedTokens < p.MaxTokens) {
@@ -141,6 +146,13 @@
 
 // send sends the request to the endpoint and handles its response.
 func (p *proxiedRequest) send(ctx context.Context, placed scheduler.Placed) outcome {
+	a := p.startAttempt(placed)
+	exchange, err := p.dispatch(ctx, a)
+	return p.handleExchange(ctx, a, exchange, err)
+}
+
+// startAttempt begins an attempt at the endpoint, which finishAttempt ends.
+func (p *proxiedRequest) startAttempt(placed scheduler.Placed) attempt {
 	g := p.gateway
 	now := time.Now()
 	p.attempts++
@@ -148,12 +160,17 @@
 	g.mutex.Lock()
 	g.isolator.Started(now, p.fingerprint, placed.Endpoint.ID, a.attemptID)
 	g.mutex.Unlock()
+	return a
+}
+
+// dispatch sends the request to the attempt's endpoint and waits for the response's headers; it changes nothing of p.
+func (p *proxiedRequest) dispatch(ctx context.Context, a attempt) (*connector.Exchange, error) {
 	header := p.header.Clone()
 	platform.Dispatch{
-		Endpoint: placed.Endpoint.ID, Organisation: p.organisation,
+		Endpoint: a.Endpoint.ID, Organisation: p.organisation,
 		Remaining: time.Until(p.deadline), LastEventID: p.lastEventID,
 	}.Apply(header)
-	exchange, err := g.connector.Do(ctx, placed.Endpoint.Address, connector.Request{
+	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 		MatchesResponse: func(status int, h http.Header) bool {
 			id := platform.DecodeResponseMetadata(status, h).AttemptID
@@ -164,6 +181,10 @@
 			return id == p.AttemptID
 		},
 	})
+}
+
+// handleExchange relays the response of the attempt's endpoint, or decides how the request continues without one.
+func (p *proxiedRequest) handleExchange(ctx context.Context, a attempt, exchange *connector.Exchange, err error) outcome {
 	if err != nil {
 		return p.handleExchangeError(ctx, a, err)
 	}
@@ -190,21 +211,28 @@
 
 // handleExchangeError decides how the request continues after an exchange without a response.
 func (p *proxiedRequest) handleExchangeError(ctx context.Context, a attempt, err error) outcome {
-	var failure *connector.ExchangeError
-	maybeSent := !errors.As(err, &failure) || failure.MaybeSent
-	if !maybeSent {
-		p.gateway.connector.CloseIdle(a.Endpoint.Address)
-		result := scheduler.ResultUnreachable
-		if failure.ConnectionRefused {
-			result = scheduler.ResultDead
-		}
-		p.finishAttempt(a, result, err)
+	if p.finishUnsent(a, err) {
 		return p.tryNextEndpoint()
 	}
 	p.runs++
 	return p.handleInterruptedRun(ctx, a, err)
 }
 
+// finishUnsent finishes the attempt if the request has certainly not reached its endpoint, and reports whether it has not.
+func (p *proxiedRequest) finishUnsent(a attempt, err error) bool {
+	var failure *connector.ExchangeError
+	if !errors.As(err, &failure) || failure.MaybeSent {
+		return false
+	}
+	p.gateway.connector.CloseIdle(a.Endpoint.Address)
+	result := scheduler.ResultUnreachable
+	if failure.ConnectionRefused {
+		result = scheduler.ResultDead
+	}
+	p.finishAttempt(a, result, err)
+	return true
+}
+
 // handleInterruptedRun decides how the request continues after a run that either side ended early.
 func (p *proxiedRequest) handleInterruptedRun(ctx context.Context, a attempt, err error) outcome {
 	if ctx.Err() != nil {
@@ -216,15 +244,7 @@
 
 // handleFailedRun decides how the request continues after a run that the endpoint did not complete.
 func (p *proxiedRequest) handleFailedRun(ctx context.Context, a attempt, err error) outcome {
-	if p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
-		p.gateway.mutex.Lock()
-		p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
-		p.gateway.mutex.Unlock()
-		p.gateway.connector.CloseIdle(a.Endpoint.Address)
-		p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
-	} else {
-		p.finishAttempt(a, scheduler.ResultFailed, err)
-	}
+	p.finishFailedRun(ctx, a, err)
 	if !p.route.Repeatable() || !p.canRunAgain() {
 		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
@@ -232,6 +252,19 @@
 	return p.retry()
 }
 
+// finishFailedRun finishes an attempt that the endpoint ran and did not complete, and finds out whether it crashed.
+func (p *proxiedRequest) finishFailedRun(ctx context.Context, a attempt, err error) {
+	if !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
+		p.finishAttempt(a, scheduler.ResultFailed, err)
+		return
+	}
+	p.gateway.mutex.Lock()
+	p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
+	p.gateway.mutex.Unlock()
+	p.gateway.connector.CloseIdle(a.Endpoint.Address)
+	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
+}
+
 // canRunAgain reports whether the route and the deadline allow a run on one more endpoint.
 func (p *proxiedRequest) canRunAgain() bool {
 	return p.runs < p.route.MaxAttempts && time.Until(p.deadline) > 0
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -44,6 +44,25 @@
 	return nil, ctx.Err()
 }
 
+// tryAcquire places the work at once or not at all.
+func (q *queue) tryAcquire(w scheduler.Work) (scheduler.Placed, bool) {
+	decided := make(chan scheduler.Decision, 1)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.waiters[w.ID] = decided
+	q.scheduler.Offer(w)
+	q.decide(time.Now())
+	select {
+	case d := <-decided:
+		placed, ok := d.(scheduler.Placed)
+		return placed, ok
+	default:
+	}
+	delete(q.waiters, w.ID)
+	q.scheduler.Withdraw(w.ID, w.Service)
+	return scheduler.Placed{}, false
+}
+
 // decide passes new decisions to their waiters and sets the timer; call it with the mutex held after every event that may free capacity.
 func (q *queue) decide(now time.Time) {
 	for _, d := range q.scheduler.Decide(now) {
--- /dev/null
+++ b/gateway/silence.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley/connector"
+	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
+)
+
+const (
+	// firstEventTimeout and nextEventTimeout are how long a resumable stream may send no event before another endpoint is
+	// asked to go on with it.
+	firstEventTimeout = 1500 * time.Millisecond
+	nextEventTimeout  = 1200 * time.Millisecond
+	// successorRetryInterval is the time between two searches for another endpoint while the stream is silent.
+	successorRetryInterval = 300 * time.Millisecond
+	// expireNow is a time limit that ends a read at once.
+	expireNow = time.Nanosecond
+)
+
+// silenceWatch asks another endpoint to go on with a stream whose endpoint is silent. Silence alone doesn't end the stream:
+// its endpoint is given up only when the other one has begun to answer, and it goes on if it sends an event before that.
+type silenceWatch struct {
+	*proxiedRequest
+	ctx      context.Context
+	attempt  attempt
+	exchange *connector.Exchange
+	// successor is the attempt that is to go on with the stream; nil if there is none.
+	successor *successor
+	// silent reports whether the endpoint has sent no event within the time limit.
+	silent bool
+}
+
+// successor is an attempt to go on with a stream at another endpoint.
+type successor struct {
+	attempt attempt
+	cancel  context.CancelFunc
+	// cancelled reports whether this host ended the attempt before its answer.
+	cancelled bool
+	// done is closed when exchange and err are set.
+	done     chan struct{}
+	exchange *connector.Exchange
+	err      error
+}
+
+// expectEvent sets the time limit of the next event.
+func (w *silenceWatch) expectEvent(first bool) {
+	if !w.route.Resumable || !w.canRunAgain() {
+		return
+	}
+	w.exchange.OnReadTimeout(w.onSilence)
+	if first {
+		w.setLimit(firstEventTimeout)
+	} else {
+		w.setLimit(nextEventTimeout)
+	}
+}
+
+func (w *silenceWatch) setLimit(limit time.Duration) {
+	if err := w.exchange.SetReadTimeout(limit); err != nil && w.ctx.Err() == nil {
+		w.gateway.metrics.Inc("silence-limits-unset")
+	}
+}
+
+// onSilence starts a successor, or looks at the answer of the one started before. It reports whether to wait further for the
+// silent endpoint.
+func (w *silenceWatch) onSilence() bool {
+	if w.successor != nil {
+		<-w.successor.done
+		if w.successor.goesOn() {
+			return false
+		}
+		w.finishSuccessor()
+	}
+	if !w.canRunAgain() || w.attempts >= maxEndpointAttempts {
+		w.setLimit(0)
+		return true
+	}
+	if !w.silent {
+		w.silent = true
+		w.gateway.metrics.Inc("silences")
+	}
+	placed, ok := w.acquireSuccessor()
+	if !ok {
+		w.setLimit(successorRetryInterval)
+		return true
+	}
+	w.setLimit(0)
+	w.start(placed)
+	return true
+}
+
+// acquireSuccessor takes a retry from the budget and a slot at another endpoint, or neither.
+func (w *silenceWatch) acquireSuccessor() (scheduler.Placed, bool) {
+	g := w.gateway
+	g.mutex.Lock()
+	allowed := g.retryBudget.Allows(time.Now(), w.service)
+	g.mutex.Unlock()
+	if !allowed {
+		g.metrics.Inc("repeats-over-budget")
+		return scheduler.Placed{}, false
+	}
+	w.excluded[w.attempt.Endpoint.ID] = true
+	placed, ok := g.queue.tryAcquire(w.work())
+	if !ok {
+		return scheduler.Placed{}, false
+	}
+	g.mutex.Lock()
+	allowed = g.retryBudget.Withdraw(time.Now(), w.service)
+	g.mutex.Unlock()
+	if !allowed {
+		g.metrics.Inc("repeats-over-budget")
+		g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, placed.ID, scheduler.ResultCancelled) })
+		return scheduler.Placed{}, false
+	}
+	g.metrics.Inc("repeats")
+	return placed, true
+}
+
+// start sends the rest of the stream's request to another endpoint; its answer ends the read of the silent one.
+func (w *silenceWatch) start(placed scheduler.Placed) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	s := &successor{attempt: w.startAttempt(placed), cancel: cancel, done: make(chan struct{})}
+	w.successor = s
+	go func() {
+		defer close(s.done)
+		s.exchange, s.err = w.dispatch(ctx, s.attempt)
+		if s.goesOn() {
+			s.awaitEvent()
+		}
+		w.setLimit(expireNow)
+	}()
+}
+
+// awaitEvent waits until the answer's body has begun, as an endpoint may send its headers long before.
+func (s *successor) awaitEvent() {
+	body := peekedBody{Reader: bufio.NewReader(s.exchange.Body), Closer: s.exchange.Body}
+	if _, err := body.Peek(1); err != nil && !errors.Is(err, io.EOF) {
+		s.exchange.Abort()
+		s.err = err
+		return
+	}
+	s.exchange.Body = body
+}
+
+// peekedBody is a body whose beginning may have been buffered.
+type peekedBody struct {
+	*bufio.Reader
+	io.Closer
+}
+
+// goesOn reports whether the endpoint answers with events; its answer must have come.
+func (s *successor) goesOn() bool {
+	if s.err != nil {
+		return false
+	}
+	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
+	return isSuccess(s.exchange.StatusCode) && metadata.Signed && !metadata.Encoded && !metadata.NotExecuted && isEventStream(s.exchange.Header)
+}
+
+// eventArrived ends the successor, as the endpoint is not silent any more.
+func (w *silenceWatch) eventArrived() {
+	if w.silent {
+		w.silent = false
+		w.gateway.metrics.Inc("silences-ended")
+	}
+	w.Close()
+}
+
+// Close ends a successor whose answer hasn't been taken and waits for it.
+func (w *silenceWatch) Close() {
+	if w.successor == nil {
+		return
+	}
+	w.successor.cancelled = true
+	w.successor.cancel()
+	<-w.successor.done
+	w.finishSuccessor()
+}
+
+// takeSuccessor waits for the successor's answer and hands it over; nil if there is no successor or the request has ended.
+func (w *silenceWatch) takeSuccessor() *successor {
+	s := w.successor
+	if s == nil || w.ctx.Err() != nil {
+		return nil
+	}
+	<-s.done
+	w.successor = nil
+	return s
+}
+
+// finishSuccessor finishes the attempt of a successor whose answer isn't used; the answer must have come.
+func (w *silenceWatch) finishSuccessor() {
+	s := w.successor
+	w.successor = nil
+	defer s.cancel()
+	if s.err != nil {
+		w.finishUnanswered(s)
+		return
+	}
+	s.exchange.Abort()
+	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
+	w.heedEndpoint(s.attempt, s.exchange.StatusCode, metadata)
+	result := scheduler.ResultFailed
+	switch {
+	case s.exchange.StatusCode == http.StatusMisdirectedRequest:
+		result = scheduler.ResultWrongInstance
+	case metadata.NotExecuted:
+		result = scheduler.ResultRefused
+	default:
+		w.runs++
+		if s.goesOn() {
+			result = scheduler.ResultCancelled
+		}
+	}
+	w.finishAttempt(s.attempt, result, fmt.Errorf("the stream went on at the silent endpoint: status %d", s.exchange.StatusCode))
+}
+
+// finishUnanswered finishes the attempt of a successor whose endpoint gave no answer.
+func (w *silenceWatch) finishUnanswered(s *successor) {
+	var failure *connector.ExchangeError
+	if !errors.As(s.err, &failure) || failure.MaybeSent {
+		w.runs++
+	}
+	if s.cancelled || w.ctx.Err() != nil {
+		w.finishAttempt(s.attempt, scheduler.ResultCancelled, s.err)
+		return
+	}
+	if !w.finishUnsent(s.attempt, s.err) {
+		w.finishFailedRun(w.ctx, s.attempt, s.err)
+	}
+}
--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+)
+
+// wholeStream is the stream of events 1 and 2.
+const wholeStream = "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\n"
+
+// pauseMidway sends one event, falls silent for longer than the limit and goes on.
+func pauseMidway(w http.ResponseWriter, r *http.Request, _ int) {
+	standin.WriteEvents(w, 1, 1)
+	select {
+	case <-time.After(nextEventTimeout + 200*time.Millisecond):
+	case <-r.Context().Done():
+		return
+	}
+	standin.WriteEvents(w, 2, 2)
+}
+
+// A stream whose endpoint falls silent and goes on must not be cut because no other endpoint can take it.
+func TestASilentStreamIsNotCutWithoutAnotherEndpoint(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	e := s.endpoint("i-1", "model", pauseMidway)
+	g := s.startReadyGateway()
+	a := s.post(g, "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+	s.Assert(e.Received(), qt.HasLen, 1)
+}
+
+// Silence before the first event is no failure either.
+func TestAStreamThatStartsSilentIsNotFailedWithoutAnotherEndpoint(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "model", func(w http.ResponseWriter, r *http.Request, _ int) {
+		standin.WriteEvents(w, 1, 0)
+		s.Check(http.NewResponseController(w).Flush(), qt.IsNil)
+		select {
+		case <-time.After(firstEventTimeout + 200*time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		standin.WriteEvents(w, 1, 2)
+	})
+	g := s.startReadyGateway()
+	a := s.post(g, "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.status, qt.Equals, http.StatusOK)
+	s.Assert(a.body, qt.Equals, wholeStream)
+}
+
+// A silent stream must not be cut because the retry budget is used up.
+func TestASilentStreamIsNotCutWithoutRetryBudget(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	first, second := s.endpoint("i-1", "model", pauseMidway), s.endpoint("i-2", "model", pauseMidway)
+	g := s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	g.mutex.Lock()
+	for g.retryBudget.Withdraw(time.Now(), "model") {
+	}
+	g.mutex.Unlock()
+	a := s.post(g, "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+	s.Assert(len(first.Received())+len(second.Received()), qt.Equals, 1)
+}
+
+// A silent stream must not be cut because the endpoint that was to go on with it doesn't.
+func TestASilentStreamOutlivesAnEndpointThatDoesNotTakeOver(t *testing.T) {
+	for name, handler := range map[string]standin.Handler{
+		"refused": func(w http.ResponseWriter, _ *http.Request, _ int) { standin.WriteNotExecuted(w) },
+		"broken":  abort,
+		"hanging": func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() },
+		"silent": func(w http.ResponseWriter, r *http.Request, _ int) {
+			standin.WriteEvents(w, 1, 0)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			var runs atomic.Int64
+			either := func(w http.ResponseWriter, r *http.Request, n int) {
+				if runs.Add(1) == 1 {
+					pauseMidway(w, r, n)
+					return
+				}
+				handler(w, r, n)
+			}
+			s.endpoint("i-1", "model", either)
+			s.endpoint("i-2", "model", either)
+			g := s.startReadyGateway()
+			s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+			a := s.post(g, "/advice/", "prompt")
+			s.Assert(a.err, qt.IsNil)
+			s.Assert(a.body, qt.Equals, wholeStream)
+			s.Assert(runs.Load() > 1, qt.IsTrue)
+			s.waitFor("no slot is held", func() bool {
+				running := 0
+				for _, e := range g.describe(time.Now()).Endpoints {
+					running += e.Running
+				}
+				return running == 0
+			})
+		})
+	}
+}
+
+// A stream whose endpoint stays silent goes on elsewhere without a gap, and the silent endpoint stops.
+func TestAStreamThatStaysSilentGoesOnElsewhere(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var runs atomic.Int64
+	left := make(chan struct{})
+	either := func(w http.ResponseWriter, r *http.Request, _ int) {
+		if runs.Add(1) > 1 {
+			standin.WriteEvents(w, 2, 2)
+			return
+		}
+		standin.WriteEvents(w, 1, 1)
+		<-r.Context().Done()
+		close(left)
+	}
+	first, second := s.endpoint("i-1", "model", either), s.endpoint("i-2", "model", either)
+	g := s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	a := s.post(g, "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+	<-left
+	resumed := 0
+	for _, r := range append(first.Received(), second.Received()...) {
+		if r.Header.Get("Last-Event-Id") == "1" {
+			resumed++
+		}
+	}
+	s.Assert(resumed, qt.Equals, 1)
+}
--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -77,3 +77,8 @@
 	s.tokens--
 	return true
 }
+
+// Allows reports whether the service's budget has a retry left.
+func (b *RetryBudget) Allows(now time.Time, id dotterelpulley.ServiceID) bool {
+	return b.bucket(now, id).tokens >= 1
+}
