Give requests that arrive as a drain ends the rest of the grace

Callers that used a kept connection while a host shut down could lose a request that the host had accepted: the connection ended without an answer.

Cause: once no request was in flight, the drain closed idle connections and waited 400 ms for those that had just become busy, then ended the process, although most of the grace was left. A request that needs longer and arrives between the last check and the close was cut.

Found by reading. TestALongRequestThatArrivesAsTheDrainEndsIsNotCut failed before (EOF in place of the answer).

Now the wait goes on in steps of 400 ms while a request is in flight, until the drain's own limit. The existing test of the end of a drain passes the context that the function now takes.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -40,20 +40,32 @@
 	return startedAt != nil && now.Sub(*startedAt) > streamAdmissionTime
 }
 
-// finishTime is how long the last requests may take that arrived while a drain ended.
+// finishTime is how long connections without a request in flight may take to end after a drain.
 const finishTime = 400 * time.Millisecond
 
-// finishCallers closes idle connections and waits for requests that arrived after the last check: to close at once would cut
-// off requests that have just been accepted.
-func (g *Gateway) finishCallers() {
+// finishCallers closes idle connections and waits for requests that arrived after the last check, until the context is done:
+// to close at once would cut off requests that have just been accepted.
+func (g *Gateway) finishCallers(ctx context.Context) {
 	if g.callerServer == nil {
 		return
 	}
+	for {
+		err := g.shutdownCallers()
+		if err == nil {
+			return
+		}
+		if inFlight := g.inFlight.Load(); inFlight == 0 || ctx.Err() != nil || g.ctx.Err() != nil {
+			g.event(log.WarnLevel, "shutdown-incomplete").Err(err).Int64("in-flight", inFlight).Msg("")
+			return
+		}
+	}
+}
+
+// shutdownCallers stops to accept callers and waits for their connections to become idle, for finishTime at most.
+func (g *Gateway) shutdownCallers() error {
 	ctx, cancel := context.WithTimeout(g.ctx, finishTime)
 	defer cancel()
-	if err := g.callerServer.Shutdown(ctx); err != nil {
-		g.event(log.WarnLevel, "shutdown-incomplete").Err(err).Int64("in-flight", g.inFlight.Load()).Msg("")
-	}
+	return g.callerServer.Shutdown(ctx)
 }
 
 // Drain removes the host from the directory and waits until its requests have ended or the context is done.
@@ -64,6 +76,8 @@
 	g.event(log.InfoLevel, "drain").Int64("in-flight", g.inFlight.Load()).Msg("")
 	d := drainer.Drainer{Timeout: time.Duration(float64(g.bounds.Load().ShutdownGrace) * drainFraction)}
 	d.Signal(now)
+	grace, cancel := context.WithDeadline(ctx, now.Add(d.Timeout))
+	defer cancel()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -77,7 +91,7 @@
 				inFlight++
 			}
 			if d.Tick(tick, inFlight, true) != drainer.Draining {
-				g.finishCallers()
+				g.finishCallers(grace)
 				g.event(log.InfoLevel, "drained").Int64("in-flight", g.inFlight.Load()).Dur("took", tick.Sub(now)).Msg("")
 				return
 			}
--- a/gateway/operators_faults_test.go
+++ b/gateway/operators_faults_test.go
@@ -149,7 +149,7 @@
 	<-started
 	finished := make(chan struct{})
 	go func() {
-		g.finishCallers()
+		g.finishCallers(context.Background())
 		close(finished)
 	}()
 	close(release)
@@ -158,6 +158,28 @@
 	s.Assert(s.post(g, "/call/", "book").err, qt.IsNotNil)
 }
 
+// A long request that arrives while the drain ends has the rest of the grace, not only the time of a short one.
+func TestALongRequestThatArrivesAsTheDrainEndsIsNotCut(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	started := make(chan struct{})
+	s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+		close(started)
+		<-time.After(2 * finishTime)
+		answerHello(w, r, n)
+	})
+	g := s.startReadyGateway()
+	got := make(chan answer, 1)
+	r := s.request(context.Background(), g, http.MethodPost, "/call/", "book")
+	go func() { got <- s.send(r) }()
+	<-started
+	g.finishCallers(context.Background())
+	s.Assert(g.inFlight.Load(), qt.Equals, int64(0), qt.Commentf("the process would end now"))
+	a := <-got
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.status, qt.Equals, http.StatusOK)
+}
+
 // A panic in one of the loops neither ends the process nor the loop.
 func TestALoopRunsOnAfterAPanic(t *testing.T) {
 	s := newSite(t)
