Handle signals from the first moment of a host

A host that was told to reload or to stop while it started was killed by the signal, with the requests that it had just taken.

Cause: the handlers were installed only after Start, which returns when callers can connect; until then SIGHUP and SIGTERM had their default action. Between the first signal's handler and that of the second one there was such a gap as well.

Found by reading. TestASignalDuringTheStartDoesNotKillTheHost signals a process that waits for its settings; before, the process died and never logged the reload. The handlers are now installed before the settings are read and are not removed.

--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -40,6 +40,8 @@
 
 // run serves until a signal starts a drain; a second signal ends the drain at once. SIGHUP reloads the settings.
 func run() error {
+	// The handlers come first: until then, each of these signals would kill the process.
+	reload, stop := notify(syscall.SIGHUP), notify(syscall.SIGTERM, syscall.SIGINT)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -50,24 +52,26 @@
 	if err := g.Start(); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	first, stopFirst := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stopFirst()
 	for serving := true; serving; {
 		select {
 		case <-reload:
 			g.Reload()
-		case <-first.Done():
+		case <-stop:
 			serving = false
 		}
 	}
-	stopFirst()
-	second, stopSecond := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stopSecond()
-	g.Drain(second)
+	interrupted, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	g.Drain(interrupted)
 	if err := g.Close(); err != nil {
 		return err
 	}
 	return writer.Close()
 }
+
+// notify returns a channel with the signals that have come since.
+func notify(signals ...os.Signal) <-chan os.Signal {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, signals...)
+	return received
+}
--- /dev/null
+++ b/cmd/dotterel-gateway/main_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
+	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+)
+
+// runAsCommand makes the test binary run the command.
+const runAsCommand = "DOTTEREL_GATEWAY_RUN_AS_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAsCommand) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// host is a process of the command, whose settings are for the address.
+type host struct {
+	*qt.C
+	*prover.Process
+	settingsPath string
+	settings     []byte
+}
+
+// startHost starts the command with a settings file that prepare creates.
+func startHost(t *testing.T, ip string, store dotterelpulley.Address, prepare func(h *host)) *host {
+	h := &host{C: qt.New(t), settingsPath: filepath.Join(t.TempDir(), "settings.json")}
+	at := func(port string) dotterelpulley.Address { return dotterelpulley.Address(ip + ":" + port) }
+	var err error
+	h.settings, err = standin.EncodeSettings(platform.Settings{
+		Host: "host-1", IP: netip.MustParseAddr(ip), Zone: "a", StoreAddress: store, FirstPeerPort: 7600,
+		CallerAddress: at("8001"), DirectoryAddress: at("8002"), ReadinessAddress: at("8003"),
+		Bounds: platform.Bounds{RevocationLimit: 5 * time.Second, ShutdownGrace: 8 * time.Second, DirectoryTTL: 5 * time.Second},
+	})
+	h.Assert(err, qt.IsNil)
+	prepare(h)
+	h.Process, err = prover.Program{
+		Name: "host-1", Path: os.Args[0], Environment: []string{runAsCommand + "=1", platform.SettingsVariable + "=" + h.settingsPath},
+	}.Start()
+	h.Assert(err, qt.IsNil)
+	t.Cleanup(func() { h.Check(h.Close(), qt.IsNil) })
+	return h
+}
+
+// waitForEvent waits until the process has logged the event.
+func (h *host) waitForEvent(name string) {
+	options := prover.WaitOptions{Timeout: 30 * time.Second, Interval: time.Millisecond}
+	h.Assert(prover.WaitUntil(context.Background(), options, name, func() bool {
+		return strings.Contains(h.FullLog(), `"event":"`+name+`"`)
+	}), qt.IsNil, qt.Commentf("%s", h.LogTail()))
+}
+
+// A host that is told to reload or to stop while it starts must not be killed by the signal.
+func TestASignalDuringTheStartDoesNotKillTheHost(t *testing.T) {
+	store := standin.StartStore()
+	defer store.Close()
+	h := startHost(t, "127.77.0.1", store.Address(), func(h *host) {
+		// The process waits for the other end of the pipe as soon as it reads its settings.
+		h.Assert(syscall.Mkfifo(h.settingsPath, 0o600), qt.IsNil)
+	})
+	pipe, err := os.OpenFile(h.settingsPath, os.O_WRONLY, 0)
+	h.Assert(err, qt.IsNil)
+	defer pipe.Close()
+	regular := h.settingsPath + ".new"
+	h.Assert(os.WriteFile(regular, h.settings, 0o600), qt.IsNil)
+	h.Assert(os.Rename(regular, h.settingsPath), qt.IsNil)
+	h.Assert(h.Signal(syscall.SIGHUP), qt.IsNil)
+	_, err = pipe.Write(h.settings)
+	h.Assert(err, qt.IsNil)
+	h.Assert(pipe.Close(), qt.IsNil)
+	h.waitForEvent("reload")
+	h.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
+	h.Assert(h.ExitCode(), qt.Equals, 0, qt.Commentf("%s", h.LogTail()))
+}
