--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -35,6 +35,9 @@
 	excluded map[dotterelpulley.EndpointID]bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// lastError is why the last attempt ended, notContinued why no other endpoint got the request after it.
+	lastError    error
+	notContinued string
 }
 
 // attempt is one dispatch of the request to one endpoint.
@@ -99,14 +102,7 @@
 	waitCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(callerGone, stop)()
-	decision, err := p.gateway.queue.acquire(waitCtx, scheduler.Work{
-		ID:      scheduler.ID(p.gateway.nextWorkID.Add(1)),
-		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
-		Service: p.service,
-		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
-		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
-		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
-	})
+	decision, err := p.gateway.queue.acquire(waitCtx, p.work())
 	if err != nil {
 		if callerGone.Err() != nil {
 			return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorCancelled, "the caller left")
@@ -128,6 +124,18 @@
 	return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorNoEndpoint, "no decision")
 }
 
+// work describes the request to the scheduler, without the endpoints that have failed it.
+func (p *proxiedRequest) work() scheduler.Work {
+	return scheduler.Work{
+		ID:      scheduler.ID(p.gateway.nextWorkID.Add(1)),
+		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
+		Service: p.service,
+		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
+		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
+		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
+	}
+}
+
 // expectedTokens returns the expected number of tokens of the response.
 func (p *proxiedRequest) expectedTokens() dotterelpulley.Tokens {
 	if p.EstimatedTokens > 0 && (p.MaxTokens == 0 || p.EstimatedTokens < p.MaxTokens) {
@@ -138,6 +146,13 @@
 
 // send sends the request to the endpoint and handles its response.
 func (p *proxiedRequest) send(ctx context.Context, placed scheduler.Placed) outcome {
+	a := p.startAttempt(placed)
+	exchange, err := p.dispatch(ctx, a)
+	return p.handleExchange(ctx, a, exchange, err)
+}
+
+// startAttempt begins an attempt at the endpoint, which finishAttempt ends.
+func (p *proxiedRequest) startAttempt(placed scheduler.Placed) attempt {
 	g := p.gateway
 	now := time.Now()
 	p.attempts++
@@ -145,12 +160,17 @@
 	g.mutex.Lock()
 	g.isolator.Started(now, p.fingerprint, placed.Endpoint.ID, a.attemptID)
 	g.mutex.Unlock()
+	return a
+}
+
+// dispatch sends the request to the attempt's endpoint and waits for the response's headers; it changes nothing of p.
+func (p *proxiedRequest) dispatch(ctx context.Context, a attempt) (*connector.Exchange, error) {
 	header := p.header.Clone()
 	platform.Dispatch{
-		Endpoint: placed.Endpoint.ID, Organisation: p.organisation,
+		Endpoint: a.Endpoint.ID, Organisation: p.organisation,
 		Remaining: time.Until(p.deadline), LastEventID: p.lastEventID,
 	}.Apply(header)
-	exchange, err := g.connector.Do(ctx, placed.Endpoint.Address, connector.Request{
+	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 		MatchesResponse: func(status int, h http.Header) bool {
 			id := platform.DecodeResponseMetadata(status, h).AttemptID
@@ -161,6 +181,10 @@
 			return id == p.AttemptID
 		},
 	})
+}
+
+// handleExchange relays the response of the attempt's endpoint, or decides how the request continues without one.
+func (p *proxiedRequest) handleExchange(ctx context.Context, a attempt, exchange *connector.Exchange, err error) outcome {
 	if err != nil {
 		return p.handleExchangeError(ctx, a, err)
 	}
@@ -187,21 +211,28 @@
 
 // handleExchangeError decides how the request continues after an exchange without a response.
 func (p *proxiedRequest) handleExchangeError(ctx context.Context, a attempt, err error) outcome {
-	var failure *connector.ExchangeError
-	maybeSent := !errors.As(err, &failure) || failure.MaybeSent
-	if !maybeSent {
-		p.gateway.connector.CloseIdle(a.Endpoint.Address)
-		result := scheduler.ResultUnreachable
-		if failure.ConnectionRefused {
-			result = scheduler.ResultDead
-		}
-		p.finishAttempt(a, result, err)
+	if p.finishUnsent(a, err) {
 		return p.tryNextEndpoint()
 	}
 	p.runs++
 	return p.handleInterruptedRun(ctx, a, err)
 }
 
+// finishUnsent finishes the attempt if the request has certainly not reached its endpoint, and reports whether it has not.
+func (p *proxiedRequest) finishUnsent(a attempt, err error) bool {
+	var failure *connector.ExchangeError
+	if !errors.As(err, &failure) || failure.MaybeSent {
+		return false
+	}
+	p.gateway.connector.CloseIdle(a.Endpoint.Address)
+	result := scheduler.ResultUnreachable
+	if failure.ConnectionRefused {
+		result = scheduler.ResultDead
+	}
+	p.finishAttempt(a, result, err)
+	return true
+}
+
 // handleInterruptedRun decides how the request continues after a run that either side ended early.
 func (p *proxiedRequest) handleInterruptedRun(ctx context.Context, a attempt, err error) outcome {
 	if ctx.Err() != nil {
@@ -213,21 +244,27 @@
 
 // handleFailedRun decides how the request continues after a run that the endpoint did not complete.
 func (p *proxiedRequest) handleFailedRun(ctx context.Context, a attempt, err error) outcome {
-	if p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
-		p.gateway.mutex.Lock()
-		p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
-		p.gateway.mutex.Unlock()
-		p.gateway.connector.CloseIdle(a.Endpoint.Address)
-		p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
-	} else {
-		p.finishAttempt(a, scheduler.ResultFailed, err)
-	}
+	p.finishFailedRun(ctx, a, err)
 	if !p.route.Repeatable() || !p.canRunAgain() {
+		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
 	}
 	return p.retry()
 }
 
+// finishFailedRun finishes an attempt that the endpoint ran and did not complete, and finds out whether it crashed.
+func (p *proxiedRequest) finishFailedRun(ctx context.Context, a attempt, err error) {
+	if !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
+		p.finishAttempt(a, scheduler.ResultFailed, err)
+		return
+	}
+	p.gateway.mutex.Lock()
+	p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
+	p.gateway.mutex.Unlock()
+	p.gateway.connector.CloseIdle(a.Endpoint.Address)
+	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
+}
+
 // canRunAgain reports whether the route and the deadline allow a run on one more endpoint.
 func (p *proxiedRequest) canRunAgain() bool {
 	return p.runs < p.route.MaxAttempts && time.Until(p.deadline) > 0
@@ -236,6 +273,7 @@
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
 func (p *proxiedRequest) tryNextEndpoint() outcome {
 	if p.attempts >= maxEndpointAttempts {
+		p.notContinued = "the endpoints to try are used up"
 		return outcomeFailed
 	}
 	return outcomeNextEndpoint
@@ -248,6 +286,7 @@
 	p.gateway.mutex.Unlock()
 	if !ok {
 		p.gateway.metrics.Inc("repeats-over-budget")
+		p.notContinued = "over the retry budget"
 		return outcomeFailed
 	}
 	p.gateway.metrics.Inc("repeats")
@@ -266,6 +305,7 @@
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
 	if result != scheduler.ResultCompleted {
 		p.excluded[a.Endpoint.ID] = true
+		p.lastError = err
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
@@ -282,6 +322,7 @@
 func (p *proxiedRequest) refuse(refused *refusal) {
 	if p.runs > 0 {
 		// Only a request that has certainly not run may be refused.
+		p.notContinued = refused.kind.String() + ": " + refused.reason
 		p.fail(context.Background())
 		return
 	}
@@ -300,7 +341,7 @@
 	case ctx.Err() != nil:
 		return "the caller left or the host ended"
 	}
-	return "the endpoint broke the stream and it may not go on elsewhere"
+	return "the endpoint's stream ended early"
 }
 
 // fail ends a request whose outcome is unknown or that no endpoint accepted.
@@ -308,7 +349,8 @@
 	switch {
 	case p.response.headersSent:
 		p.gateway.metrics.Inc("answers-cut")
-		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).Msg("")
+		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).
+			Str("not-continued", p.notContinued).Err(p.lastError).Msg("")
 		panic(http.ErrAbortHandler)
 	case p.runs == 0:
 		refused := newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
