--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -43,7 +43,9 @@
 	}
 	client, closeIdle := newRelayClient()
 	defer closeIdle()
-	answer, err := g.callReader(client, from, &relayer.FollowRequest{Configuration: version, AcceptStoreLost: true})
+	answer, err := g.callReader(client, from, &relayer.FollowRequest{
+		Configuration: version, Orders: g.changes.ordersEnd(), AcceptStoreLost: true,
+	})
 	if err != nil {
 		g.event(log.InfoLevel, "catch-up-failed").Str("peer", string(from.ID)).Err(err).Msg("")
 		return
@@ -52,6 +54,9 @@
 	if len(answer.Configuration) > 0 {
 		g.applyConfiguration(answer.Configuration, -1)
 	}
+	for _, o := range answer.Orders {
+		g.applyOrder(o)
+	}
 }
 
 // configurationVersion returns the version of the configuration in force; zero if there is none yet.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/relayer"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
@@ -110,7 +113,7 @@
 	g.announceToReaders()
 }
 
-// followOperators applies each newer configuration.
+// followOperators applies each newer configuration and order.
 func (g *Gateway) followOperators() {
 	reader := topicReader{topic: platform.OperatorsTopic}
 	for g.ctx.Err() == nil {
@@ -127,17 +130,28 @@
 			continue
 		}
 		g.storeAccess.succeeded()
-		for _, r := range read.records {
-			if r.Key == platform.ConfigurationKey && len(r.Value) > 0 {
-				g.applyConfiguration(r.Value, r.Offset)
-			}
-		}
+		g.applyOperatorsRecords(read)
 		if g.copyGuard.complete(time.Now()) {
 			g.freshness.confirm(startedAt)
 		}
 	}
 }
 
+// applyOperatorsRecords applies a batch of the operators' records, oldest first.
+func (g *Gateway) applyOperatorsRecords(read topicRecords) {
+	slices.SortFunc(read.records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	for _, r := range read.records {
+		switch {
+		case r.Key == platform.ConfigurationKey && len(r.Value) > 0:
+			g.applyConfiguration(r.Value, r.Offset)
+		case platform.IsRolloutKey(r.Key):
+			g.applyOrder(relayer.Order{
+				Record: relayer.Record{Key: r.Key, Value: r.Value}, After: relayer.Position{Era: read.era, Next: int64(r.Offset) + 1},
+			})
+		}
+	}
+}
+
 // retryDelay returns the delay after a failed call, longer for hosts that aren't designated readers.
 func (g *Gateway) retryDelay() time.Duration {
 	if g.isReader(time.Now()) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	storeAccess storeAccess
 	readers     readerSelection
 	changes     changeFeed
+	rollouts    rolloutOrders
 	leaving     leavingReports
 	catchingUp  atomic.Bool
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,6 +37,7 @@
 	records     relayer.RecordSet
 	// configuration is the operators' newest configuration record.
 	configuration []byte
+	orders        relayer.OrderSet
 	changed       chan struct{}
 }
 
@@ -62,6 +63,24 @@
 	f.notify()
 }
 
+// putOrder adds an order and reports whether it is newer than the known one of its key.
+func (f *changeFeed) putOrder(o relayer.Order) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	isNew := f.orders.Put(o)
+	if isNew {
+		f.notify()
+	}
+	return isNew
+}
+
+// ordersEnd returns the position after the newest known order.
+func (f *changeFeed) ordersEnd() relayer.Position {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.orders.End()
+}
+
 func (f *changeFeed) put(r relayer.Record) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -84,11 +103,11 @@
 	if query.Incarnation != f.incarnation {
 		from = 0
 	}
-	answer = relayer.FollowResponse{Incarnation: f.incarnation, Changes: f.records.ChangesSince(from)}
+	answer = relayer.FollowResponse{Incarnation: f.incarnation, Changes: f.records.ChangesSince(from), Orders: f.orders.Since(query.Orders)}
 	if version > query.Configuration {
 		answer.Configuration = f.configuration
 	}
-	hasChanges = len(answer.Records) > 0 || len(answer.Configuration) > 0
+	hasChanges = len(answer.Records) > 0 || len(answer.Configuration) > 0 || len(answer.Orders) > 0
 	if f.changed == nil {
 		f.changed = make(chan struct{})
 	}
@@ -173,7 +192,7 @@
 			continue
 		}
 		reader := readers[next%len(readers)]
-		query.Configuration = g.configurationVersion()
+		query.Configuration, query.Orders = g.configurationVersion(), g.changes.ordersEnd()
 		// Once all readers have lost the store, to ask them in turn without a wait would only load them.
 		query.AcceptStoreLost = withoutStore >= len(readers)
 		storeLost, err := g.queryReader(client, reader, &query)
@@ -220,6 +239,9 @@
 	if len(answer.Configuration) > 0 {
 		g.applyConfiguration(answer.Configuration, -1)
 	}
+	for _, o := range answer.Orders {
+		g.applyOrder(o)
+	}
 	if !answer.AgeKnown {
 		return false, errors.New("the reader has no confirmed configuration yet")
 	}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -16,6 +16,8 @@
 	EndpointSequence Sequence
 	// Configuration is the configuration version of the requesting host.
 	Configuration int64
+	// Orders is the position after the newest order that the requesting host has.
+	Orders Position
 	// Wait is the maximum time to wait for a change.
 	Wait time.Duration
 	// AcceptStoreLost makes a reader that can't reach the store wait for a change like any other; otherwise it says so at once.
@@ -34,6 +36,8 @@
 	AgeKnown bool
 	// Configuration is the operators' newest record; empty if the requesting host has it.
 	Configuration []byte
+	// Orders are the orders that the requesting host lacks, oldest first.
+	Orders []Order
 	Changes
 }
 
@@ -49,12 +53,17 @@
 	fieldRecord
 	fieldEra
 	fieldStoreLost
+	fieldOrder
+	fieldOrderEra
+	fieldOrderNext
 )
 
-// Field numbers of a record on the wire.
+// Field numbers of a record and an order on the wire.
 const (
 	fieldKey fields.Number = iota + 1
 	fieldValue
+	fieldAfterEra
+	fieldAfterNext
 )
 
 // Marshal returns the request in the protocol buffers wire format.
@@ -63,6 +72,8 @@
 	b = fields.AppendNumber(b, fieldSequence, uint64(r.EndpointSequence))
 	b = fields.AppendNumber(b, fieldConfiguration, uint64(r.Configuration))
 	b = fields.AppendNumber(b, fieldWait, uint64(r.Wait))
+	b = fields.AppendNumber(b, fieldOrderEra, uint64(r.Orders.Era))
+	b = fields.AppendNumber(b, fieldOrderNext, uint64(r.Orders.Next))
 	return fields.AppendNumber(b, fieldStoreLost, protowire.EncodeBool(r.AcceptStoreLost))
 }
 
@@ -79,6 +90,10 @@
 			r.Configuration = int64(value)
 		case fieldWait:
 			r.Wait = time.Duration(value)
+		case fieldOrderEra:
+			r.Orders.Era = dotterelpulley.StoreEra(value)
+		case fieldOrderNext:
+			r.Orders.Next = int64(value)
 		case fieldStoreLost:
 			r.AcceptStoreLost = protowire.DecodeBool(value)
 		}
@@ -98,13 +113,21 @@
 		b = fields.AppendBytes(b, fieldConfiguration, r.Configuration)
 	}
 	for _, record := range r.Records {
-		encoded := fields.AppendBytes(nil, fieldKey, []byte(record.Key))
-		encoded = fields.AppendBytes(encoded, fieldValue, record.Value)
-		b = fields.AppendBytes(b, fieldRecord, encoded)
+		b = fields.AppendBytes(b, fieldRecord, marshalRecord(record))
+	}
+	for _, order := range r.Orders {
+		encoded := fields.AppendNumber(marshalRecord(order.Record), fieldAfterEra, uint64(order.After.Era))
+		encoded = fields.AppendNumber(encoded, fieldAfterNext, uint64(order.After.Next))
+		b = fields.AppendBytes(b, fieldOrder, encoded)
 	}
 	return b
 }
 
+func marshalRecord(r Record) []byte {
+	b := fields.AppendBytes(nil, fieldKey, []byte(r.Key))
+	return fields.AppendBytes(b, fieldValue, r.Value)
+}
+
 // Unmarshal parses the response.
 func (r *FollowResponse) Unmarshal(data []byte) error {
 	*r = FollowResponse{}
@@ -130,24 +153,36 @@
 		case fieldConfiguration:
 			r.Configuration = value
 		case fieldRecord:
-			record, err := unmarshalRecord(value)
-			r.Records = append(r.Records, record)
+			order, err := unmarshalOrder(value)
+			r.Records = append(r.Records, order.Record)
+			return err
+		case fieldOrder:
+			order, err := unmarshalOrder(value)
+			r.Orders = append(r.Orders, order)
 			return err
 		}
 		return nil
 	})
 }
 
-func unmarshalRecord(data []byte) (Record, error) {
-	var r Record
-	err := fields.Each(data, func(fields.Number, uint64) {}, func(number fields.Number, value []byte) error {
+// unmarshalOrder parses an order, or a record, which has no position.
+func unmarshalOrder(data []byte) (Order, error) {
+	var o Order
+	err := fields.Each(data, func(number fields.Number, value uint64) {
+		switch number {
+		case fieldAfterEra:
+			o.After.Era = dotterelpulley.StoreEra(value)
+		case fieldAfterNext:
+			o.After.Next = int64(value)
+		}
+	}, func(number fields.Number, value []byte) error {
 		switch number {
 		case fieldKey:
-			r.Key = string(value)
+			o.Key = string(value)
 		case fieldValue:
-			r.Value = value
+			o.Value = value
 		}
 		return nil
 	})
-	return r, err
+	return o, err
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -83,12 +84,16 @@
 
 func TestMarshalledMessagesKeepTheirFields(t *testing.T) {
 	c := qt.New(t)
-	request := FollowRequest{Incarnation: 1, EndpointSequence: 2, Configuration: 3, Wait: time.Second}
+	request := FollowRequest{Incarnation: 1, EndpointSequence: 2, Configuration: 3, Wait: time.Second, Orders: Position{Era: 4, Next: 5}}
 	var gotRequest FollowRequest
 	c.Assert(gotRequest.Unmarshal(request.Marshal()), qt.IsNil)
 	c.Assert(gotRequest, qt.Equals, request)
 	response := FollowResponse{
 		Incarnation: 1, Age: time.Second, AgeKnown: true, Configuration: []byte("c"),
+		Orders: []Order{
+			{Record: Record{Key: "rollout/s", Value: []byte("o")}, After: Position{Era: 2, Next: 9}},
+			{Record: Record{Key: "withdrawn", Value: []byte{}}, After: Position{Era: 2, Next: 10}},
+		},
 		Changes: Changes{Full: true, Next: 4, Records: []Record{{Key: "k", Value: []byte("v")}, {Key: "gone", Value: []byte{}}}},
 	}
 	var gotResponse FollowResponse
@@ -96,3 +101,60 @@
 	c.Assert(gotResponse, qt.DeepEquals, response)
 	c.Assert(gotResponse.Unmarshal([]byte{0xff}), qt.IsNotNil)
 }
+
+// A host that follows one reader after the other, some of them behind, never goes back to an older order and gets the newest.
+func TestAFollowerOfSeveralReadersHasTheNewestOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Order
+		readers := make([]OrderSet, 2)
+		read := make([]int, len(readers))
+		var follower OrderSet
+		at := Position{Era: 1}
+		follow := func(reader *OrderSet) {
+			var request FollowRequest
+			if err := request.Unmarshal(FollowRequest{Orders: follower.End()}.Marshal()); err != nil {
+				t.Fatal(err)
+			}
+			var response FollowResponse
+			if err := response.Unmarshal(FollowResponse{Orders: reader.Since(request.Orders)}.Marshal()); err != nil {
+				t.Fatal(err)
+			}
+			for _, o := range response.Orders {
+				follower.Put(o)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(readers)-1).Draw(t, "reader")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				at.Next++
+				key := rapid.StringMatching(`[a-c]`).Draw(t, "key")
+				log = append(log, Order{Record: Record{Key: key, Value: []byte(rapid.StringMatching(`[x-z]{0,2}`).Draw(t, "value"))}, After: at})
+			case 2:
+				if read[i] < len(log) {
+					readers[i].Put(log[read[i]])
+					read[i]++
+				}
+			case 3:
+				follow(&readers[i])
+			case 4:
+				at = Position{Era: at.Era + 1}
+			}
+		}
+		newest := map[string]string{}
+		for _, o := range log {
+			newest[o.Key] = string(o.Value)
+		}
+		for _, o := range log[read[0]:] {
+			readers[0].Put(o)
+		}
+		follow(&readers[0])
+		got := map[string]string{}
+		for _, o := range follower.Since(Position{}) {
+			got[o.Key] = string(o.Value)
+		}
+		if !maps.Equal(got, newest) {
+			t.Fatalf("got %v, want %v", got, newest)
+		}
+	})
+}
