Limit the head of an endpoint's response

Callers of an endpoint that sent a status line, a field or fields without end waited until their deadline (504 after 20 s in the test), while the host kept every byte: http.ReadResponse has no limit on a line or on the head. Bytes that can't become a response, sent without a line end, were waited for in the same way.

The first byte that differs from a response's beginning fails the exchange. The request counts as failed at that endpoint, its connection is closed, and a repeatable one goes elsewhere at once.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -26,7 +26,7 @@
 
 // connection is an open connection to an endpoint.
 type connection struct {
-	net.Conn
+	headLimiter
 	address dotterelpulley.Address
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -35,12 +35,13 @@
 }
 
 func newConnection(address dotterelpulley.Address, conn net.Conn) *connection {
-	return &connection{
-		Conn:    conn,
-		address: address,
-		reader:  bufio.NewReaderSize(conn, readBuffer),
-		writer:  bufio.NewWriterSize(conn, writeBuffer),
+	c := &connection{
+		headLimiter: headLimiter{Conn: conn},
+		address:     address,
+		writer:      bufio.NewWriterSize(conn, writeBuffer),
 	}
+	c.reader = bufio.NewReaderSize(&c.headLimiter, readBuffer)
+	return c
 }
 
 // usable reports whether the idle connection hasn't expired, is open and has no unread data.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -113,8 +113,7 @@
 // receive reads response headers until a response belongs to the request.
 func (x *Exchange) receive(r Request) error {
 	for range maxStrayResponses {
-		response, err := http.ReadResponse( //nolint:bodyclose // The body is closed with the exchange, by Release or Abort.
-			x.conn.reader, &http.Request{Method: r.Method})
+		response, err := x.conn.readHead(r.Method) //nolint:bodyclose // The body is closed with the exchange, by Release or Abort.
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/platform"
+)
+
+// rawEndpoint is an endpoint that answers with bytes of a test's choice.
+type rawEndpoint struct {
+	requests atomic.Int64
+	// answering counts the answers that the endpoint still sends.
+	answering atomic.Int64
+}
+
+// endless stands at the end of an answer for bytes without end.
+type endless string
+
+// rawEndpoint starts and registers an endpoint that answers each request with the text, in which ID stands for the request's
+// id, and then sends the unit until its connection is closed; an empty unit sends nothing more.
+func (s *site) rawEndpoint(id, service, text string, unit endless) *rawEndpoint {
+	return s.scriptedEndpoint(id, service, func(conn net.Conn, r *http.Request) bool {
+		if _, err := io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Dotterelpulley-Attempt-Id"))); err != nil {
+			return false
+		}
+		many := strings.Repeat(string(unit), 4096/max(len(unit), 1))
+		for unit != "" {
+			if _, err := io.WriteString(conn, many); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// scriptedEndpoint starts and registers an endpoint that calls the function for each request of a connection, until it
+// returns false or the connection ends.
+func (s *site) scriptedEndpoint(id, service string, answer func(conn net.Conn, r *http.Request) bool) *rawEndpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s.Assert(err, qt.IsNil)
+	s.TB.(*testing.T).Cleanup(func() { listener.Close() })
+	e := &rawEndpoint{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					e.requests.Add(1)
+					e.answering.Add(1)
+					goesOn := answer(conn, r)
+					e.answering.Add(-1)
+					if !goesOn {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	s.store.Put(platform.EndpointsTopic, id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1}`, service, listener.Addr()))
+	return e
+}
+
+// signedHead begins a success of the endpoint.
+const signedHead = "HTTP/1.1 200 OK\r\nDotterelpulley-Attempt-Id: ID\r\nDotterelpulley-Response-Stamp: s\r\n"
+
+// An endpoint whose answer begins with a head without end has failed at once: the caller doesn't wait for its deadline.
+func TestAnEndpointWhoseHeadHasNoEndHasFailed(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	bad := s.rawEndpoint("i-1", "plain", signedHead, "X-More: 1\r\n")
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusBadGateway)
+	s.Assert(bad.requests.Load(), qt.Equals, int64(1))
+	s.Assert(g.metrics.counts.Get("tries-failed"), qt.Equals, int64(1))
+	s.endpoint("i-2", "plain", answerHello)
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	for range 4 {
+		s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
+	}
+	s.waitFor("the endpoint's connections are closed", func() bool { return bad.answering.Load() == 0 })
+}
