Don't take a cut failure for a whole answer

A failure of more than 512 KB on a repeatable route was read up to the buffer's size and then handled as whole. A caller got its beginning as a complete answer (524288 of 786432 bytes in the test). Its connection was kept with the rest unread, so that the rest was read as the answer to the next request on it: if it looked like one, that request's caller got it.

Whether the request goes on elsewhere is now decided before the body is read; only an answer that is to be relayed is buffered, and a large failure takes the way of any large answer.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -67,7 +67,7 @@
 		p.runs++
 		return p.handleFailedRun(ctx, a, fmt.Errorf("the endpoint did not resume the stream: status %d", exchange.StatusCode))
 	default:
-		return p.relayBuffered(ctx, a, exchange, success)
+		return p.relayBuffered(ctx, a, exchange)
 	}
 }
 
@@ -86,38 +86,43 @@
 }
 
 // relayBuffered relays a plain response, buffered completely unless it is large.
-func (p *proxiedRequest) relayBuffered(ctx context.Context, a attempt, exchange *connector.Exchange, success bool) outcome {
+func (p *proxiedRequest) relayBuffered(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
 	p.runs++
+	failed := exchange.StatusCode >= http.StatusInternalServerError
+	if failed && p.route.Repeatable() && p.canRunAgain() {
+		if next := p.retry(); next == outcomeNextEndpoint {
+			p.drainBody(exchange)
+			p.finishAttempt(a, scheduler.ResultFailed, fmt.Errorf("status %d", exchange.StatusCode))
+			return next
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(exchange.Body, maxBufferedResponse))
 	if err != nil {
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
-	if !success && exchange.StatusCode >= http.StatusInternalServerError && p.route.Repeatable() && p.canRunAgain() {
-		exchange.Release()
-		p.finishAttempt(a, scheduler.ResultFailed, fmt.Errorf("status %d", exchange.StatusCode))
-		if next := p.retry(); next == outcomeNextEndpoint {
-			return next
-		}
-		p.writeResponse(exchange, body)
-		return outcomeDone
-	}
 	if len(body) == maxBufferedResponse {
 		return p.relayRemainder(a, exchange, body)
 	}
 	exchange.Release()
-	result := scheduler.ResultCompleted
-	if exchange.StatusCode >= http.StatusInternalServerError {
-		result = scheduler.ResultFailed
-	} else if p.route.Kind != router.Streaming {
+	if !failed && p.route.Kind != router.Streaming {
 		p.gateway.queue.access(func(now time.Time, s *scheduler.Scheduler) { s.ObserveInterval(now, a.ID, now.Sub(a.startedAt)) })
 	}
-	p.finishAttempt(a, result, nil)
+	p.finishWholeRun(a, exchange)
 	p.writeResponse(exchange, body)
 	p.logAnswered(a, exchange.StatusCode, 0, time.Time{})
 	return outcomeDone
 }
 
+// finishWholeRun finishes an attempt that ended with a whole response, which may state a failure.
+func (p *proxiedRequest) finishWholeRun(a attempt, exchange *connector.Exchange) {
+	if exchange.StatusCode >= http.StatusInternalServerError {
+		p.finishAttempt(a, scheduler.ResultFailed, fmt.Errorf("status %d", exchange.StatusCode))
+		return
+	}
+	p.finishAttempt(a, scheduler.ResultCompleted, nil)
+}
+
 // writeResponse sends the caller a response that has been read completely.
 func (p *proxiedRequest) writeResponse(exchange *connector.Exchange, body []byte) {
 	p.response.sendHeaders(exchange)
@@ -135,7 +140,7 @@
 		return outcomeFailed
 	}
 	exchange.Release()
-	p.finishAttempt(a, scheduler.ResultCompleted, nil)
+	p.finishWholeRun(a, exchange)
 	p.logAnswered(a, exchange.StatusCode, 0, time.Time{})
 	return outcomeDone
 }
--- /dev/null
+++ b/gateway/large_answer_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// largeBody is more than a host holds of one answer.
+var largeBody = strings.Repeat("0123456789abcdef", 3*maxBufferedResponse/32)
+
+func answerLarge(status int) func(w http.ResponseWriter, r *http.Request, n int) {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Dotterelpulley-Response-Stamp", "s")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, largeBody)
+	}
+}
+
+// A large failure that can't be repeated elsewhere was cut at the buffer's size and looked complete.
+func TestALargeFailureIsRelayedWhole(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerLarge(http.StatusInternalServerError))
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	g.mutex.Lock()
+	for g.retryBudget.Withdraw(g.started, "plain") {
+	}
+	g.mutex.Unlock()
+	for _, path := range []string{"/lookup/", "/open/"} {
+		a := s.get(g, path)
+		s.Assert(a.err, qt.IsNil)
+		s.Assert(a.status, qt.Equals, http.StatusInternalServerError)
+		s.Check(len(a.body), qt.Equals, len(largeBody), qt.Commentf("%s", path))
+	}
+}
+
+// The unread rest of a large failure must not be taken for the answer to the next request on its connection.
+func TestTheRestOfALargeFailureIsNobodysAnswer(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	const rest = signedHead + "Content-Length: 9\r\n\r\nnot yours"
+	var failedOn sync.Map
+	s.scriptedEndpoint("i-1", "plain", func(conn net.Conn, r *http.Request) bool {
+		id := r.Header.Get("Dotterelpulley-Attempt-Id")
+		if _, again := failedOn.LoadOrStore(conn, true); again {
+			// The rest of the failure before looks like the answer to this request.
+			_, err := io.WriteString(conn, strings.ReplaceAll(rest, "ID", id))
+			return err == nil
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Failed\r\nDotterelpulley-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+			id, maxBufferedResponse+len(rest), largeBody[:maxBufferedResponse])
+		return err == nil
+	})
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	for range 2 {
+		// The endpoint never sends the rest of its failure; the caller's time ends before.
+		r := s.request(context.Background(), g, http.MethodGet, "/lookup/", "")
+		r.Header.Set("Dotterelpulley-Deadline-Ms", "500")
+		a := s.send(r)
+		s.Check(a.status, qt.Not(qt.Equals), http.StatusOK)
+		s.Check(strings.Contains(a.body, "not yours"), qt.IsFalse)
+	}
+}
