Don't hold a request for a body that nobody gets

A refusal's body may take 100 ms and 64 KB, which costs a new connection beyond that; another request's answer 2 s, as the own answer may follow it and a sound endpoint may fall silent for a second.

TestARefusalWhoseBodyHasNoEndHoldsNobody and TestAnotherRequestsAnswerWithoutEndHoldsNobody failed on the code before (run with both files stashed).

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -20,6 +20,8 @@
 	maxStrayResponses = 3
 	// maxStrayBytes limits the bytes read of such a response.
 	maxStrayBytes = 64 << 10
+	// strayTimeout limits the time that such a response may take, longer than a sound endpoint falls silent.
+	strayTimeout = 2 * time.Second
 )
 
 // Request is a request to an endpoint.
@@ -124,14 +126,25 @@
 			x.Response = response
 			return nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
-		if err != nil || n == maxStrayBytes || response.Close {
-			return errors.New("the connection delivered the response to another request")
+		if err := x.skipStray(response); err != nil {
+			return err
 		}
 	}
 	return errors.New("the connection delivered only responses to other requests")
 }
 
+// skipStray reads the rest of a response to another request.
+func (x *Exchange) skipStray(response *http.Response) error {
+	if err := x.SetReadTimeout(strayTimeout); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+	if err != nil || n == maxStrayBytes || response.Close {
+		return errors.New("the connection delivered the response to another request")
+	}
+	return x.SetReadTimeout(0)
+}
+
 // Release keeps the connection for the next request if the response leaves it reusable.
 //
 // The body must have been read to its end.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -21,7 +21,10 @@
 const (
 	// maxBufferedResponse is the largest plain response that is read completely before any of it is sent to the caller.
 	maxBufferedResponse = 512 << 10
-	eventStreamType     = "text/event-stream"
+	// maxDrainedBytes and drainTimeout limit the reading of a response that nobody gets, while its caller waits.
+	maxDrainedBytes = 64 << 10
+	drainTimeout    = 100 * time.Millisecond
+	eventStreamType = "text/event-stream"
 	// firstEventTimeout and nextEventTimeout are how long a resumable stream may send no event before it is moved to another endpoint.
 	firstEventTimeout = 1500 * time.Millisecond
 	nextEventTimeout  = 1200 * time.Millisecond
@@ -76,9 +79,12 @@
 	return err == nil && kind == eventStreamType
 }
 
-// drainBody reads the rest of a small response so that its connection can be reused.
+// drainBody reads the rest of a small response so that its connection can be reused, unless it takes longer than a new one.
 func (p *proxiedRequest) drainBody(exchange *connector.Exchange) {
-	if n, err := io.Copy(io.Discard, io.LimitReader(exchange.Body, maxBufferedResponse)); err != nil || n == maxBufferedResponse {
+	if err := exchange.SetReadTimeout(drainTimeout); err != nil {
+		p.gateway.metrics.Inc("silence-limits-unset")
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(exchange.Body, maxDrainedBytes)); err != nil || n == maxDrainedBytes {
 		exchange.Abort()
 		return
 	}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -102,3 +102,41 @@
 	}
 	s.waitFor("the endpoint's connections are closed", func() bool { return bad.answering.Load() == 0 })
 }
+
+// A request that certainly has not run goes elsewhere at once, however long the refusal's body takes.
+func TestARefusalWhoseBodyHasNoEndHoldsNobody(t *testing.T) {
+	for name, refusal := range map[string]struct {
+		text string
+		unit endless
+	}{
+		"silent":  {"HTTP/1.1 503 Full\r\nDotterelpulley-Not-Executed: 1\r\nContent-Length: 10\r\n\r\nshort", ""},
+		"endless": {"HTTP/1.1 503 Full\r\nDotterelpulley-Not-Executed: 1\r\n\r\n", "more "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			s.rawEndpoint("i-1", "plain", refusal.text, refusal.unit)
+			s.endpoint("i-2", "plain", answerHello)
+			g := s.startReadyGateway()
+			s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+			s.waitForAllowance(g, 20)
+			for range 4 {
+				s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+// An answer to another request that stays incomplete must not hold a request that can run elsewhere until its deadline.
+func TestAnotherRequestsAnswerWithoutEndHoldsNobody(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.rawEndpoint("i-1", "plain", "HTTP/1.1 200 OK\r\nDotterelpulley-Attempt-Id: other\r\nContent-Length: 10\r\n\r\nshort", "")
+	s.endpoint("i-2", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	s.waitForAllowance(g, 20)
+	for range 2 {
+		s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
+	}
+}
