Close idle connections that deliver bytes

An endpoint that goes on sending after a whole answer filled the socket's buffer for as long as its connection was kept, an hour if its Keep-Alive said so, as only the next use of a connection looked for unread bytes; up to 32 connections an endpoint may be idle. Such bytes count toward the host's memory. The removal of expired connections, once a second, looks for them too.

TestAnIdleConnectionThatDeliversBytesIsClosed ran into its time limit on the code before (run with connector.go stashed).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -134,14 +134,15 @@
 	}
 }
 
-// Prune closes the idle connections that have expired.
+// Prune closes the idle connections that have expired, were closed by the endpoint, or deliver bytes that belong to no
+// request.
 func (p *Connector) Prune(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.After(c.usableUntil) {
+			if !c.usable(now) {
 				c.Close()
 				continue
 			}
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -129,3 +131,45 @@
 		p.Close()
 	}
 }
+
+// An endpoint that goes on sending after a whole response fills the connection's buffers for as long as it is kept.
+func TestAnIdleConnectionThatDeliversBytesIsClosed(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	flood, closed := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(closed)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=3600\r\nContent-Length: 0\r\n\r\n")
+		for <-flood; err == nil; {
+			_, err = io.WriteString(conn, "more")
+		}
+	}()
+	address := dotterelpulley.Address(l.Addr().String())
+	var p Connector
+	defer p.Close()
+	_, err = exchange(&p, address, newRequest("1"))
+	c.Assert(err, qt.IsNil)
+	p.Prune(time.Now())
+	c.Assert(p.idle[address], qt.HasLen, 1, qt.Commentf("a quiet connection is kept"))
+	close(flood)
+	for ended := false; !ended; {
+		p.Prune(time.Now())
+		select {
+		case <-closed:
+			ended = true
+		default:
+			runtime.Gosched()
+		}
+	}
+	c.Assert(p.idle[address], qt.HasLen, 0)
+}
