Limit the messages between hosts

A host whose relay answer has no end filled the memory of each host that followed it until the call's time limit, a second at the link's full rate and again 50 ms later; a query without end was read for as long as it went on. Answers are limited to 8 MB, heads and queries to what they hold.

--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -70,6 +70,6 @@
 // newRelayClient returns a client for calls to other hosts, and a function that closes its idle connections.
 func newRelayClient() (client *http.Client, closeIdle func()) {
 	dialer := net.Dialer{Timeout: relayDialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -27,6 +27,10 @@
 	relayDialTimeout = 300 * time.Millisecond
 	// relayRetryDelay is the delay before the next reader is queried.
 	relayRetryDelay = 50 * time.Millisecond
+	// maxRelayAnswerBytes limits a reader's answer, many times the registrations of a large site.
+	maxRelayAnswerBytes = 8 << 20
+	// maxRelayQueryBytes limits a query, which holds a few numbers.
+	maxRelayQueryBytes = 4 << 10
 )
 
 // changeFeed holds the state that this host relays to hosts that don't read the store themselves.
@@ -153,7 +157,7 @@
 		func(ctx context.Context, request *connect.Request[relayer.FollowRequest]) (*connect.Response[relayer.FollowResponse], error) {
 			return connect.NewResponse(g.answerFollower(ctx, *request.Msg)), nil
 		}, connect.WithCodec(relayCodec{})))
-	return mux
+	return http.MaxBytesHandler(mux, maxRelayQueryBytes)
 }
 
 // answerFollower answers a query, after a wait if nothing has changed.
@@ -259,7 +263,8 @@
 func (g *Gateway) callReader(client *http.Client, reader announcer.Member, query *relayer.FollowRequest) (*relayer.FollowResponse, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, query.Wait+relayAnswerTimeout)
 	defer cancel()
-	call := connect.NewClient[relayer.FollowRequest, relayer.FollowResponse](client, "http://"+string(reader.PeerAddress)+relayProcedure, connect.WithCodec(relayCodec{}))
+	call := connect.NewClient[relayer.FollowRequest, relayer.FollowResponse](client, "http://"+string(reader.PeerAddress)+relayProcedure,
+		connect.WithCodec(relayCodec{}), connect.WithReadMaxBytes(maxRelayAnswerBytes))
 	response, err := call.CallUnary(ctx, connect.NewRequest(query))
 	if err != nil {
 		return nil, err
