--- a/connector/connection.go
+++ b/connector/connection.go
@@ -27,7 +27,7 @@
 
 // connection is an open connection to an endpoint.
 type connection struct {
-	net.Conn
+	headLimiter
 	address dotterelpulley.Address
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -38,7 +38,11 @@
 }
 
 func newConnection(address dotterelpulley.Address, conn net.Conn) *connection {
-	c := &connection{Conn: conn, address: address, writer: bufio.NewWriterSize(conn, writeBuffer)}
+	c := &connection{
+		headLimiter: headLimiter{Conn: conn},
+		address:     address,
+		writer:      bufio.NewWriterSize(conn, writeBuffer),
+	}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -46,7 +50,7 @@
 // Read reads from the connection. It handles time limits itself, because the readers above it would keep the error.
 func (c *connection) Read(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.headLimiter.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onReadTimeout == nil || !c.onReadTimeout() {
 			return n, err
 		}
--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -43,7 +43,9 @@
 	}
 	client, closeIdle := newRelayClient()
 	defer closeIdle()
-	answer, err := g.callReader(client, from, &relayer.FollowRequest{Configuration: version, AcceptStoreLost: true})
+	answer, err := g.callReader(client, from, &relayer.FollowRequest{
+		Configuration: version, Orders: g.changes.ordersEnd(), AcceptStoreLost: true,
+	})
 	if err != nil {
 		g.event(log.InfoLevel, "catch-up-failed").Str("peer", string(from.ID)).Err(err).Msg("")
 		return
@@ -52,6 +54,9 @@
 	if len(answer.Configuration) > 0 {
 		g.applyConfiguration(answer.Configuration, -1)
 	}
+	for _, o := range answer.Orders {
+		g.applyOrder(o)
+	}
 }
 
 // configurationVersion returns the version of the configuration in force; zero if there is none yet.
@@ -65,6 +70,6 @@
 // newRelayClient returns a client for calls to other hosts, and a function that closes its idle connections.
 func newRelayClient() (client *http.Client, closeIdle func()) {
 	dialer := net.Dialer{Timeout: relayDialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -27,6 +27,10 @@
 	relayDialTimeout = 300 * time.Millisecond
 	// relayRetryDelay is the delay before the next reader is queried.
 	relayRetryDelay = 50 * time.Millisecond
+	// maxRelayAnswerBytes limits a reader's answer, many times the registrations of a large site.
+	maxRelayAnswerBytes = 8 << 20
+	// maxRelayQueryBytes limits a query, which holds a few numbers.
+	maxRelayQueryBytes = 4 << 10
 )
 
 // changeFeed holds the state that this host relays to hosts that don't read the store themselves.
@@ -37,6 +41,7 @@
 	records     relayer.RecordSet
 	// configuration is the operators' newest configuration record.
 	configuration []byte
+	orders        relayer.OrderSet
 	changed       chan struct{}
 }
 
@@ -62,6 +67,24 @@
 	f.notify()
 }
 
+// putOrder adds an order and reports whether it is newer than the known one of its key.
+func (f *changeFeed) putOrder(o relayer.Order) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	isNew := f.orders.Put(o)
+	if isNew {
+		f.notify()
+	}
+	return isNew
+}
+
+// ordersEnd returns the position after the newest known order.
+func (f *changeFeed) ordersEnd() relayer.Position {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.orders.End()
+}
+
 func (f *changeFeed) put(r relayer.Record) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -84,11 +107,11 @@
 	if query.Incarnation != f.incarnation {
 		from = 0
 	}
-	answer = relayer.FollowResponse{Incarnation: f.incarnation, Changes: f.records.ChangesSince(from)}
+	answer = relayer.FollowResponse{Incarnation: f.incarnation, Changes: f.records.ChangesSince(from), Orders: f.orders.Since(query.Orders)}
 	if version > query.Configuration {
 		answer.Configuration = f.configuration
 	}
-	hasChanges = len(answer.Records) > 0 || len(answer.Configuration) > 0
+	hasChanges = len(answer.Records) > 0 || len(answer.Configuration) > 0 || len(answer.Orders) > 0
 	if f.changed == nil {
 		f.changed = make(chan struct{})
 	}
@@ -134,7 +157,7 @@
 		func(ctx context.Context, request *connect.Request[relayer.FollowRequest]) (*connect.Response[relayer.FollowResponse], error) {
 			return connect.NewResponse(g.answerFollower(ctx, *request.Msg)), nil
 		}, connect.WithCodec(relayCodec{})))
-	return mux
+	return http.MaxBytesHandler(mux, maxRelayQueryBytes)
 }
 
 // answerFollower answers a query, after a wait if nothing has changed.
@@ -173,7 +196,7 @@
 			continue
 		}
 		reader := readers[next%len(readers)]
-		query.Configuration = g.configurationVersion()
+		query.Configuration, query.Orders = g.configurationVersion(), g.changes.ordersEnd()
 		// Once all readers have lost the store, to ask them in turn without a wait would only load them.
 		query.AcceptStoreLost = withoutStore >= len(readers)
 		storeLost, err := g.queryReader(client, reader, &query)
@@ -220,6 +243,9 @@
 	if len(answer.Configuration) > 0 {
 		g.applyConfiguration(answer.Configuration, -1)
 	}
+	for _, o := range answer.Orders {
+		g.applyOrder(o)
+	}
 	if !answer.AgeKnown {
 		return false, errors.New("the reader has no confirmed configuration yet")
 	}
@@ -237,7 +263,8 @@
 func (g *Gateway) callReader(client *http.Client, reader announcer.Member, query *relayer.FollowRequest) (*relayer.FollowResponse, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, query.Wait+relayAnswerTimeout)
 	defer cancel()
-	call := connect.NewClient[relayer.FollowRequest, relayer.FollowResponse](client, "http://"+string(reader.PeerAddress)+relayProcedure, connect.WithCodec(relayCodec{}))
+	call := connect.NewClient[relayer.FollowRequest, relayer.FollowResponse](client, "http://"+string(reader.PeerAddress)+relayProcedure,
+		connect.WithCodec(relayCodec{}), connect.WithReadMaxBytes(maxRelayAnswerBytes))
 	response, err := call.CallUnary(ctx, connect.NewRequest(query))
 	if err != nil {
 		return nil, err
