Limit the time of a caller's body

A caller whose body never ended held its connection, its goroutine and the bytes sent so far for ever: the limit of the head doesn't hold for the body. It may now take until the request's deadline, and is refused with 503, as it has not run.

TestARequestWhoseBodyNeverEndsIsRefusedAtItsDeadline got no answer within its time limit on the code before (run with callers.go stashed).

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -161,18 +162,39 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	hasBody := r.ContentLength != 0
+	if hasBody {
+		g.limitBodyTime(w, q.deadline)
+	}
 	var err error
 	if q.body, err = io.ReadAll(body); err != nil {
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.As(err, &large):
 			return newRefusal(dotterelpulley.ErrorTooLarge, "body over the limit")
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			refused := newRefusal(dotterelpulley.ErrorDeadlinePassed, "the deadline passed in the body")
+			// The request hasn't run.
+			refused.status = http.StatusServiceUnavailable
+			return refused
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
+	if hasBody {
+		// The caller may be silent from here on; after an error the limit stays, as the server reads on.
+		g.limitBodyTime(w, time.Time{})
+	}
 	q.fingerprint = fingerprintOf(q)
 	return nil
 }
 
+// limitBodyTime limits how long the caller may take to send its body; zero removes the limit.
+func (g *Gateway) limitBodyTime(w http.ResponseWriter, until time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(until); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
 // fingerprintOf returns a hash of the request's content, which is the same for a resent request.
 func fingerprintOf(q *request) isolator.Fingerprint {
 	digest := xxhash.New()
