End runs whose callers don't read their answers

A caller that stopped reading held its run beyond its deadline, for as long as its connection lasted: the endpoint's connection was closed at the deadline, but the blocked write to the caller went on, with the endpoint's slot counted as taken on all hosts. Writes now end 2 s after the deadline.

TestARunEndsAfterItsDeadlineWhenTheCallerDoesNotRead waited in vain for the run's end on the code before, for a plain answer and for a stream (run with callers.go stashed).

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -26,6 +26,8 @@
 	defaultTimeout = time.Minute
 	// requestAmount is the usage of one request where the cap counts requests.
 	requestAmount = 1
+	// unreadAnswerTimeout is how long after the deadline a caller may take to read the rest of its answer.
+	unreadAnswerTimeout = 2 * time.Second
 )
 
 // request is a caller's request while this host handles it.
@@ -71,6 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := g.admit(arrived, r)
+	g.limitAnswerTime(w, arrived, q)
 	if refused == nil {
 		refused = g.readBody(w, r, q)
 	}
@@ -195,6 +198,17 @@
 	}
 }
 
+// limitAnswerTime limits how long the caller may leave the answer unread, as a blocked write doesn't end with the run.
+func (g *Gateway) limitAnswerTime(w http.ResponseWriter, arrived time.Time, q *request) {
+	deadline := arrived
+	if q.deadline.After(arrived) {
+		deadline = q.deadline
+	}
+	if err := http.NewResponseController(w).SetWriteDeadline(deadline.Add(unreadAnswerTimeout)); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
 // fingerprintOf returns a hash of the request's content, which is the same for a resent request.
 func fingerprintOf(q *request) isolator.Fingerprint {
 	digest := xxhash.New()
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +21,24 @@
 	return conn
 }
 
+// A caller that stops reading must not hold its run, its slot and its memory for as long as its connection lasts.
+func TestARunEndsAfterItsDeadlineWhenTheCallerDoesNotRead(t *testing.T) {
+	for name, path := range map[string]string{"answer": "/lookup/", "stream": "/plan/"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "plain", signedHead+"\r\n", "more bytes\n")
+			m := s.rawEndpoint("i-2", "model", signedHead+"Content-Type: text/event-stream\r\n\r\n", endless("id: 1\ndata: "+strings.Repeat("x", 4000)+"\n\n"))
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			s.callSilently(g, "GET "+path+" HTTP/1.1", "Dotterelpulley-Deadline-Ms: 300\r\n\r\n")
+			s.waitFor("the run has begun", func() bool { return e.requests.Load()+m.requests.Load() == 1 })
+			s.waitFor("the run has ended", func() bool { return g.inFlight.Load() == 0 })
+			s.waitFor("the endpoint's connection is closed", func() bool { return e.answering.Load()+m.answering.Load() == 0 })
+		})
+	}
+}
+
 // A caller whose body never ends must not hold a connection and what it has sent for ever.
 func TestARequestWhoseBodyNeverEndsIsRefusedAtItsDeadline(t *testing.T) {
 	s := newSite(t)
