Don't blame the endpoint for a caller that leaves a large answer

An endpoint counted as failed if a caller closed its connection, or stopped reading, in the middle of an answer of more than 512 KB. The relay now tells errors of the caller's side from those of the endpoint's; an answer without end that only the deadline stops still counts as the endpoint's failure.

TestACallerThatLeavesALargeAnswerIsNotTheEndpointsFailure counted a failed try on the code before (run before the change). TestAnAnswerWithoutEndNeverLooksComplete passed before too; it holds the relay of answers without end to what callers are owed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -35,6 +35,15 @@
 	writer      http.ResponseWriter
 	controller  *http.ResponseController
 	headersSent bool
+	// writeFailed is true if the caller took no more of its answer.
+	writeFailed bool
+}
+
+// Write writes a part of the body.
+func (w *responseWriter) Write(b []byte) (int, error) {
+	n, err := w.writer.Write(b)
+	w.writeFailed = w.writeFailed || err != nil
+	return n, err
 }
 
 // sendHeaders sends the endpoint's status and headers.
@@ -108,7 +117,7 @@
 		return p.handleInterruptedRun(ctx, a, err)
 	}
 	if len(body) == maxBufferedResponse {
-		return p.relayRemainder(a, exchange, body)
+		return p.relayRemainder(ctx, a, exchange, body)
 	}
 	exchange.Release()
 	if !failed && p.route.Kind != router.Streaming {
@@ -132,17 +141,21 @@
 // writeResponse sends the caller a response that has been read completely.
 func (p *proxiedRequest) writeResponse(exchange *connector.Exchange, body []byte) {
 	p.response.sendHeaders(exchange)
-	if _, err := p.response.writer.Write(body); err != nil {
+	if _, err := p.response.Write(body); err != nil {
 		p.gateway.metrics.Inc("answers-unsent")
 	}
 }
 
 // relayRemainder relays a large response whose beginning has been buffered.
-func (p *proxiedRequest) relayRemainder(a attempt, exchange *connector.Exchange, head []byte) outcome {
+func (p *proxiedRequest) relayRemainder(ctx context.Context, a attempt, exchange *connector.Exchange, head []byte) outcome {
 	p.writeResponse(exchange, head)
-	if _, err := io.Copy(p.response.writer, exchange.Body); err != nil {
+	if _, err := io.Copy(p.response, exchange.Body); err != nil {
 		exchange.Abort()
-		p.finishAttempt(a, scheduler.ResultFailed, err)
+		result := scheduler.ResultFailed
+		if p.response.writeFailed || errors.Is(ctx.Err(), context.Canceled) {
+			result = scheduler.ResultCancelled
+		}
+		p.finishAttempt(a, result, err)
 		return outcomeFailed
 	}
 	exchange.Release()
--- a/gateway/large_answer_test.go
+++ b/gateway/large_answer_test.go
@@ -71,3 +71,50 @@
 		s.Check(strings.Contains(a.body, "not yours"), qt.IsFalse)
 	}
 }
+
+// A caller that leaves in the middle of a large answer must not make the endpoint count as failed.
+func TestACallerThatLeavesALargeAnswerIsNotTheEndpointsFailure(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	e := s.rawEndpoint("i-1", "plain", signedHead+"\r\n", "more bytes\n")
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	conn := s.callSilently(g, "GET /lookup/ HTTP/1.1", "\r\n")
+	_, err := io.ReadFull(conn, make([]byte, maxBufferedResponse))
+	s.Assert(err, qt.IsNil)
+	s.Assert(conn.Close(), qt.IsNil)
+	s.waitFor("the run has ended", func() bool { return g.inFlight.Load() == 0 && e.answering.Load() == 0 })
+	s.Assert(g.metrics.counts.Get("tries-failed"), qt.Equals, int64(0))
+	s.Assert(g.metrics.counts.Get("tries-left"), qt.Equals, int64(1))
+}
+
+// An answer without end is relayed, as a large one may be sound, but ends by the deadline and never looks complete.
+func TestAnAnswerWithoutEndNeverLooksComplete(t *testing.T) {
+	for name, answer := range map[string]struct {
+		text string
+		unit endless
+	}{
+		"without length": {signedHead + "\r\n", "more bytes\n"},
+		"chunked":        {signedHead + "Transfer-Encoding: chunked\r\n\r\n", "b\r\nmore bytes\n\r\n"},
+		"long":           {signedHead + "Content-Length: 1000000000000\r\n\r\n", "more bytes\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "plain", answer.text, answer.unit)
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			r := s.request(context.Background(), g, http.MethodGet, "/lookup/", "")
+			r.Header.Set("Dotterelpulley-Deadline-Ms", "300")
+			transport := &http.Transport{DisableCompression: true}
+			defer transport.CloseIdleConnections()
+			response, err := transport.RoundTrip(r)
+			s.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			n, err := io.Copy(io.Discard, response.Body)
+			s.Assert(err, qt.IsNotNil, qt.Commentf("complete after %d bytes", n))
+			s.waitFor("the run has ended", func() bool { return g.inFlight.Load() == 0 && e.answering.Load() == 0 })
+			s.Assert(g.metrics.counts.Get("tries-failed"), qt.Equals, int64(1))
+		})
+	}
+}
