Limit what a host holds of all answers together

Each answer was limited (512 KB of a plain one, 1 MB of an event), their sum wasn't: 120 answers at once, of endpoints that all sent that much, grew the heap by 67 MB (plain) and 127 MB (events), on hosts with 88 MB to 134 MB, which end at their limit with all requests of all callers.

A plain answer that finds no more room is relayed from there on as it comes, as larger ones are, so that a sound one still gets through whole; an event that finds none fails its run.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -19,7 +18,7 @@
 )
 
 const (
-	// maxBufferedResponse is the largest plain response that is read completely before any of it is sent to the caller.
+	// maxBufferedResponse limits the plain responses that are read completely before any of them is sent to the caller.
 	maxBufferedResponse = 512 << 10
 	// maxDrainedBytes and drainTimeout limit the reading of a response that nobody gets, while its caller waits.
 	maxDrainedBytes = 64 << 10
@@ -111,20 +110,22 @@
 			return next
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(exchange.Body, maxBufferedResponse))
+	body := buffer{budget: &p.gateway.answers}
+	defer body.release()
+	whole, err := body.readFrom(exchange.Body, maxBufferedResponse)
 	if err != nil {
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
-	if len(body) == maxBufferedResponse {
-		return p.relayRemainder(ctx, a, exchange, body)
+	if !whole {
+		return p.relayRemainder(ctx, a, exchange, &body)
 	}
 	exchange.Release()
 	if !failed && p.route.Kind != router.Streaming {
 		p.gateway.queue.access(func(now time.Time, s *scheduler.Scheduler) { s.ObserveInterval(now, a.ID, now.Sub(a.startedAt)) })
 	}
 	p.finishWholeRun(a, exchange)
-	p.writeResponse(exchange, body)
+	p.writeResponse(exchange, body.data)
 	p.logAnswered(a, exchange.StatusCode, 0, time.Time{})
 	return outcomeDone
 }
@@ -147,8 +148,9 @@
 }
 
 // relayRemainder relays a large response whose beginning has been buffered.
-func (p *proxiedRequest) relayRemainder(ctx context.Context, a attempt, exchange *connector.Exchange, head []byte) outcome {
-	p.writeResponse(exchange, head)
+func (p *proxiedRequest) relayRemainder(ctx context.Context, a attempt, exchange *connector.Exchange, head *buffer) outcome {
+	p.writeResponse(exchange, head.data)
+	head.release()
 	if _, err := io.Copy(p.response, exchange.Body); err != nil {
 		exchange.Abort()
 		result := scheduler.ResultFailed
@@ -167,7 +169,8 @@
 // relayEvents relays complete events as they arrive; a broken stream is resumed on another endpoint if the route allows it.
 func (p *proxiedRequest) relayEvents(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
 	p.runs++
-	reader := bufio.NewReader(exchange.Body)
+	reader := newEventReader(&p.gateway.answers, exchange.Body)
+	defer reader.release()
 	var firstEventAt, lastEventAt time.Time
 	events := 0
 	longestPause := time.Duration(0)
@@ -181,7 +184,7 @@
 				p.gateway.metrics.Inc("silence-limits-unset")
 			}
 		}
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		if errors.Is(err, io.EOF) && len(event.data) == 0 {
 			break
 		}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -20,13 +20,26 @@
 
 var errEventTooLarge = errors.New("event exceeds the size limit")
 
-// readEvent returns the next complete event; io.EOF without data is the regular end of the stream.
-func readEvent(r *bufio.Reader) (sseEvent, error) {
+// eventReader reads the events of one answer within a budget; release must be called.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer
+}
+
+func newEventReader(budget *bufferBudget, body io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReader(body), buffer: buffer{budget: budget}}
+}
+
+// next returns the next complete event, valid until the next call; io.EOF without data is the regular end of the stream.
+func (r *eventReader) next() (sseEvent, error) {
+	r.reset()
 	e := sseEvent{comment: true}
 	for {
-		line, err := r.ReadSlice('\n')
-		e.data = append(e.data, line...)
-		if len(e.data) > maxEventBytes {
+		line, err := r.reader.ReadSlice('\n')
+		if err := r.append(line); err != nil {
+			return e, err
+		}
+		if e.data = r.data; len(e.data) > maxEventBytes {
 			return e, errEventTooLarge
 		}
 		e.comment = e.comment && (len(bytes.TrimRight(line, "\r\n")) == 0 || line[0] == ':')
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	metrics    metrics
 	nextWorkID atomic.Uint64
 	inFlight   atomic.Int64
+	answers    bufferBudget
 
 	registry endpointRegistry
 	queue    queue
