Fail streams that send only comments

A stream on a route that can't be resumed could send comments or empty lines at full speed until the caller's deadline (504 after 20 s in the test), which costs the host's processor, as each of them is read and dropped. More than the size of an event without an event now fails the run at once.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -140,3 +140,19 @@
 		s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
 	}
 }
+
+// Comments or empty lines at full speed are no stream: they cost the host's processor until the caller's deadline.
+func TestAStreamOfNothingButCommentsHasFailed(t *testing.T) {
+	for name, unit := range map[string]endless{"empty lines": "\n", "comments": ": wait\n\n", "one comment": ": wait\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "model", signedHead+"Content-Type: text/event-stream\r\n\r\n", unit)
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			s.Assert(s.post(g, "/plan/", "prompt").status, qt.Equals, http.StatusBadGateway)
+			s.Assert(g.metrics.counts.Get("tries-failed"), qt.Equals, int64(1))
+			s.waitFor("the endpoint's connection is closed", func() bool { return e.answering.Load() == 0 })
+		})
+	}
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -24,6 +24,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer
+	// commentBytes counts the bytes since the last event that was no comment.
+	commentBytes int
 }
 
 func newEventReader(budget *bufferBudget, body io.Reader) *eventReader {
@@ -54,10 +56,22 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			return e, nil
+			return e, r.countComments(e)
 		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
 	}
 }
+
+// countComments returns an error if comments without an event between them exceed the size of an event.
+func (r *eventReader) countComments(e sseEvent) error {
+	if !e.comment {
+		r.commentBytes = 0
+		return nil
+	}
+	if r.commentBytes += len(e.data); r.commentBytes > maxEventBytes {
+		return errEventTooLarge
+	}
+	return nil
+}
