--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -156,3 +158,27 @@
 		})
 	}
 }
+
+// What follows an answer that has no body belongs to no request, and its connection is closed.
+func TestBytesAfterAnAnswerWithoutBodyAreNobodysAnswer(t *testing.T) {
+	for name, test := range map[string]struct{ method, head string }{
+		"no content":   {http.MethodGet, "HTTP/1.1 204 No Content\r\nDotterelpulley-Response-Stamp: s\r\nDotterelpulley-Attempt-Id: ID\r\n\r\n"},
+		"not modified": {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nDotterelpulley-Attempt-Id: ID\r\nContent-Length: 7\r\n\r\n"},
+		"head":         {http.MethodHead, signedHead + "Content-Length: 7\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "plain", test.head, "HTTP/1.1 200 OK\r\nDotterelpulley-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nbogus")
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			for range 3 {
+				a := s.send(s.request(context.Background(), g, test.method, "/lookup/", ""))
+				s.Assert(a.err, qt.IsNil)
+				s.Assert(strings.Fields(test.head)[1], qt.Equals, strconv.Itoa(a.status))
+				s.Assert(a.body, qt.Equals, "")
+			}
+			s.waitFor("the endpoint's connections are closed", func() bool { return e.answering.Load() == 0 })
+		})
+	}
+}
