Limit what an entry host keeps of an endpoint's answer

An entry host read the body of a plain service's answer, and kept an engine's tokens for resends, without a limit: an endpoint whose answer has no end filled the host's memory until the request's deadline, or for good, as calls of plain services outlast theirs.

An answer is limited to 4 MB, an engine's stream to 32 MB with all that isn't a token, and to as many tokens as a caller may ask for. Beyond that the run counts as interrupted: another engine goes on, a booking's outcome is unknown.

--- a/entry/engine.go
+++ b/entry/engine.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -55,6 +56,8 @@
 
 	maxEventBytes = 1 << 20
 	maxErrorBytes = 4 << 10
+	// maxStreamBytes limits a stream with all that it holds beside its tokens, at a quarter of a KB for each of maxTokensLimit.
+	maxStreamBytes = 32 << 20
 )
 
 // complete sends the request to an engine and copies the streamed tokens into the run's output.
@@ -181,9 +184,13 @@
 	return attemptInterrupted{err: err}
 }
 
+var errAnswerTooLarge = errors.New("the engine's answer exceeds the size limit")
+
 // readTokens copies the stream's tokens into the output and reports whether the end marker was received.
 func readTokens(body io.Reader, out *output) (bool, error) {
-	lines := bufio.NewScanner(body)
+	limited := &io.LimitedReader{R: body, N: maxStreamBytes}
+	size := 0
+	lines := bufio.NewScanner(limited)
 	lines.Buffer(nil, maxEventBytes)
 	for lines.Scan() {
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
@@ -203,8 +210,14 @@
 		if token.TokenIndex > out.length() {
 			return false, fmt.Errorf("token %d came after %d", token.TokenIndex, out.length())
 		}
+		if size += len(token.Choices[0].Text); size > maxAnswerBytes || token.TokenIndex >= maxTokensLimit {
+			return false, errAnswerTooLarge
+		}
 		out.put(token.TokenIndex, token.Choices[0].Text)
 	}
+	if limited.N == 0 {
+		return false, errAnswerTooLarge
+	}
 	return false, lines.Err()
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
+
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 )
 
+// maxAnswerBytes limits what is kept of an answer, for its caller and for resends.
+const maxAnswerBytes = 4 << 20
+
 // callPlain sends the request to a plain service. A call that may have started continues past the request's deadline,
 // so that a resend can get its outcome.
 func (e *Entry) callPlain(ctx context.Context, r *run, g grant, id string) attemptResult {
@@ -25,7 +29,7 @@
 	if status := c.response.StatusCode(); status != http.StatusOK {
 		return plainRefusal(c, status)
 	}
-	body, err := io.ReadAll(c.body())
+	body, err := slurper.ReadAll(c.body(), maxAnswerBytes)
 	if err != nil {
 		return attemptInterrupted{err: err}
 	}
