Limit the answers that clients of our own services read whole

The clients of the log, the host list, endpoints' reports, orders to engines and other hosts read an answer of any size into memory, at the link's full rate until their time limit; the mover cut the reports of hosts at 8 MB instead and took the rest for broken JSON. Answers beyond 64 MB, or 8 MB for what endpoints and hosts report of themselves, now end the call with an error that says so.

TestAnAnswerBeyondItsLimitIsAnError ran into its time limit with the limit of the client taken out.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 )
 
 // Stream names a stream of the log.
@@ -55,7 +56,7 @@
 	// Timeout bounds one call; 2 s if zero.
 	Timeout time.Duration
 
-	http fasthttp.Client
+	http slurper.Client
 }
 
 func (c *Client) timeout() time.Duration {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -8,13 +8,13 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/assessor"
 	"github.com/dotterelpulley/dotterelpulley/counter"
 	"github.com/dotterelpulley/dotterelpulley/follower"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 	"github.com/dotterelpulley/dotterelpulley/mover"
 	"github.com/dotterelpulley/dotterelpulley/recorder"
@@ -37,7 +37,7 @@
 	counters       counter.Set
 	logClient      appender.Client
 	hostListClient lister.Client
-	http           fasthttp.Client
+	http           slurper.Client
 	peers          peerClient
 	assessor       assessor.Assessor
 
@@ -66,6 +66,7 @@
 		log:            logger,
 		logClient:      appender.Client{Address: settings.Log},
 		hostListClient: lister.Client{Address: settings.HostList},
+		http:           slurper.Client{Limit: maxReportBytes},
 		mover:          mover.Mover{Settings: settings, IDPrefix: uuid.NewString()},
 		caughtUpAt:     map[appender.Stream]time.Time{},
 		endpoints:      map[dotterelpulley.EndpointID]mover.Endpoint{},
--- a/controller/peer_client.go
+++ b/controller/peer_client.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/certifier"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 )
 
 const (
@@ -54,5 +54,5 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, fmt.Errorf("call %q of entry host %q: status %d", path, address, resp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	return slurper.ReadAll(resp.Body, maxReportBytes)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
@@ -20,6 +19,7 @@
 	"github.com/dotterelpulley/dotterelpulley/counter"
 	"github.com/dotterelpulley/dotterelpulley/drainer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
@@ -47,7 +47,7 @@
 
 	hostListClient lister.Client
 	logClient      appender.Client
-	pollClient     fasthttp.Client
+	pollClient     slurper.Client
 	peerClient     *http.Client
 
 	certificates certificates
@@ -72,6 +72,7 @@
 		log:            logger,
 		hostListClient: lister.Client{Address: settings.HostListAddress},
 		logClient:      appender.Client{Address: settings.LogAddress},
+		pollClient:     slurper.Client{Limit: maxReportBytes},
 		drainStarted:   make(chan struct{}),
 	}
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerTLS, Protocols: []string{"http/1.1"}}
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// maxReportBytes limits what an endpoint reports of itself at once, its load or its cache events.
+const maxReportBytes = 8 << 20
+
 func (e *Entry) fetchLoad(address dotterelpulley.Address) (loadReport, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
 	"github.com/dotterelpulley/dotterelpulley/follower"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
@@ -151,7 +151,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, fmt.Errorf("call %q of peer %q: status %d", path, address, resp.StatusCode)
 	}
-	return io.ReadAll(resp.Body)
+	return slurper.ReadAll(resp.Body, slurper.DefaultLimit)
 }
 
 // handleRecords serves the records that a peer has not read.
--- /dev/null
+++ b/internal/slurper/client.go
@@ -0,0 +1,36 @@
+package slurper
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// DefaultLimit is the limit of answers that the zero value of Client allows.
+const DefaultLimit Bytes = 64 << 20
+
+// Client is an HTTP client that reads whole answers up to a limit; the zero value is ready to use.
+type Client struct {
+	// Limit is the largest answer; DefaultLimit if zero.
+	Limit Bytes
+
+	once sync.Once
+	http fasthttp.Client
+}
+
+// DoTimeout sends the request and reads its answer; it fails with fasthttp.ErrBodyTooLarge once the answer exceeds the limit.
+func (c *Client) DoTimeout(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	c.once.Do(func() {
+		c.http.MaxResponseBodySize = int(DefaultLimit)
+		if c.Limit > 0 {
+			c.http.MaxResponseBodySize = int(c.Limit)
+		}
+	})
+	return c.http.DoTimeout(req, resp, timeout)
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (c *Client) CloseIdleConnections() {
+	c.http.CloseIdleConnections()
+}
--- a/internal/slurper/slurper_test.go
+++ b/internal/slurper/slurper_test.go
@@ -1,10 +1,15 @@
 package slurper
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 )
 
 // endless is a body without end.
@@ -25,3 +30,27 @@
 	_, err = ReadAll(endless{}, 1<<20)
 	c.Assert(err, qt.Equals, ErrTooLarge)
 }
+
+// A service that answers without end must not fill the memory of those that call it.
+func TestAnAnswerBeyondItsLimitIsAnError(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/endless" {
+			_, _ = io.Copy(w, endless{})
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", 100))
+	}))
+	defer server.Close()
+	client := Client{Limit: 100}
+	defer client.CloseIdleConnections()
+	get := func(path string) error {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(req)
+		defer fasthttp.ReleaseResponse(resp)
+		req.SetRequestURI(server.URL + path)
+		return client.DoTimeout(req, resp, time.Minute)
+	}
+	c.Assert(get("/"), qt.IsNil)
+	c.Assert(get("/endless"), qt.Equals, fasthttp.ErrBodyTooLarge)
+	c.Assert(get("/"), qt.IsNil)
+}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 )
 
 // HostKind is the kind of software that runs on a host.
@@ -57,7 +58,7 @@
 type Client struct {
 	Address dotterelpulley.Address
 
-	http fasthttp.Client
+	http slurper.Client
 }
 
 // Fetch returns the current host list.
