Limit what a host holds of callers' bodies together

Each body was limited by the configuration, their sum wasn't: 60 callers that had each sent 1 MB of a body of 2 MB, within a limit of 4 MB, grew the heap by 126 MB, beyond the memory of hosts with 88 MB. Each body may now hold 32 KB, and all together a quarter of the host's memory beyond that; a request that finds no more room is refused with 503 and has not run.

TestBodiesOfManyCallersFitTheMemory and TestABodyWithoutRoomIsRefusedUnrun failed with the budget's check disabled.

--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -4,25 +4,44 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
 const (
-	// ownBufferBytes is what each answer may hold on any host.
+	// ownBufferBytes is what each answer or body may hold on any host.
 	ownBufferBytes = 32 << 10
 	// sharedBufferBytes is what all answers of a host may hold together beyond that, a fraction of the smallest host's memory.
 	sharedBufferBytes = 8 << 20
+	// sharedBodyFraction is the fraction of a host's memory that the bodies of callers' requests may hold together, beyond
+	// ownBufferBytes of each; sharedBodyBytes applies if the memory is unknown.
+	sharedBodyFraction = 0.25
+	sharedBodyBytes    = 32 << 20
 )
 
 var errBuffersFull = errors.New("the host holds too many large answers at once")
 
-// bufferBudget limits the bytes of answers that a host holds at once, as all endpoints may send large ones; the zero value is
-// unused.
+// bufferBudget limits the bytes of answers or bodies that a host holds at once, as all of them may be large together; the
+// zero value allows sharedBufferBytes.
 type bufferBudget struct {
-	used atomic.Int64
+	limit int64
+	used  atomic.Int64
+}
+
+// bodyBudget returns the limit of the bodies that a host with the memory may hold.
+func bodyBudget(memory platform.Bytes) int64 {
+	if memory <= 0 {
+		return sharedBodyBytes
+	}
+	return int64(sharedBodyFraction * float64(memory))
 }
 
 func (b *bufferBudget) reserve(bytes int64) bool {
-	if b.used.Add(bytes) <= sharedBufferBytes {
+	limit := b.limit
+	if limit == 0 {
+		limit = sharedBufferBytes
+	}
+	if b.used.Add(bytes) <= limit {
 		return true
 	}
 	b.used.Add(-bytes)
@@ -33,7 +52,7 @@
 	b.used.Add(-bytes)
 }
 
-// buffer holds a part of an answer within the budget; release must be called.
+// buffer holds an answer or a body, or a part of it, within the budget; release must be called.
 type buffer struct {
 	budget   *bufferBudget
 	data     []byte
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strings"
@@ -74,8 +75,10 @@
 	}
 	q, refused := g.admit(arrived, r)
 	g.limitAnswerTime(w, arrived, q)
+	body := buffer{budget: &g.bodies}
+	defer body.release()
 	if refused == nil {
-		refused = g.readBody(w, r, q)
+		refused = g.readBody(w, r, q, &body)
 	}
 	if refused == nil {
 		refused = g.checkLimits(arrived, q)
@@ -158,19 +161,20 @@
 }
 
 // readBody reads the complete body, up to the configuration's limit.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, q *request) *refusal {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, q *request, into *buffer) *refusal {
 	q.header = platform.ForwardedRequestHeaders(r.Header)
+	if r.ContentLength == 0 {
+		q.fingerprint = fingerprintOf(q)
+		return nil
+	}
 	limit := g.table.Load().BodyBytes
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	hasBody := r.ContentLength != 0
-	if hasBody {
-		g.limitBodyTime(w, q.deadline)
-	}
-	var err error
-	if q.body, err = io.ReadAll(body); err != nil {
+	g.limitBodyTime(w, q.deadline)
+	whole, err := into.readFrom(body, math.MaxInt)
+	if err != nil {
 		var large *http.MaxBytesError
 		switch {
 		case errors.As(err, &large):
@@ -183,10 +187,14 @@
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
-	if hasBody {
-		// The caller may be silent from here on; after an error the limit stays, as the server reads on.
-		g.limitBodyTime(w, time.Time{})
+	if !whole {
+		refused := newRefusal(dotterelpulley.ErrorShed, "no room for the body")
+		refused.status, refused.retryAfter = http.StatusServiceUnavailable, minRetryAfter
+		return refused
 	}
+	q.body = into.data
+	// The caller may be silent from here on; after an error the limit stays, as the server reads on.
+	g.limitBodyTime(w, time.Time{})
 	q.fingerprint = fingerprintOf(q)
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	nextWorkID atomic.Uint64
 	inFlight   atomic.Int64
 	answers    bufferBudget
+	bodies     bufferBudget
 
 	registry endpointRegistry
 	queue    queue
@@ -107,6 +108,7 @@
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
 	g.queue.waiters = map[scheduler.ID]chan scheduler.Decision{}
 	g.isolator.Settings = isolator.Settings{Limit: isolateAfter, Lifetime: crashMemory}
+	g.bodies.limit = bodyBudget(settings.Memory)
 	g.connector.OnOpen = func() { g.metrics.Inc("connections-opened") }
 	g.peers.configure(settings, seed)
 	g.changes.incarnation = seed
