--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -20,7 +19,7 @@
 )
 
 const (
-	// maxBufferedResponse is the largest plain response that is read completely before any of it is sent to the caller.
+	// maxBufferedResponse limits the plain responses that are read completely before any of them is sent to the caller.
 	maxBufferedResponse = 512 << 10
 	// maxDrainedBytes and drainTimeout limit the reading of a response that nobody gets, while its caller waits.
 	maxDrainedBytes = 64 << 10
@@ -33,6 +32,15 @@
 	writer      http.ResponseWriter
 	controller  *http.ResponseController
 	headersSent bool
+	// writeFailed is true if the caller took no more of its answer.
+	writeFailed bool
+}
+
+// Write writes a part of the body.
+func (w *responseWriter) Write(b []byte) (int, error) {
+	n, err := w.writer.Write(b)
+	w.writeFailed = w.writeFailed || err != nil
+	return n, err
 }
 
 // sendHeaders sends the endpoint's status and headers.
@@ -104,20 +112,22 @@
 			return next
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(exchange.Body, maxBufferedResponse))
+	body := buffer{budget: &p.gateway.answers}
+	defer body.release()
+	whole, err := body.readFrom(exchange.Body, maxBufferedResponse)
 	if err != nil {
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
-	if len(body) == maxBufferedResponse {
-		return p.relayRemainder(a, exchange, body)
+	if !whole {
+		return p.relayRemainder(ctx, a, exchange, &body)
 	}
 	exchange.Release()
 	if !failed && p.route.Kind != router.Streaming {
 		p.gateway.queue.access(func(now time.Time, s *scheduler.Scheduler) { s.ObserveInterval(now, a.ID, now.Sub(a.startedAt)) })
 	}
 	p.finishWholeRun(a, exchange)
-	p.writeResponse(exchange, body)
+	p.writeResponse(exchange, body.data)
 	p.logAnswered(a, exchange.StatusCode, 0, time.Time{})
 	return outcomeDone
 }
@@ -134,17 +144,22 @@
 // writeResponse sends the caller a response that has been read completely.
 func (p *proxiedRequest) writeResponse(exchange *connector.Exchange, body []byte) {
 	p.response.sendHeaders(exchange)
-	if _, err := p.response.writer.Write(body); err != nil {
+	if _, err := p.response.Write(body); err != nil {
 		p.gateway.metrics.Inc("answers-unsent")
 	}
 }
 
 // relayRemainder relays a large response whose beginning has been buffered.
-func (p *proxiedRequest) relayRemainder(a attempt, exchange *connector.Exchange, head []byte) outcome {
-	p.writeResponse(exchange, head)
-	if _, err := io.Copy(p.response.writer, exchange.Body); err != nil {
+func (p *proxiedRequest) relayRemainder(ctx context.Context, a attempt, exchange *connector.Exchange, head *buffer) outcome {
+	p.writeResponse(exchange, head.data)
+	head.release()
+	if _, err := io.Copy(p.response, exchange.Body); err != nil {
 		exchange.Abort()
-		p.finishAttempt(a, scheduler.ResultFailed, err)
+		result := scheduler.ResultFailed
+		if p.response.writeFailed || errors.Is(ctx.Err(), context.Canceled) {
+			result = scheduler.ResultCancelled
+		}
+		p.finishAttempt(a, result, err)
 		return outcomeFailed
 	}
 	exchange.Release()
@@ -156,7 +171,8 @@
 // relayEvents relays complete events as they arrive; a broken stream is resumed on another endpoint if the route allows it.
 func (p *proxiedRequest) relayEvents(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
 	p.runs++
-	reader := bufio.NewReader(exchange.Body)
+	reader := newEventReader(&p.gateway.answers, exchange.Body)
+	defer reader.release()
 	var firstEventAt, lastEventAt time.Time
 	events := 0
 	longestPause := time.Duration(0)
@@ -166,7 +182,7 @@
 		if progress {
 			watch.expectEvent(events == 0)
 		}
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		if errors.Is(err, io.EOF) && len(event.data) == 0 {
 			break
 		}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -25,6 +27,8 @@
 	defaultTimeout = time.Minute
 	// requestAmount is the usage of one request where the cap counts requests.
 	requestAmount = 1
+	// unreadAnswerTimeout is how long after the deadline a caller may take to read the rest of its answer.
+	unreadAnswerTimeout = 2 * time.Second
 )
 
 // request is a caller's request while this host handles it.
@@ -70,8 +74,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := g.admit(arrived, r)
+	g.limitAnswerTime(w, arrived, q)
+	body := buffer{budget: &g.bodies}
+	defer body.release()
 	if refused == nil {
-		refused = g.readBody(w, r, q)
+		refused = g.readBody(w, r, q, &body)
 	}
 	if refused == nil {
 		refused = g.checkLimits(arrived, q)
@@ -154,25 +161,62 @@
 }
 
 // readBody reads the complete body, up to the configuration's limit.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, q *request) *refusal {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, q *request, into *buffer) *refusal {
 	q.header = platform.ForwardedRequestHeaders(r.Header)
+	if r.ContentLength == 0 {
+		q.fingerprint = fingerprintOf(q)
+		return nil
+	}
 	limit := g.table.Load().BodyBytes
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	var err error
-	if q.body, err = io.ReadAll(body); err != nil {
+	g.limitBodyTime(w, q.deadline)
+	whole, err := into.readFrom(body, math.MaxInt)
+	if err != nil {
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.As(err, &large):
 			return newRefusal(dotterelpulley.ErrorTooLarge, "body over the limit")
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			refused := newRefusal(dotterelpulley.ErrorDeadlinePassed, "the deadline passed in the body")
+			// The request hasn't run.
+			refused.status = http.StatusServiceUnavailable
+			return refused
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
+	if !whole {
+		refused := newRefusal(dotterelpulley.ErrorShed, "no room for the body")
+		refused.status, refused.retryAfter = http.StatusServiceUnavailable, minRetryAfter
+		return refused
+	}
+	q.body = into.data
+	// The caller may be silent from here on; after an error the limit stays, as the server reads on.
+	g.limitBodyTime(w, time.Time{})
 	q.fingerprint = fingerprintOf(q)
 	return nil
 }
 
+// limitBodyTime limits how long the caller may take to send its body; zero removes the limit.
+func (g *Gateway) limitBodyTime(w http.ResponseWriter, until time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(until); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
+// limitAnswerTime limits how long the caller may leave the answer unread, as a blocked write doesn't end with the run.
+func (g *Gateway) limitAnswerTime(w http.ResponseWriter, arrived time.Time, q *request) {
+	deadline := arrived
+	if q.deadline.After(arrived) {
+		deadline = q.deadline
+	}
+	if err := http.NewResponseController(w).SetWriteDeadline(deadline.Add(unreadAnswerTimeout)); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
 // fingerprintOf returns a hash of the request's content, which is the same for a resent request.
 func fingerprintOf(q *request) isolator.Fingerprint {
 	digest := xxhash.New()
