--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -182,6 +182,7 @@
 		}
 		lastEventAt = now
 		events++
+		p.events = events
 		if !p.writeEvent(exchange, event) {
 			exchange.Abort()
 			p.finishAttempt(a, scheduler.ResultCancelled, errors.New("the caller accepts no more events"))
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -35,6 +35,8 @@
 	excluded map[dotterelpulley.EndpointID]bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// events counts the events of the current attempt.
+	events int
 }
 
 // attempt is one dispatch of the request to one endpoint.
@@ -141,6 +143,7 @@
 	g := p.gateway
 	now := time.Now()
 	p.attempts++
+	p.events = 0
 	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts)), startedAt: now}
 	g.mutex.Lock()
 	g.isolator.Started(now, p.fingerprint, placed.Endpoint.ID, a.attemptID)
@@ -269,10 +272,19 @@
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
-			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Err(err).Msg("")
+			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Strs("parts", partNames(p.SharedParts)).Err(err).Msg("")
 	}
 }
 
+// partNames returns the names of prompt parts in the log.
+func partNames(parts []platform.PromptPart) []string {
+	var names []string
+	for _, part := range parts {
+		names = append(names, part.String())
+	}
+	return names
+}
+
 var resultNames = map[scheduler.Result]string{
 	scheduler.ResultCompleted: "whole", scheduler.ResultRefused: "refused", scheduler.ResultFailed: "failed",
 	scheduler.ResultUnreachable: "unreached", scheduler.ResultDead: "dead", scheduler.ResultWrongInstance: "moved", scheduler.ResultCancelled: "left",
