--- a/isolator/doc.go
+++ b/isolator/doc.go
@@ -1,4 +1,4 @@
 // Package isolator detects requests that crash the endpoints they run on, so that every host refuses them.
 //
-// Isolator is a pure state machine. It only adds crashes until they expire, so hosts can merge their sets.
+// Isolator and PartGuard are pure state machines. They only add evidence until it expires, so hosts can merge what they know.
 package isolator
