Refuse requests with a part that crashes endpoints on all hosts

The digests told crashes for 5 s, by the host that saw them, and never in brief digests.

Runs now carry the shared parts of their prompts. A crash is held against those of runs without a second event, isolated parts are refused at admission and again right before the send, and all hosts pass on what they know in full and brief digests. What is isolated is also kept in a topic of the store, for a restart of all hosts, and written again after the store's return from a copy. A request that crashed an endpoint is not repeated while one of its parts has two incidents.

With the limits of PartGuard out of reach, TestRequestsWithAPartThatCrashesEndpointsAreRefusedOnAllHosts failed: all 9 endpoints crashed and a sound request got 503.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -24,6 +24,7 @@
 		Start: 16, Incarnation: 1, Sequence: 2, State: Draining, Configuration: 3, StoreUnreachable: true,
 		Loads:         []Load{{Key: 4, Running: 5, PromptTokens: 6}, {Key: 7}},
 		Usage:         map[dotterelpulley.OrganisationID]Usage{"t1": {Admitted: 8.5, Level: -2}, "t2": {Admitted: -1}},
+		Parts:         []PartFact{{Part: 1 << 63, Incident: 1 << 31, Evidence: 7, Age: 20 * time.Minute}, {Part: 21}},
 		Crashes:       []Crash{{Fingerprint: 9, Attempt: 10, Endpoint: 11}},
 		Waiting:       []Waiting{{Service: 12, Priority: 1, Rank: 2, Count: 13}, {Service: 14, Count: 1}},
 		DeadEndpoints: []uint32{15, 1 << 31}, LeavingInstances: []uint32{17, 1 << 30},
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -77,6 +77,8 @@
 	Updates []Update
 	// Crashes lists recent endpoint crashes seen by the host, with the attempts that were running.
 	Crashes []Crash
+	// Parts is what the host knows of prompt parts that may have crashed endpoints.
+	Parts []PartFact
 }
 
 // Usage is what an organisation has used on a host since the host's start, and the level of its token bucket there,
@@ -121,6 +123,15 @@
 	Endpoint    uint32
 }
 
+// PartFact is the evidence of a prompt part in the crash of an endpoint instance.
+type PartFact struct {
+	Part     uint64
+	Incident uint32
+	Evidence uint8
+	// Age is the time since the crash, sent in whole milliseconds.
+	Age time.Duration
+}
+
 // Field numbers of a digest on the wire.
 const (
 	fieldHost fields.Number = iota + 1
@@ -145,6 +156,7 @@
 	fieldProbe
 	fieldAck
 	fieldUpdate
+	fieldPartFact
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -198,6 +210,9 @@
 	for _, c := range d.Crashes {
 		b = appendNumbers(b, fieldCrash, c.Fingerprint, c.Attempt, uint64(c.Endpoint))
 	}
+	for _, f := range d.Parts {
+		b = appendNumbers(b, fieldPartFact, f.Part, uint64(f.Incident), uint64(f.Evidence), uint64(max(f.Age, 0)/time.Millisecond))
+	}
 	return b
 }
 
@@ -302,12 +317,23 @@
 			return err
 		}
 		d.Crashes = append(d.Crashes, Crash{Fingerprint: v[0], Attempt: v[1], Endpoint: uint32(v[2])})
+	case fieldPartFact:
+		v, err := consumeNumbers(value, 4)
+		if err != nil {
+			return err
+		}
+		d.Parts = append(d.Parts, PartFact{
+			Part: v[0], Incident: uint32(v[1]), Evidence: uint8(min(v[2], math.MaxUint8)), Age: time.Duration(min(v[3], maxMilliseconds)) * time.Millisecond,
+		})
 	}
 	return nil
 }
 
-// maxMicroseconds is the longest duration in microseconds.
-const maxMicroseconds = uint64(math.MaxInt64 / time.Microsecond)
+// maxMicroseconds and maxMilliseconds are the longest duration in these units.
+const (
+	maxMicroseconds = uint64(math.MaxInt64 / time.Microsecond)
+	maxMilliseconds = uint64(math.MaxInt64 / time.Millisecond)
+)
 
 func consumeNumbers(b []byte, count int) ([]uint64, error) {
 	values := make([]uint64, 0, count)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -102,6 +102,9 @@
 		p.writeResponse(exchange, body)
 		return outcomeDone
 	}
+	if success {
+		p.noteAnswered(a)
+	}
 	if len(body) == maxBufferedResponse {
 		return p.relayRemainder(a, exchange, body)
 	}
@@ -183,6 +186,9 @@
 		lastEventAt = now
 		events++
 		p.events = events
+		if events == 2 {
+			p.noteAnswered(a)
+		}
 		if !p.writeEvent(exchange, event) {
 			exchange.Abort()
 			p.finishAttempt(a, scheduler.ResultCancelled, errors.New("the caller accepts no more events"))
@@ -192,6 +198,7 @@
 	if events == 0 {
 		p.response.sendHeaders(exchange)
 	}
+	p.noteAnswered(a)
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
 	p.logAnswered(a, exchange.StatusCode, longestPause, firstEventAt)
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -39,6 +39,8 @@
 	arrived      time.Time
 	deadline     time.Time
 	fingerprint  isolator.Fingerprint
+	// parts are those of the prompt that may be isolated.
+	parts []isolator.Part
 
 	method string
 	target string
@@ -169,7 +171,7 @@
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
-	q.fingerprint = fingerprintOf(q)
+	q.fingerprint, q.parts = fingerprintOf(q), partsOf(q)
 	return nil
 }
 
@@ -195,6 +197,9 @@
 		refused.retryAfter = crashMemory
 		return refused
 	}
+	if refused := g.checkParts(now, q); refused != nil {
+		return refused
+	}
 	if q.organisation == "" {
 		return nil
 	}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -83,7 +83,7 @@
 	return report
 }
 
-// addUsageAndCrashes adds the usage of organisations on this host and the crashes that it observed.
+// addUsageAndCrashes adds the usage of organisations on this host, the crashes that it observed and what it knows of parts.
 func (g *Gateway) addUsageAndCrashes(now time.Time, d *announcer.Digest) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -95,6 +95,7 @@
 	for id, usage := range usageByOrganisation {
 		d.Usage[id] = announcer.Usage{Admitted: float64(usage.Admitted), Level: float64(usage.Level)}
 	}
+	d.Parts = g.reportedParts(now, d.Sequence)
 	for _, c := range g.crashes {
 		d.Crashes = append(d.Crashes, c.Crash)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	retryBudget limiter.RetryBudget
 	isolator    isolator.Isolator
 	crashes     []observedCrash
+	parts       isolator.PartGuard
+	partKeeper  partKeeper
 
 	peers       peers
 	storeAccess storeAccess
@@ -140,6 +142,7 @@
 	g.supervise("follow-readers", g.followReaders)
 	g.supervise("follow-endpoints", g.followEndpoints)
 	g.supervise("register-host", g.registerHost)
+	g.supervise("keep-parts", g.keepParts)
 	g.supervise("announce-state", g.announceState)
 	g.supervise("receive-digests", g.receiveDigests)
 	g.supervise("probe-members", func() { repeater.Every(g.ctx, announcer.ProbeInterval, g.probeMembers) })
@@ -203,6 +206,7 @@
 	now := time.Now()
 	g.connector.Prune(now)
 	g.limitIdleConnections()
+	g.prunePartsAndTell(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.isolator.Prune(now)
--- /dev/null
+++ b/gateway/isolation_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/isolator"
+	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+)
+
+const (
+	deadlyPart = "deadbeef"
+	firstPart  = "5c1e07a2"
+)
+
+// fragileFleet is a site whose endpoints crash as they begin to answer a prompt with the deadly part.
+type fragileFleet struct {
+	*site
+	crashed   atomic.Int64
+	lastCrash atomic.Pointer[time.Time]
+	requests  int
+}
+
+func newFragileFleet(t *testing.T, endpoints int) *fragileFleet {
+	f := &fragileFleet{site: newSite(t)}
+	f.publishConfiguration(1, 1000)
+	for i := range endpoints {
+		var e *standin.Endpoint
+		ready := make(chan struct{})
+		e = f.endpoint(fmt.Sprint("i-", i), "model", func(w http.ResponseWriter, r *http.Request, _ int) {
+			if !strings.Contains(r.Header.Get("Dotterelpulley-Prompt-Prefix"), deadlyPart) {
+				standin.WriteEvents(w, 1, 3)
+				return
+			}
+			<-ready
+			now := time.Now()
+			f.crashed.Add(1)
+			f.lastCrash.Store(&now)
+			e.Crash()
+			standin.AbortResponse()
+		})
+		close(ready)
+	}
+	return f
+}
+
+// ask sends a prompt with a body of its own.
+func (f *fragileFleet) ask(g *Gateway, path string, parts ...string) answer {
+	f.requests++
+	r := f.request(context.Background(), g, http.MethodPost, fmt.Sprint(path, f.requests), fmt.Sprint("body ", f.requests))
+	var list []string
+	for _, p := range append(parts, fmt.Sprint("own", f.requests)) {
+		list = append(list, p+":100")
+	}
+	r.Header.Set("Dotterelpulley-Prompt-Prefix", strings.Join(list, ","))
+	return f.send(r)
+}
+
+// askDeadly sends prompts with the deadly part, no two alike, until one is refused.
+func (f *fragileFleet) askDeadly(g *Gateway) answer {
+	for {
+		before := f.crashed.Load()
+		a := f.ask(g, []string{"/plan/", "/advice/"}[f.requests%2], firstPart, deadlyPart, fmt.Sprint("other", f.requests))
+		if f.crashed.Load() == before {
+			return a
+		}
+		f.waitFor("the next crash is another incident", func() bool { return time.Since(*f.lastCrash.Load()) > 300*time.Millisecond })
+		f.Assert(f.ask(g, "/plan/", firstPart).status, qt.Equals, http.StatusOK)
+	}
+}
+
+func (f *fragileFleet) knows(g *Gateway) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return slices.Equal(g.parts.Isolated(time.Now()), []isolator.Part{partOfID(deadlyPart)})
+}
+
+// partOfID returns the model service's part with the id.
+func partOfID(id string) isolator.Part {
+	h := http.Header{"Dotterelpulley-Prompt-Prefix": {id + ":1,x:1"}}
+	return partsOf(&request{service: "model", RequestMetadata: platform.DecodeRequestMetadata(h)})[0]
+}
+
+// Guards against endpoints that crash one after the other on requests which share one part of their prompts.
+func TestRequestsWithAPartThatCrashesEndpointsAreRefusedOnAllHosts(t *testing.T) {
+	f := newFragileFleet(t, 9)
+	hosts := startHosts(f.site, 2)
+	for _, g := range hosts {
+		f.waitFor("the endpoints are known", func() bool { return len(registrations(g)) == 9 })
+		f.waitForAllowance(g, 50)
+	}
+	f.Assert(f.ask(hosts[0], "/plan/", firstPart).status, qt.Equals, http.StatusOK)
+	refused := f.askDeadly(hosts[0])
+	f.Assert(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Assert(refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	crashed := f.crashed.Load()
+	f.Assert(crashed <= 5, qt.IsTrue, qt.Commentf("%d endpoints crashed", crashed))
+	f.waitFor("the other host knows", func() bool { return f.knows(hosts[1]) })
+	for _, g := range hosts {
+		for _, path := range []string{"/plan/", "/advice/"} {
+			f.Assert(f.ask(g, path, firstPart, deadlyPart).status, qt.Equals, http.StatusServiceUnavailable)
+			f.Assert(f.ask(g, path, deadlyPart, "more").status, qt.Equals, http.StatusServiceUnavailable)
+			f.Assert(f.ask(g, path, firstPart, "other").status, qt.Equals, http.StatusOK)
+		}
+	}
+	f.Assert(f.crashed.Load(), qt.Equals, crashed)
+}
+
+// Guards against a part that crashes endpoints anew after all hosts have restarted.
+func TestAnIsolatedPartOutlivesARestartOfAllHosts(t *testing.T) {
+	f := newFragileFleet(t, 9)
+	empty := f.store.Copy()
+	g := f.startReadyGateway()
+	f.waitFor("the endpoints are known", func() bool { return len(registrations(g)) == 9 })
+	f.waitForAllowance(g, 50)
+	f.Assert(f.ask(g, "/plan/", firstPart).status, qt.Equals, http.StatusOK)
+	f.Assert(f.askDeadly(g).status, qt.Equals, http.StatusServiceUnavailable)
+	kept := func() bool {
+		records := f.store.Records(platform.IsolationsTopic)
+		return len(records) > 0 && len(records[len(records)-1].Value) > 0
+	}
+	f.waitFor("the part is kept", kept)
+	f.store.Restore(empty)
+	f.waitFor("the part is kept again", kept)
+	g.cancel()
+	other := f.startGateway()
+	f.waitFor("the host has read the part", func() bool { return f.knows(other) })
+}
+
+// Guards against a part that stays in the store after an answer has cleared it.
+func TestAClearedPartLeavesTheStore(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	part := partOfID(deadlyPart)
+	now := time.Now()
+	for i := range isolator.Incident(3) {
+		g.receiveParts(now, "host-9", []announcer.PartFact{{Part: uint64(part), Incident: uint32(i), Age: time.Duration(i) * time.Second}})
+	}
+	run := isolator.AttemptID(1)
+	g.mutex.Lock()
+	isolated := g.parts.Isolated(now)
+	_, refused := g.parts.Begin(now.Add(2*time.Minute), []isolator.Part{part}, "i-1", run, func(isolator.Part) bool { return true })
+	changes := g.parts.Answered(now.Add(2*time.Minute), "i-1", run)
+	g.mutex.Unlock()
+	s.Assert(isolated, qt.DeepEquals, []isolator.Part{part})
+	s.Assert(refused, qt.IsFalse)
+	g.notePartChanges(changes, "answered")
+	s.waitFor("the record is deleted", func() bool {
+		records := s.store.Records(platform.IsolationsTopic)
+		return len(records) > 0 && records[len(records)-1].Key == part.String() && len(records[len(records)-1].Value) == 0
+	})
+}
+
+// Guards against records that hosts of the next version can't read, or that another writer has garbled.
+func TestKeptPartsAreDecodedAsWritten(t *testing.T) {
+	c := qt.New(t)
+	facts := []isolator.PartFact{{Part: 7, Incident: 1 << 31, Evidence: isolator.Vouched, Age: time.Minute}, {Part: 7, Incident: 2, Age: time.Second}}
+	record, err := encodeKeptPart(7, isolator.IsolatedPart, facts)
+	c.Assert(err, qt.IsNil)
+	got, err := decodeKeptPart(record)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, facts)
+	record, err = encodeKeptPart(7, isolator.Suspected, facts)
+	c.Assert(err, qt.IsNil)
+	c.Assert(record.Value, qt.HasLen, 0)
+	for _, garbled := range []platform.Record{{Key: "zz", Value: []byte("[]")}, {Key: "7", Value: []byte("{")}} {
+		_, err := decodeKeptPart(garbled)
+		c.Assert(err, qt.IsNotNil)
+	}
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -141,13 +141,13 @@
 // send sends the request to the endpoint and handles its response.
 func (p *proxiedRequest) send(ctx context.Context, placed scheduler.Placed) outcome {
 	g := p.gateway
-	now := time.Now()
-	p.attempts++
 	p.events = 0
-	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts)), startedAt: now}
-	g.mutex.Lock()
-	g.isolator.Started(now, p.fingerprint, placed.Endpoint.ID, a.attemptID)
-	g.mutex.Unlock()
+	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts+1)), startedAt: time.Now()}
+	if refused := p.beginRun(a); refused != nil {
+		p.refuse(refused)
+		return outcomeDone
+	}
+	p.attempts++
 	header := p.header.Clone()
 	platform.Dispatch{
 		Endpoint: placed.Endpoint.ID, Organisation: p.organisation,
@@ -217,15 +217,13 @@
 // handleFailedRun decides how the request continues after a run that the endpoint did not complete.
 func (p *proxiedRequest) handleFailedRun(ctx context.Context, a attempt, err error) outcome {
 	if p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
-		p.gateway.mutex.Lock()
-		p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
-		p.gateway.mutex.Unlock()
+		p.gateway.endpointCrashed(time.Now(), a.Endpoint.ID)
 		p.gateway.connector.CloseIdle(a.Endpoint.Address)
 		p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 	} else {
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 	}
-	if !p.route.Repeatable() || !p.canRunAgain() {
+	if !p.route.Repeatable() || !p.canRunAgain() || !p.mayRepeat() {
 		return outcomeFailed
 	}
 	return p.retry()
@@ -262,6 +260,7 @@
 	now := time.Now()
 	p.gateway.mutex.Lock()
 	p.gateway.isolator.Ended(a.Endpoint.ID, a.attemptID)
+	p.gateway.parts.Ended(a.Endpoint.ID, a.attemptID)
 	if result == scheduler.ResultCompleted {
 		p.gateway.isolator.Completed(now, p.fingerprint)
 	}
@@ -272,17 +271,8 @@
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
-			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Strs("parts", partNames(p.SharedParts)).Err(err).Msg("")
-	}
-}
-
-// partNames returns the names of prompt parts in the log.
-func partNames(parts []platform.PromptPart) []string {
-	var names []string
-	for _, part := range parts {
-		names = append(names, part.String())
+			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.parts)).Err(err).Msg("")
 	}
-	return names
 }
 
 var resultNames = map[scheduler.Result]string{
