--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -119,6 +119,9 @@
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
+	if !failed {
+		p.noteAnswered(a)
+	}
 	if !whole {
 		return p.relayRemainder(ctx, a, exchange, &body)
 	}
@@ -217,6 +220,10 @@
 		}
 		lastEventAt = now
 		events++
+		p.events = events
+		if events == 2 {
+			p.noteAnswered(a)
+		}
 		if !p.writeEvent(exchange, event) {
 			exchange.Abort()
 			p.finishAttempt(a, scheduler.ResultCancelled, errors.New("the caller accepts no more events"))
@@ -227,6 +234,7 @@
 		p.response.sendHeaders(exchange)
 	}
 	watch.Close()
+	p.noteAnswered(a)
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
 	p.logAnswered(a, exchange.StatusCode, longestPause, firstEventAt)
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -43,6 +43,8 @@
 	arrived      time.Time
 	deadline     time.Time
 	fingerprint  isolator.Fingerprint
+	// parts are those of the prompt that may be isolated.
+	parts []isolator.Part
 
 	method string
 	target string
@@ -195,7 +197,7 @@
 	q.body = into.data
 	// The caller may be silent from here on; after an error the limit stays, as the server reads on.
 	g.limitBodyTime(w, time.Time{})
-	q.fingerprint = fingerprintOf(q)
+	q.fingerprint, q.parts = fingerprintOf(q), partsOf(q)
 	return nil
 }
 
@@ -239,6 +241,9 @@
 		refused.retryAfter = crashMemory
 		return refused
 	}
+	if refused := g.checkParts(now, q); refused != nil {
+		return refused
+	}
 	if q.organisation == "" {
 		return nil
 	}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -38,6 +38,8 @@
 	// lastError is why the last attempt ended, notContinued why no other endpoint got the request after it.
 	lastError    error
 	notContinued string
+	// events counts the events of the current attempt.
+	events int
 }
 
 // attempt is one dispatch of the request to one endpoint.
@@ -146,21 +148,24 @@
 
 // send sends the request to the endpoint and handles its response.
 func (p *proxiedRequest) send(ctx context.Context, placed scheduler.Placed) outcome {
-	a := p.startAttempt(placed)
+	p.events = 0
+	a, refused := p.startAttempt(placed)
+	if refused != nil {
+		p.refuse(refused)
+		return outcomeDone
+	}
 	exchange, err := p.dispatch(ctx, a)
 	return p.handleExchange(ctx, a, exchange, err)
 }
 
-// startAttempt begins an attempt at the endpoint, which finishAttempt ends.
-func (p *proxiedRequest) startAttempt(placed scheduler.Placed) attempt {
-	g := p.gateway
-	now := time.Now()
+// startAttempt begins an attempt at the endpoint, which finishAttempt ends, unless the request is refused for its prompt's parts.
+func (p *proxiedRequest) startAttempt(placed scheduler.Placed) (attempt, *refusal) {
+	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts+1)), startedAt: time.Now()}
+	if refused := p.beginRun(a); refused != nil {
+		return attempt{}, refused
+	}
 	p.attempts++
-	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts)), startedAt: now}
-	g.mutex.Lock()
-	g.isolator.Started(now, p.fingerprint, placed.Endpoint.ID, a.attemptID)
-	g.mutex.Unlock()
-	return a
+	return a, nil
 }
 
 // dispatch sends the request to the attempt's endpoint and waits for the response's headers; it changes nothing of p.
@@ -249,6 +254,10 @@
 		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
 	}
+	if !p.mayRepeat() {
+		p.notContinued = "a part of the prompt is suspected of crashing endpoints"
+		return outcomeFailed
+	}
 	return p.retry()
 }
 
@@ -258,9 +267,7 @@
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 		return
 	}
-	p.gateway.mutex.Lock()
-	p.gateway.recordCrash(time.Now(), a.Endpoint.ID)
-	p.gateway.mutex.Unlock()
+	p.gateway.endpointCrashed(time.Now(), a.Endpoint.ID)
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
 	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 }
@@ -298,6 +305,7 @@
 	now := time.Now()
 	p.gateway.mutex.Lock()
 	p.gateway.isolator.Ended(a.Endpoint.ID, a.attemptID)
+	p.gateway.parts.Ended(a.Endpoint.ID, a.attemptID)
 	if result == scheduler.ResultCompleted {
 		p.gateway.isolator.Completed(now, p.fingerprint)
 	}
@@ -309,7 +317,7 @@
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
-			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Err(err).Msg("")
+			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.parts)).Err(err).Msg("")
 	}
 }
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -126,8 +126,13 @@
 
 // start sends the rest of the stream's request to another endpoint; its answer ends the read of the silent one.
 func (w *silenceWatch) start(placed scheduler.Placed) {
+	a, refused := w.startAttempt(placed)
+	if refused != nil {
+		// A part of the prompt was isolated meanwhile, so that no other endpoint may get the request.
+		return
+	}
 	ctx, cancel := context.WithCancel(w.ctx)
-	s := &successor{attempt: w.startAttempt(placed), cancel: cancel, done: make(chan struct{})}
+	s := &successor{attempt: a, cancel: cancel, done: make(chan struct{})}
 	w.successor = s
 	go func() {
 		defer close(s.done)
