Check in the soak that no accepted request is lost

The soak had no check that a request which reached a sound endpoint gets a whole answer or a refusal, and no endpoint that falls silent and goes on. So it played for thousands of requests past the host that cut silent streams.

The check no-answer-lost holds beside changes of the configuration, reloads and planned stops, not beside faults at the request's host or endpoint. A service of its own has one endpoint that no fault strikes and that falls silent for 1.4 s in half of its streams. The random numbers of a seed and its faults stay the same.

Three planted violations of other checks changed, so that each still breaks its own check only: an incomplete stream with a missing or doubled event now lasts to its time limit, and the requests that nothing served after the faults get 502 rather than nothing.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -93,11 +93,13 @@
 
 func (c *caller) send(ctx context.Context, target *host) {
 	c.requestCount++
-	route := routes[c.random.IntN(len(routes))]
+	id := AttemptID(c.name + "-" + strconv.Itoa(c.requestCount))
+	route := routeOf(c.random.IntN(drawnRoutes), id)
 	sent := Sent{
-		AttemptID: AttemptID(c.name + "-" + strconv.Itoa(c.requestCount)), Route: route.ID, Key: c.key(),
+		AttemptID: id, Route: route.ID, Key: c.key(),
 		Host: target.id, Start: target.startCount(), SentAt: time.Now(),
 	}
+	soak := ctx
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+queryTimeout)
 	defer cancel()
 	method, body := http.MethodPost, "body of "+string(sent.AttemptID)
@@ -113,7 +115,7 @@
 	request.GetBody = nil
 	standin.RequestHeaders{AttemptID: string(sent.AttemptID), Key: sent.Key, Timeout: routeTimeout}.Apply(request.Header)
 	c.readResponse(request, route, &sent)
-	sent.EndedAt = time.Now()
+	sent.EndedAt, sent.Withdrawn = time.Now(), soak.Err() != nil
 	c.site.ledger.record(func(o *Observations) { o.Sent = append(o.Sent, sent) })
 	if sent.Status == 0 || sent.Status == http.StatusServiceUnavailable {
 		c.client.CloseIdleConnections()
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -23,6 +23,10 @@
 	budgetExtra        = 56
 	usageWindow        = 8 * time.Second
 	usageOverrun       = 0.1
+	// troubleTime is how long a fault at an endpoint may break answers: connections that fell silent stay so.
+	troubleTime = maxFaultDuration + routeTimeout
+	// answerTime is the part of the time limit within which a request may not end without an answer.
+	answerTime = routeTimeout * 7 / 10
 	// minServedFraction is the fraction of requests that must be served after the recovery.
 	minServedFraction = 0.25
 )
@@ -57,6 +61,7 @@
 	{"refusals-are-true", refusalsNotExecuted},
 	{"whole-answers", answersComplete},
 	{"own-answers", answersMatchRequests},
+	{"no-answer-lost", acceptedRequestsAnswered},
 	{"keys", keysMatchOrganisations},
 	{"revoked-keys", revokedKeysRefused},
 	{"caps", usageWithinCaps},
@@ -155,6 +160,35 @@
 	}
 }
 
+// acceptedRequestsAnswered checks that a request which a host has passed on gets a whole answer or a refusal, also beside
+// changes of the configuration, reloads, planned stops and endpoints that fall silent and go on.
+func acceptedRequestsAnswered(v view, report func(AttemptID, string, ...any)) {
+	for _, s := range v.Sent {
+		took := s.EndedAt.Sub(s.SentAt)
+		if s.Status != 0 && s.Completed || s.Withdrawn || took > answerTime || v.hostsDisturbed(s) {
+			continue
+		}
+		arrivals := v.arrivalsByID[s.AttemptID]
+		if len(arrivals) > 0 && !slices.ContainsFunc(arrivals, v.troubled) {
+			report(s.AttemptID, "reached endpoint %s and ended after %s with status %d and events %v", arrivals[0].Endpoint, took, s.Status, s.Events)
+		}
+	}
+}
+
+// hostsDisturbed reports whether a fault at hosts that is no planned stop overlaps the request.
+func (v view) hostsDisturbed(s Sent) bool {
+	return slices.ContainsFunc(v.Disturbances, func(d Disturbance) bool {
+		return d.Name != stopFault && d.From.Before(s.EndedAt) && d.To.After(s.SentAt)
+	})
+}
+
+// troubled reports whether a fault at the endpoint may have broken the answer to the arrival.
+func (v view) troubled(a Arrival) bool {
+	return slices.ContainsFunc(v.Troubles, func(t Trouble) bool {
+		return t.Endpoint == a.Endpoint && t.At.Before(a.At.Add(routeTimeout)) && a.At.Before(t.At.Add(troubleTime))
+	})
+}
+
 func keysMatchOrganisations(v view, report func(AttemptID, string, ...any)) {
 	for _, a := range v.Arrivals {
 		s, ok := v.sentByID[a.AttemptID]
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -76,12 +76,12 @@
 		{"whole-answers", "an event is missing", func(o *Observations) {
 			s, _ := o.find("letter")
 			s.Events = append(s.Events[:1], s.Events[2:]...)
-			s.Completed = false
+			s.Completed, s.EndedAt = false, s.SentAt.Add(routeTimeout)
 		}},
 		{"whole-answers", "an event came twice", func(o *Observations) {
 			s, _ := o.find("advice")
 			s.Events = append([]int{1}, s.Events...)
-			s.Completed = false
+			s.Completed, s.EndedAt = false, s.SentAt.Add(routeTimeout)
 		}},
 		{"whole-answers", "a stream ended early as complete", func(o *Observations) {
 			s, _ := o.find("letter")
@@ -95,6 +95,15 @@
 			s, _ := o.find("lookup")
 			s.Body = expectedBody("another")
 		}},
+		{"no-answer-lost", "a stream of a sound endpoint was cut", func(o *Observations) {
+			s, _ := o.find("advice")
+			s.Events, s.Completed = s.Events[:2], false
+		}},
+		{"no-answer-lost", "a planned stop cut a booking", func(o *Observations) {
+			s, _ := o.find("booking")
+			s.Status, s.Signed, s.Completed, s.Body = 0, false, false, ""
+			o.Disturbances = []Disturbance{{Name: stopFault, From: s.SentAt, To: s.EndedAt}}
+		}},
 		{"keys", "the key was forwarded", func(o *Observations) {
 			_, a := o.find("lookup")
 			a.KeyForwarded = true
@@ -141,7 +150,7 @@
 		}},
 		{"recovery", "nothing is served after the faults", func(o *Observations) {
 			for i := range o.Sent {
-				o.Sent[i].Status, o.Sent[i].Completed = 0, false
+				o.Sent[i].Status, o.Sent[i].Signed = http.StatusBadGateway, false
 			}
 		}},
 	}
@@ -175,6 +184,16 @@
 	o.Disturbances = []Disturbance{{Name: "pause", From: a.At.Add(-time.Second), To: a.At}}
 	s, _ := o.find("booking")
 	s.Status, s.Signed, s.Body = http.StatusBadGateway, false, ""
+	// A stream may break off with its endpoint or its host, and when its time is over.
+	s, a = o.find("advice")
+	s.Events, s.Completed = s.Events[:2], false
+	o.Troubles = []Trouble{{Endpoint: a.Endpoint, At: a.At}}
+	c.Assert(Evaluate(o), qt.HasLen, 0)
+	o.Troubles = nil
+	o.Disturbances = append(o.Disturbances, Disturbance{Name: "kill", From: s.EndedAt.Add(-time.Millisecond), To: s.EndedAt})
+	c.Assert(Evaluate(o), qt.HasLen, 0)
+	o.Disturbances = o.Disturbances[:1]
+	s.EndedAt = s.SentAt.Add(routeTimeout)
 	c.Assert(Evaluate(o), qt.HasLen, 0)
 }
 
--- a/internal/soaker/configuration.go
+++ b/internal/soaker/configuration.go
@@ -18,6 +18,8 @@
 	maxEventInterval = 500 * time.Millisecond
 	plainService     = dotterelpulley.ServiceID("plain")
 	modelService     = dotterelpulley.ServiceID("model")
+	// soleService has one endpoint, which no fault strikes.
+	soleService = dotterelpulley.ServiceID("sole")
 )
 
 // route is a route of the soak with the properties that the checks need.
@@ -45,6 +47,22 @@
 	newRoute("lookup", router.Idempotent, plainService, 2, false),
 	newRoute("letter", router.Streaming, modelService, 1, false),
 	newRoute("advice", router.Streaming, modelService, 2, true),
+	newRoute("counsel", router.Streaming, soleService, 2, true),
+}
+
+// drawnRoutes is the number of routes that callers draw from; one in counselEvery requests for the last of these goes to the
+// route after it instead, which leaves the random numbers of a seed as they were.
+const (
+	drawnRoutes  = 4
+	counselEvery = 16
+)
+
+// routeOf returns the route of a request for which the caller has drawn the number.
+func routeOf(drawn int, a AttemptID) route {
+	if drawn == drawnRoutes-1 && xxhash.Sum64String(string(a))%counselEvery == 0 {
+		return routes[drawnRoutes]
+	}
+	return routes[drawn]
 }
 
 func routeByID(id dotterelpulley.RouteID) route {
@@ -90,7 +108,7 @@
 	for _, r := range routes {
 		c.Routes = append(c.Routes, r.Route)
 	}
-	for _, id := range []dotterelpulley.ServiceID{plainService, modelService} {
+	for _, id := range []dotterelpulley.ServiceID{plainService, modelService, soleService} {
 		c.Services = append(c.Services, router.Service{ID: id, MaxConnections: 200})
 	}
 	wide := router.Organisation{ID: withVersion(wideOrganisation, version), Keys: []router.CallerKey{"key-wide"}}
--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -19,6 +19,8 @@
 	// a soak sends many requests.
 	processingTime = 15 * time.Millisecond
 	eventInterval  = 8 * time.Millisecond
+	// silence is how long the endpoint of soleService falls silent in the middle of half of its streams.
+	silence = 1400 * time.Millisecond
 	// misbehaviourRate is the fraction of requests that a misbehaving endpoint handles wrongly.
 	misbehaviourRate = 0.4
 )
@@ -100,7 +102,7 @@
 	case b == behaviourFail:
 		standin.SignResponse(w)
 		w.WriteHeader(http.StatusInternalServerError)
-	case e.Service == modelService:
+	case e.Service != plainService:
 		e.stream(w, r, metadata, b)
 	default:
 		sleepWhileOpen(r, processingTime)
@@ -124,7 +126,11 @@
 	standin.SignResponse(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for number := lastEvent + 1; number <= count; number++ {
-		if !sleepWhileOpen(r, eventInterval) {
+		interval := eventInterval
+		if number == count/2 && e.Service == soleService && count%2 == 0 {
+			interval = silence
+		}
+		if !sleepWhileOpen(r, interval) {
 			return
 		}
 		if b == behaviourAbort && number > count/2 {
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -31,6 +31,9 @@
 // addedLatency is the delay of each chunk of data on a slow connection.
 const addedLatency = 120 * time.Millisecond
 
+// stopFault is the fault that stops a host as planned, with its full grace.
+const stopFault = "stop"
+
 var faults = []fault{
 	{"kill", true, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
 		h := s.randomHost(r)
@@ -47,7 +50,7 @@
 			s.restart(h)
 		}
 	}},
-	{"stop", true, func(ctx context.Context, s *site, r *rand.Rand, _ time.Duration) {
+	{stopFault, true, func(ctx context.Context, s *site, r *rand.Rand, _ time.Duration) {
 		h := s.randomHost(r)
 		h.stop(ctx)
 		s.restart(h)
@@ -86,28 +89,28 @@
 		link.LoseAnswers(0)
 	}},
 	{"endpoint-cut", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
-		s.refuseConnections(ctx, s.randomEndpoint(r).proxy, duration)
+		s.refuseConnections(ctx, s.troubledEndpoint(r).proxy, duration)
 	}},
 	{"endpoint-reset", false, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
-		s.randomEndpoint(r).proxy.CloseConnections()
+		s.troubledEndpoint(r).proxy.CloseConnections()
 	}},
 	{"endpoint-silent", false, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
-		s.randomEndpoint(r).proxy.SilenceConnections()
+		s.troubledEndpoint(r).proxy.SilenceConnections()
 	}},
 	{"endpoint-slow", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
-		slowDown(ctx, s.randomEndpoint(r).proxy, duration)
+		slowDown(ctx, s.troubledEndpoint(r).proxy, duration)
 	}},
 	{"endpoint-answers-lost", false, func(_ context.Context, s *site, r *rand.Rand, _ time.Duration) {
-		s.randomEndpoint(r).proxy.LoseAnswers(1 + r.IntN(10))
+		s.troubledEndpoint(r).proxy.LoseAnswers(1 + r.IntN(10))
 	}},
 	{"endpoint-misbehaves", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
-		e := s.randomEndpoint(r)
+		e := s.troubledEndpoint(r)
 		e.setBehaviour(1 + behaviour(r.IntN(int(behaviourCount)-1)))
 		sleep(ctx, duration)
 		e.setBehaviour(behaviourNormal)
 	}},
 	{"endpoint-leaves", false, func(ctx context.Context, s *site, r *rand.Rand, _ time.Duration) {
-		s.replaceEndpoint(ctx, s.randomEndpoint(r))
+		s.replaceEndpoint(ctx, s.troubledEndpoint(r))
 	}},
 	{"key-taken-away", false, func(_ context.Context, s *site, _ *rand.Rand, _ time.Duration) {
 		s.revokeKey()
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -30,6 +30,8 @@
 	Completed bool
 	Body      string
 	Events    []int
+	// Withdrawn reports whether the soak ended before the response did.
+	Withdrawn bool
 }
 
 // Arrival is a request that reached an endpoint.
@@ -58,6 +60,12 @@
 	At       time.Time
 }
 
+// Trouble is the start of a fault at an endpoint or on the way to it.
+type Trouble struct {
+	Endpoint dotterelpulley.EndpointID
+	At       time.Time
+}
+
 // Disturbance is a period in which a fault affected hosts or their connections to the store, or the soak stalled.
 type Disturbance struct {
 	Name string
@@ -72,6 +80,7 @@
 	Revocations  []Revocation
 	Drains       []Drain
 	Disturbances []Disturbance
+	Troubles     []Trouble
 	// Recovered is when all hosts were ready again after the last fault, or when the wait for that timed out.
 	Recovered time.Time
 }
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -34,6 +34,8 @@
 
 	mutex     sync.Mutex
 	endpoints []*endpoint
+	// sole is the endpoint of soleService.
+	sole *endpoint
 	// drained holds endpoints that have left; they still serve, as some hosts learn of the drain late.
 	drained          []*endpoint
 	startedEndpoints int
@@ -53,6 +55,11 @@
 	for range modelEndpoints {
 		s.addEndpoint(modelService)
 	}
+	var err error
+	if s.sole, err = startEndpoint("sole-1", soleService, &s.ledger, settings.Seed); err != nil {
+		return s, errors.Join(err, s.close())
+	}
+	s.sole.register(s.store, "ready")
 	s.publishConfiguration()
 	var seedAddresses []dotterelpulley.Address
 	for i := range settings.Hosts {
@@ -111,7 +118,7 @@
 	for _, e := range s.drained {
 		s.store.Put(platform.EndpointsTopic, string(e.ID), nil)
 	}
-	for _, e := range s.endpoints {
+	for _, e := range append([]*endpoint{s.sole}, s.endpoints...) {
 		e.register(s.store, "ready")
 	}
 }
@@ -139,6 +146,14 @@
 	return s.endpoints[r.IntN(len(s.endpoints))]
 }
 
+// troubledEndpoint returns a random endpoint for a fault and records the fault.
+func (s *site) troubledEndpoint(r *rand.Rand) *endpoint {
+	e := s.randomEndpoint(r)
+	trouble := Trouble{Endpoint: e.ID, At: time.Now()}
+	s.ledger.record(func(o *Observations) { o.Troubles = append(o.Troubles, trouble) })
+	return e
+}
+
 func (s *site) restart(h *host) {
 	s.addError(h.start())
 }
@@ -189,6 +204,9 @@
 	for _, e := range append(s.endpoints, s.drained...) {
 		s.addError(e.close())
 	}
+	if s.sole != nil {
+		s.addError(s.sole.close())
+	}
 	s.store.Close()
 	return errors.Join(s.errs...)
 }
