Limit the time of bodies that nobody reads

A request that is refused unread, or whose path takes no body, held its connection and a goroutine for as long as its body stayed incomplete, on all listeners: the server reads the rest before it answers, and no limit held for that. Callers' get a second, requests of the platform and of other hosts three in all.

TestABodyThatNobodyReadsHoldsNoConnection failed for all five listeners on the code before.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -27,6 +27,8 @@
 	defaultTimeout = time.Minute
 	// requestAmount is the usage of one request where the cap counts requests.
 	requestAmount = 1
+	// unreadBodyTimeout is how long the body of a request that is refused unread may take, as the server waits for it.
+	unreadBodyTimeout = time.Second
 	// unreadAnswerTimeout is how long after the deadline a caller may take to read the rest of its answer.
 	unreadAnswerTimeout = 2 * time.Second
 )
@@ -79,6 +81,8 @@
 	defer body.release()
 	if refused == nil {
 		refused = g.readBody(w, r, q, &body)
+	} else if r.ContentLength != 0 {
+		g.limitBodyTime(w, arrived.Add(unreadBodyTimeout))
 	}
 	if refused == nil {
 		refused = g.checkLimits(arrived, q)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,8 @@
 	// headerTimeout and idleTimeout are longer than those that operators set for callers, who close idle connections first.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// smallRequestTimeout limits the reading of requests by the platform and other hosts, which have little or no body.
+	smallRequestTimeout = 3 * time.Second
 	// maxHeaderBytes is larger than the limit that operators set for callers.
 	maxHeaderBytes = 64 << 10
 	// housekeepingInterval is the time between two removals of expired state.
@@ -166,6 +168,8 @@
 	g.servers = append(g.servers, server)
 	if address == g.settings.CallerAddress {
 		g.callerServer = server
+	} else {
+		server.ReadTimeout = smallRequestTimeout
 	}
 	g.goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -1,14 +1,18 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
 )
 
 // callSilently sends a caller's request and leaves its connection open without reading from it.
@@ -53,3 +57,28 @@
 	s.Assert(string(answer), qt.Matches, `(?s)HTTP/1.1 503 .*`)
 	s.waitFor("the request is gone", func() bool { return g.inFlight.Load() == 0 })
 }
+
+// A body that nobody reads must not hold its connection for as long as it stays incomplete: the server waits for the rest.
+func TestABodyThatNobodyReadsHoldsNoConnection(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	for name, address := range map[string]dotterelpulley.Address{
+		"callers": g.settings.CallerAddress, "directory": g.settings.DirectoryAddress, "readiness": g.settings.ReadinessAddress,
+		"metrics": g.metricsAddress(), "relay": g.peers.self().PeerAddress,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			conn, err := net.Dial("tcp", string(address))
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /unknown HTTP/1.1\r\nHost: h.example\r\nContent-Length: 10\r\n\r\nshort")
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.SetReadDeadline(time.Now().Add(conditionTimeout)), qt.IsNil)
+			_, err = io.Copy(io.Discard, conn)
+			c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+		})
+	}
+}
