Limit the messages between entry hosts

Each message of another host, gossip or a part of a forwarded answer, was read into memory whatever its size.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,7 +153,7 @@
 	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
 	mux.HandleFunc("GET /v1/records", e.handleRecords)
 	mux.HandleFunc("POST /v1/bad-versions", e.handleBadVersion)
-	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}))
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}, limitPeerMessages()))
 	e.peerServer = &http.Server{
 		Handler:           mux,
 		Protocols:         peerListenerProtocols(),
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -9,9 +9,12 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
+	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 	"github.com/dotterelpulley/dotterelpulley/lister"
 )
 
@@ -84,3 +87,25 @@
 	f.Assert(status, qt.Equals, dotterelpulley.ErrorOutcomeUnknown.Answer().Status)
 	f.Assert(refusal.Truth, qt.Equals, dotterelpulley.OutcomeUnknown.String())
 }
+
+// A host whose messages have no end must not fill the memory of the others.
+func TestAnotherHostsMessageBeyondTheLimitIsAnError(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
+		part := make([]byte, 1<<20)
+		for sent := slurper.Bytes(0); sent <= slurper.DefaultLimit; sent += slurper.Bytes(len(part)) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	}))
+	peer.Config.Protocols = peerListenerProtocols()
+	peer.Start()
+	f.Cleanup(peer.Close)
+	address := dotterelpulley.Address(strings.TrimPrefix(peer.URL, "http://"))
+	_, err := f.entries[0].peer(address).Exchange(t.Context(), &peerpb.ExchangeRequest{})
+	f.Assert(connect.CodeOf(err), qt.Equals, connect.CodeResourceExhausted, qt.Commentf("%v", err))
+	_, err = f.entries[0].callPeer(http.MethodGet, address, "/v1/records", nil)
+	f.Assert(err, qt.ErrorIs, slurper.ErrTooLarge)
+}
