--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -76,9 +76,11 @@
 		// maxHeap is a third of the memory of the smallest host, as the collector lets the heap double.
 		maxHeap = 88 << 20 / 3
 	)
+	// The heads and bodies are each just within what one answer is allowed.
 	part := strings.Repeat("x", 500<<10)
 	for name, test := range map[string]struct{ service, path, text string }{
 		"answers": {"plain", "/lookup/", signedHead + "Content-Length: " + strconv.Itoa(len(part)+1) + "\r\n\r\n" + part},
+		"heads":   {"plain", "/lookup/", signedHead + strings.Repeat("X-Field: "+strings.Repeat("x", 80)+"\r\n", 600)},
 		"events":  {"model", "/plan/", signedHead + "Content-Type: text/event-stream\r\n\r\n" + part + part},
 	} {
 		t.Run(name, func(t *testing.T) {
