Isolate a part after a burst of crashes

Four endpoints in at least two incidents now isolate a part that no run was answered with; a rack that fails is still one incident. Parts that were answered before keep their limit of five incidents.

--- a/isolator/part.go
+++ b/isolator/part.go
@@ -92,6 +92,8 @@
 	incidentSpan = 150 * time.Millisecond
 	// partLimit and vouchedPartLimit are the incidents from which a part is isolated, without and with answers before them.
 	partLimit        = 3
+	// burstLimit is the endpoints that crash in at least two incidents from which on a part without answers is isolated as well.
+	burstLimit = 4
 	vouchedPartLimit = 5
 	// firstParole is the time after the last incident until an isolated part is tried; each further incident doubles it.
 	firstParole = time.Minute
@@ -153,6 +155,7 @@
 	s := standing{limit: partLimit}
 	var spanStart time.Time
 	decided := false
+	endpoints := 0
 	for _, i := range r.incidents {
 		if i.evidence.has(Refuted) || now.Sub(i.at) > incidentLifetime {
 			continue
@@ -166,7 +169,9 @@
 			spanStart = i.at
 		}
 		s.newest = i.at
+		endpoints++
 	}
+	decided = decided || s.incidents >= partLimit-1 && endpoints >= burstLimit
 	if decided && s.limit == partLimit {
 		s.incidents = max(s.incidents, s.limit)
 	}
