Keep an isolated part in the store though all hosts were told of it

Only a host that saw the deciding crash itself wrote it, and as hosts time incidents a little differently, each had been told by another one. The host that tries the part on parole now writes it as well.

TestAPartIsInTheStoreWhileItIsIsolated waits for the record and failed without this.

--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -126,6 +126,8 @@
 	changes := g.parts.Receive(now, facts)
 	g.mutex.Unlock()
 	g.logPartChanges(changes, "told by "+string(from))
+	// Hosts time incidents a little differently, so that there may be none that saw the deciding one itself.
+	g.keepOwnParts(now, changes)
 }
 
 // reportedParts returns what the digest with this number tells of parts; the mutex must be held.
@@ -171,9 +173,14 @@
 	changes := g.parts.Prune(now)
 	g.mutex.Unlock()
 	g.logPartChanges(changes, "expired")
+	g.keepOwnParts(now, changes)
+}
+
+// keepOwnParts keeps the parts that were isolated or no longer are, and that this host tries on parole.
+func (g *Gateway) keepOwnParts(now time.Time, changes []isolator.PartChange) {
 	mayTry := g.mayTryPart(now)
 	for _, c := range changes {
-		if mayTry(c.Part) {
+		if (c.From == isolator.IsolatedPart) != (c.To == isolator.IsolatedPart) && mayTry(c.Part) {
 			g.keepPart(c.Part)
 		}
 	}
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -137,8 +137,9 @@
 	f.waitFor("the host has read the part", func() bool { return f.knows(other) })
 }
 
-// Guards against a part that stays in the store after an answer has cleared it.
-func TestAClearedPartLeavesTheStore(t *testing.T) {
+// Guards against a part that no host keeps, as all were told of the deciding crash, and against one that stays in the store
+// after an answer has cleared it.
+func TestAPartIsInTheStoreWhileItIsIsolated(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
 	s.endpoint("i-1", "plain", answerHello)
@@ -148,6 +149,7 @@
 	for i := range isolator.Incident(3) {
 		g.receiveParts(now, "host-9", []announcer.PartFact{{Part: uint64(part), Incident: uint32(i), Age: time.Duration(i) * time.Second}})
 	}
+	s.waitFor("the part is kept", func() bool { return len(s.store.Records(platform.IsolationsTopic)) > 0 })
 	run := isolator.AttemptID(1)
 	g.mutex.Lock()
 	isolated := g.parts.Isolated(now)
