Keep the incidents that count when a part has many

A part that was answered before stayed suspected through a burst of crashes, however many: only its last eight incidents are held, and within 240 ms those count as two. The incident that follows another most closely is now dropped instead of the oldest. The new test fails on the code before with 40 crashes 30 ms apart.

--- a/isolator/part.go
+++ b/isolator/part.go
@@ -91,9 +91,9 @@
 	// incidentSpan is the time within which crashes count as one incident: many endpoints that fail together prove nothing.
 	incidentSpan = 150 * time.Millisecond
 	// partLimit and vouchedPartLimit are the incidents from which a part is isolated, without and with answers before them.
-	partLimit        = 3
+	partLimit = 3
 	// burstLimit is the endpoints that crash in at least two incidents from which on a part without answers is isolated as well.
-	burstLimit = 4
+	burstLimit       = 4
 	vouchedPartLimit = 5
 	// firstParole is the time after the last incident until an isolated part is tried; each further incident doubles it.
 	firstParole = time.Minute
@@ -202,21 +202,32 @@
 	r.incidents = append(r.incidents, added)
 	r.sort()
 	if len(r.incidents) > maxIncidents {
-		at := r.mostTold()
+		at := r.dispensable()
 		r.incidents = slices.Delete(r.incidents, at, at+1)
 	}
 	return true
 }
 
-// mostTold returns the position of the refuted incident that has been told the most, as the open ones decide, or of the oldest.
-func (r *partRecord) mostTold() int {
+// dispensable returns the position of the refuted incident that has been told the most, as the open ones decide, or of the
+// one that follows another most closely.
+func (r *partRecord) dispensable() int {
 	found := -1
 	for at, i := range r.incidents {
 		if i.evidence.has(Refuted) && (found < 0 || i.sends > r.incidents[found].sends) {
 			found = at
 		}
 	}
-	return max(found, 0)
+	if found >= 0 {
+		return found
+	}
+	gap := func(at int) time.Duration { return r.incidents[at].at.Sub(r.incidents[at-1].at) }
+	found = 1
+	for at := 2; at < len(r.incidents); at++ {
+		if gap(at) < gap(found) {
+			found = at
+		}
+	}
+	return found
 }
 
 func (r *partRecord) sort() {
--- a/isolator/part_guard_test.go
+++ b/isolator/part_guard_test.go
@@ -206,6 +206,17 @@
 	c.Assert(h.begin(fleetStart.Add(160*time.Millisecond), []isolator.Part{7}), qt.Equals, isolator.AttemptID(0))
 }
 
+// Guards against a burst whose last crashes, which are too close to count, push out those before them.
+func TestABurstOfCrashesIsolatesAPartThatWasSoundBefore(t *testing.T) {
+	c := qt.New(t)
+	var h partHost
+	h.answer(fleetStart, 7)
+	for i := range isolator.Incident(40) {
+		h.crash(fleetStart.Add(time.Duration(i+1)*30*time.Millisecond), i, 7)
+	}
+	c.Assert(h.State(fleetStart.Add(2*time.Second), 7), qt.Equals, isolator.IsolatedPart)
+}
+
 // Guards against a crash that counts once for each host that saw it.
 func TestOneCrashCountsOnceWhoeverReportsIt(t *testing.T) {
 	c := qt.New(t)
