Try isolated parts after half a minute, and isolate bursts by five endpoints

A property run found a popular part refused for the rest of the play: five endpoints failed within 0.2 s, two seconds after the start, before the part was ever answered. Nothing tells such a part from a deadly one, so that only its parole frees it, which now comes after 30 s instead of a minute; and a burst takes five endpoints instead of four.

--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -15,8 +15,8 @@
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
-// partRetryAfter is the retry delay of a request with an isolated part, which is tried again after a minute at the earliest.
-const partRetryAfter = time.Minute
+// partRetryAfter is the retry delay of a request with an isolated part, which is tried again after that time at the earliest.
+const partRetryAfter = 30 * time.Second
 
 // partsOf returns the parts of the request's prompt that may be isolated.
 func partsOf(q *request) []isolator.Part {
--- a/isolator/part.go
+++ b/isolator/part.go
@@ -93,10 +93,10 @@
 	// partLimit and vouchedPartLimit are the incidents from which a part is isolated, without and with answers before them.
 	partLimit = 3
 	// burstLimit is the endpoints that crash in at least two incidents from which on a part without answers is isolated as well.
-	burstLimit       = 4
+	burstLimit       = 5
 	vouchedPartLimit = 5
 	// firstParole is the time after the last incident until an isolated part is tried; each further incident doubles it.
-	firstParole = time.Minute
+	firstParole = 30 * time.Second
 	maxParole   = 16 * time.Minute
 	// incidentLifetime is how long an incident counts, and incidentRelayTime how long hosts tell it to each other.
 	incidentLifetime  = 20 * time.Minute
