--- a/isolator/part.go
+++ b/isolator/part.go
@@ -91,10 +91,12 @@
 	// incidentSpan is the time within which crashes count as one incident: many endpoints that fail together prove nothing.
 	incidentSpan = 150 * time.Millisecond
 	// partLimit and vouchedPartLimit are the incidents from which a part is isolated, without and with answers before them.
-	partLimit        = 3
+	partLimit = 3
+	// burstLimit is the endpoints that crash in at least two incidents from which on a part without answers is isolated as well.
+	burstLimit       = 5
 	vouchedPartLimit = 5
 	// firstParole is the time after the last incident until an isolated part is tried; each further incident doubles it.
-	firstParole = time.Minute
+	firstParole = 30 * time.Second
 	maxParole   = 16 * time.Minute
 	// incidentLifetime is how long an incident counts, and incidentRelayTime how long hosts tell it to each other.
 	incidentLifetime  = 20 * time.Minute
@@ -153,6 +155,7 @@
 	s := standing{limit: partLimit}
 	var spanStart time.Time
 	decided := false
+	endpoints := 0
 	for _, i := range r.incidents {
 		if i.evidence.has(Refuted) || now.Sub(i.at) > incidentLifetime {
 			continue
@@ -166,7 +169,9 @@
 			spanStart = i.at
 		}
 		s.newest = i.at
+		endpoints++
 	}
+	decided = decided || s.incidents >= partLimit-1 && endpoints >= burstLimit
 	if decided && s.limit == partLimit {
 		s.incidents = max(s.incidents, s.limit)
 	}
@@ -197,21 +202,32 @@
 	r.incidents = append(r.incidents, added)
 	r.sort()
 	if len(r.incidents) > maxIncidents {
-		at := r.mostTold()
+		at := r.dispensable()
 		r.incidents = slices.Delete(r.incidents, at, at+1)
 	}
 	return true
 }
 
-// mostTold returns the position of the refuted incident that has been told the most, as the open ones decide, or of the oldest.
-func (r *partRecord) mostTold() int {
+// dispensable returns the position of the refuted incident that has been told the most, as the open ones decide, or of the
+// one that follows another most closely.
+func (r *partRecord) dispensable() int {
 	found := -1
 	for at, i := range r.incidents {
 		if i.evidence.has(Refuted) && (found < 0 || i.sends > r.incidents[found].sends) {
 			found = at
 		}
 	}
-	return max(found, 0)
+	if found >= 0 {
+		return found
+	}
+	gap := func(at int) time.Duration { return r.incidents[at].at.Sub(r.incidents[at-1].at) }
+	found = 1
+	for at := 2; at < len(r.incidents); at++ {
+		if gap(at) < gap(found) {
+			found = at
+		}
+	}
+	return found
 }
 
 func (r *partRecord) sort() {
