Keep draining when SIGTERM is repeated

A supervisor that sent SIGTERM once more made a draining host drop the requests that it had accepted: their connections ended without an answer, with most of the grace left.

Cause: any second signal ended the drain at once. That is of use to a person at a terminal, who sends SIGINT; a platform repeats SIGTERM and ends the process itself when the grace is over.

Found by reading. TestARepeatedSIGTERMCutsNoRequest failed before (EOF in place of the answer).

--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// run serves until a signal starts a drain; a second signal ends the drain at once. SIGHUP reloads the settings.
+// run serves until a signal starts a drain; SIGINT ends the drain at once, while a repeated SIGTERM changes nothing. SIGHUP
+// reloads the settings.
 func run() error {
 	// The handlers come first: until then, each of these signals would kill the process.
 	reload, stop := notify(syscall.SIGHUP), notify(syscall.SIGTERM, syscall.SIGINT)
@@ -60,7 +61,7 @@
 			serving = false
 		}
 	}
-	interrupted, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	interrupted, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT)
 	defer cancel()
 	g.Drain(interrupted)
 	if err := g.Close(); err != nil {
--- a/cmd/dotterel-gateway/main_test.go
+++ b/cmd/dotterel-gateway/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -87,3 +88,48 @@
 	h.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
 	h.Assert(h.ExitCode(), qt.Equals, 0, qt.Commentf("%s", h.LogTail()))
 }
+
+const configuration = `{"version":1,"routes":[{"name":"call","host":"h.example","path_prefix":"/call/","kind":"non_idempotent",
+	"timeout_ms":20000,"target_latency_ms":5000,"service":"plain","max_attempts":1}],
+	"services":[{"name":"plain","health_path":"/health","max_conns":100}]}`
+
+// A supervisor that sends SIGTERM again must not make a draining host drop its requests.
+func TestARepeatedSIGTERMCutsNoRequest(t *testing.T) {
+	store := standin.StartStore()
+	defer store.Close()
+	store.Put(platform.OperatorsTopic, platform.ConfigurationKey, []byte(configuration))
+	started := make(chan struct{})
+	endpoint := standin.StartEndpoint("i-1", "plain", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		close(started)
+		<-time.After(time.Second)
+		standin.SignResponse(w)
+	})
+	defer endpoint.Close()
+	endpoint.Register(store, "ready")
+	h := startHost(t, "127.77.0.2", store.Address(), func(h *host) {
+		h.Assert(os.WriteFile(h.settingsPath, h.settings, 0o600), qt.IsNil)
+	})
+	h.waitForEvent("configuration")
+	h.waitForEvent("endpoint")
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.77.0.2:8001/call/", http.NoBody)
+	h.Assert(err, qt.IsNil)
+	request.Host = "h.example"
+	request.Header.Set("Dotterelpulley-Attempt-Id", "a1")
+	answered := make(chan error, 1)
+	status := 0
+	go func() {
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err == nil {
+			status = response.StatusCode
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-started
+	h.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
+	h.waitForEvent("drain")
+	h.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
+	h.Assert(<-answered, qt.IsNil)
+	h.Assert(status, qt.Equals, http.StatusOK)
+	h.Assert(h.ExitCode(), qt.Equals, 0, qt.Commentf("%s", h.LogTail()))
+}
