--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	defaultTimeout = time.Minute
 	// requestAmount is the usage of one request where the cap counts requests.
 	requestAmount = 1
+	// unreadAnswerTimeout is how long after the deadline a caller may take to read the rest of its answer.
+	unreadAnswerTimeout = 2 * time.Second
 )
 
 // request is a caller's request while this host handles it.
@@ -70,6 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := g.admit(arrived, r)
+	g.limitAnswerTime(w, arrived, q)
 	if refused == nil {
 		refused = g.readBody(w, r, q)
 	}
@@ -161,18 +165,50 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	hasBody := r.ContentLength != 0
+	if hasBody {
+		g.limitBodyTime(w, q.deadline)
+	}
 	var err error
 	if q.body, err = io.ReadAll(body); err != nil {
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.As(err, &large):
 			return newRefusal(dotterelpulley.ErrorTooLarge, "body over the limit")
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			refused := newRefusal(dotterelpulley.ErrorDeadlinePassed, "the deadline passed in the body")
+			// The request hasn't run.
+			refused.status = http.StatusServiceUnavailable
+			return refused
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
+	if hasBody {
+		// The caller may be silent from here on; after an error the limit stays, as the server reads on.
+		g.limitBodyTime(w, time.Time{})
+	}
 	q.fingerprint = fingerprintOf(q)
 	return nil
 }
 
+// limitBodyTime limits how long the caller may take to send its body; zero removes the limit.
+func (g *Gateway) limitBodyTime(w http.ResponseWriter, until time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(until); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
+// limitAnswerTime limits how long the caller may leave the answer unread, as a blocked write doesn't end with the run.
+func (g *Gateway) limitAnswerTime(w http.ResponseWriter, arrived time.Time, q *request) {
+	deadline := arrived
+	if q.deadline.After(arrived) {
+		deadline = q.deadline
+	}
+	if err := http.NewResponseController(w).SetWriteDeadline(deadline.Add(unreadAnswerTimeout)); err != nil {
+		g.metrics.Inc("silence-limits-unset")
+	}
+}
+
 // fingerprintOf returns a hash of the request's content, which is the same for a resent request.
 func fingerprintOf(q *request) isolator.Fingerprint {
 	digest := xxhash.New()
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -140,3 +142,43 @@
 		s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
 	}
 }
+
+// Comments or empty lines at full speed are no stream: they cost the host's processor until the caller's deadline.
+func TestAStreamOfNothingButCommentsHasFailed(t *testing.T) {
+	for name, unit := range map[string]endless{"empty lines": "\n", "comments": ": wait\n\n", "one comment": ": wait\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "model", signedHead+"Content-Type: text/event-stream\r\n\r\n", unit)
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			s.Assert(s.post(g, "/plan/", "prompt").status, qt.Equals, http.StatusBadGateway)
+			s.Assert(g.metrics.counts.Get("tries-failed"), qt.Equals, int64(1))
+			s.waitFor("the endpoint's connection is closed", func() bool { return e.answering.Load() == 0 })
+		})
+	}
+}
+
+// What follows an answer that has no body belongs to no request, and its connection is closed.
+func TestBytesAfterAnAnswerWithoutBodyAreNobodysAnswer(t *testing.T) {
+	for name, test := range map[string]struct{ method, head string }{
+		"no content":   {http.MethodGet, "HTTP/1.1 204 No Content\r\nDotterelpulley-Response-Stamp: s\r\nDotterelpulley-Attempt-Id: ID\r\n\r\n"},
+		"not modified": {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nDotterelpulley-Attempt-Id: ID\r\nContent-Length: 7\r\n\r\n"},
+		"head":         {http.MethodHead, signedHead + "Content-Length: 7\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			e := s.rawEndpoint("i-1", "plain", test.head, "HTTP/1.1 200 OK\r\nDotterelpulley-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nbogus")
+			g := s.startReadyGateway()
+			s.waitForAllowance(g, 20)
+			for range 3 {
+				a := s.send(s.request(context.Background(), g, test.method, "/lookup/", ""))
+				s.Assert(a.err, qt.IsNil)
+				s.Assert(strings.Fields(test.head)[1], qt.Equals, strconv.Itoa(a.status))
+				s.Assert(a.body, qt.Equals, "")
+			}
+			s.waitFor("the endpoint's connections are closed", func() bool { return e.answering.Load() == 0 })
+		})
+	}
+}
