Test the end of a silent endpoint and of its caller beside a successor

TestTheCrashOfASilentEndpointDoesNotWaitForTheOther fails: an endpoint that fell silent and then breaks its connection isn't counted as failed until the endpoint that was asked to go on has sent its first bytes, or until the deadline. Its slot stays taken and its crash unknown to this host and the others for so long.

TestACallerThatLeavesASilentStreamStopsBothEndpoints passes; nothing covered it. The count of held slots moves into a function, with the assertion unchanged.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +27,15 @@
 	standin.WriteEvents(w, 2, 2)
 }
 
+// slotsHeld returns the number of runs that the host counts at all endpoints.
+func slotsHeld(g *Gateway) int {
+	running := 0
+	for _, e := range g.describe(time.Now()).Endpoints {
+		running += e.Running
+	}
+	return running
+}
+
 // A stream whose endpoint falls silent and goes on must not be cut because no other endpoint can take it.
 func TestASilentStreamIsNotCutWithoutAnotherEndpoint(t *testing.T) {
 	s := newSite(t)
@@ -106,13 +117,7 @@
 			s.Assert(a.err, qt.IsNil)
 			s.Assert(a.body, qt.Equals, wholeStream)
 			s.Assert(runs.Load() > 1, qt.IsTrue)
-			s.waitFor("no slot is held", func() bool {
-				running := 0
-				for _, e := range g.describe(time.Now()).Endpoints {
-					running += e.Running
-				}
-				return running == 0
-			})
+			s.waitFor("no slot is held", func() bool { return slotsHeld(g) == 0 })
 		})
 	}
 }
@@ -147,3 +152,60 @@
 	}
 	s.Assert(resumed, qt.Equals, 1)
 }
+
+// A caller that leaves while two endpoints work on its stream must stop both.
+func TestACallerThatLeavesASilentStreamStopsBothEndpoints(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var begun, ended atomic.Int64
+	either := func(w http.ResponseWriter, r *http.Request, _ int) {
+		if begun.Add(1) == 1 {
+			standin.WriteEvents(w, 1, 1)
+		}
+		<-r.Context().Done()
+		ended.Add(1)
+	}
+	s.endpoint("i-1", "model", either)
+	s.endpoint("i-2", "model", either)
+	g := s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.send(s.request(ctx, g, http.MethodPost, "/advice/", "prompt"))
+	s.waitFor("both endpoints work on the stream", func() bool { return begun.Load() == 2 })
+	cancel()
+	s.waitFor("both endpoints have stopped", func() bool { return ended.Load() == 2 })
+	s.waitFor("no slot is held", func() bool { return slotsHeld(g) == 0 })
+}
+
+// The crash of a silent endpoint must be recorded when it is seen, not when the endpoint that goes on has answered.
+func TestTheCrashOfASilentEndpointDoesNotWaitForTheOther(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var runs atomic.Int64
+	var g *Gateway
+	asked := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request, _ int) {
+		if runs.Add(1) == 1 {
+			standin.WriteEvents(w, 1, 1)
+			<-asked
+			standin.AbortResponse()
+		}
+		close(asked)
+		for g.metrics.counts.Get("tries-failed") == 0 {
+			if r.Context().Err() != nil {
+				return
+			}
+			runtime.Gosched()
+		}
+		standin.WriteEvents(w, 2, 2)
+	}
+	s.endpoint("i-1", "model", handler)
+	s.endpoint("i-2", "model", handler)
+	g = s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	r := s.request(context.Background(), g, http.MethodPost, "/advice/", "prompt")
+	r.Header.Set("Dotterelpulley-Deadline-Ms", "4000")
+	a := s.send(r)
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+}
