Finish a broken silent endpoint before its successor answers

A stream whose silent endpoint broke its connection waited for the successor's first bytes before the attempt was finished: until then, at most until the deadline, the endpoint's slot stayed taken, a crash was neither recorded against the request nor told to the other hosts, and its connection stayed open.

Cause: the successor's answer was awaited first. Now the attempt is finished as soon as its end is seen, and the answer awaited after it.

TestTheCrashOfASilentEndpointDoesNotWaitForTheOther failed before (unexpected EOF at the deadline). A connection that has ended meanwhile no longer counts as silence-limits-unset.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -187,16 +187,17 @@
 			break
 		}
 		if err != nil {
-			next := watch.takeSuccessor()
 			exchange.Abort()
-			if next == nil {
+			if !watch.hasSuccessor() {
 				return p.handleInterruptedRun(ctx, a, err)
 			}
+			// The end of this attempt must not wait for the successor's answer.
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				p.finishAttempt(a, scheduler.ResultFailed, err)
 			} else {
 				p.finishFailedRun(ctx, a, err)
 			}
+			next := watch.takeSuccessor()
 			return p.handleExchange(ctx, next.attempt, next.exchange, next.err)
 		}
 		// An endpoint that keeps the connection alive by comments alone has stalled like a silent one.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -64,7 +65,8 @@
 }
 
 func (w *silenceWatch) setLimit(limit time.Duration) {
-	if err := w.exchange.SetReadTimeout(limit); err != nil && w.ctx.Err() == nil {
+	// The endpoint's connection may have ended meanwhile.
+	if err := w.exchange.SetReadTimeout(limit); err != nil && w.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 		w.gateway.metrics.Inc("silence-limits-unset")
 	}
 }
@@ -185,12 +187,14 @@
 	w.finishSuccessor()
 }
 
-// takeSuccessor waits for the successor's answer and hands it over; nil if there is no successor or the request has ended.
+// hasSuccessor reports whether the stream may go on with a successor's answer, which may not have come yet.
+func (w *silenceWatch) hasSuccessor() bool {
+	return w.successor != nil && w.ctx.Err() == nil
+}
+
+// takeSuccessor waits for the successor's answer and hands it over.
 func (w *silenceWatch) takeSuccessor() *successor {
 	s := w.successor
-	if s == nil || w.ctx.Err() != nil {
-		return nil
-	}
 	<-s.done
 	w.successor = nil
 	return s
