Test refusals of callers whose bodies never end

TestARefusalDoesNotWaitForABodyThatNeverEnds fails: a request that is refused before its body is read, here on an unknown route, gets no answer and holds its connection for as long as its body doesn't end (30 s in the test).

--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -53,3 +53,16 @@
 	s.Assert(string(answer), qt.Matches, `(?s)HTTP/1.1 503 .*`)
 	s.waitFor("the request is gone", func() bool { return g.inFlight.Load() == 0 })
 }
+
+// A request that is refused before its body is read must not wait for a body that never ends.
+func TestARefusalDoesNotWaitForABodyThatNeverEnds(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	conn := s.callSilently(g, "POST /nowhere/ HTTP/1.1", "Dotterelpulley-Deadline-Ms: 300\r\nContent-Length: 10\r\n\r\nshort")
+	s.Assert(conn.SetReadDeadline(time.Now().Add(conditionTimeout)), qt.IsNil)
+	answer, err := io.ReadAll(conn)
+	s.Assert(err, qt.IsNil)
+	s.Assert(string(answer), qt.Matches, `(?s)HTTP/1.1 404 .*`)
+}
