Limit the time of a refused caller's body as well

A caller whose request was refused before its body was read got no refusal, and held its connection and a goroutine, for as long as the body didn't end: the server reads up to 256 KB of it before it sends the answer, and the limit of was set only where this host reads the body itself.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -74,6 +74,10 @@
 	}
 	q, refused := g.admit(arrived, r)
 	g.limitAnswerTime(w, arrived, q)
+	if r.ContentLength != 0 {
+		// The server reads the body of a refused request as well, before it sends the refusal.
+		g.limitBodyTime(w, q.deadline)
+	}
 	if refused == nil {
 		refused = g.readBody(w, r, q)
 	}
@@ -93,6 +97,7 @@
 		RequestMetadata: platform.DecodeRequestMetadata(r.Header), arrived: now,
 		method: r.Method, target: r.RequestURI, host: r.Host,
 	}
+	q.deadline = now.Add(timeoutOf(q))
 	table := g.table.Load()
 	if table == nil {
 		refused := newRefusal(dotterelpulley.ErrorNotReady, "no configuration yet")
@@ -131,13 +136,13 @@
 	return q, nil
 }
 
-// timeoutOf returns the time limit of the request, the lower one of its caller's and its route's.
+// timeoutOf returns the time limit of the request, the lower one of its caller's and its route's, if that is known.
 func timeoutOf(q *request) time.Duration {
 	timeout := defaultTimeout
 	if q.Timeout > 0 {
 		timeout = q.Timeout
 	}
-	if q.route.Timeout > 0 {
+	if q.route != nil && q.route.Timeout > 0 {
 		timeout = min(timeout, q.route.Timeout)
 	}
 	return timeout
@@ -165,10 +170,6 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	hasBody := r.ContentLength != 0
-	if hasBody {
-		g.limitBodyTime(w, q.deadline)
-	}
 	var err error
 	if q.body, err = io.ReadAll(body); err != nil {
 		var large *http.MaxBytesError
@@ -183,7 +184,7 @@
 		}
 		return newRefusal(dotterelpulley.ErrorInvalid, "body not read: "+err.Error())
 	}
-	if hasBody {
+	if r.ContentLength != 0 {
 		// The caller may be silent from here on; after an error the limit stays, as the server reads on.
 		g.limitBodyTime(w, time.Time{})
 	}
