Test requests that the end of the grace cuts short

TestARequestAtTheEndOfTheGraceIsAnswered fails: at the end of the grace, a request still in flight loses its connection without an answer (EOF for the caller, once the process ends), although drainer.Closing promises an answer that states the true outcome.

--- a/gateway/operators_faults_test.go
+++ b/gateway/operators_faults_test.go
@@ -180,6 +180,34 @@
 	s.Assert(a.status, qt.Equals, http.StatusOK)
 }
 
+// A request that the end of the grace cuts short gets an answer, not the end of its connection.
+func TestARequestAtTheEndOfTheGraceIsAnswered(t *testing.T) {
+	for _, path := range []string{"/call/", "/lookup/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			started := make(chan struct{})
+			s.endpoint("i-1", "plain", func(_ http.ResponseWriter, r *http.Request, _ int) {
+				close(started)
+				<-r.Context().Done()
+			})
+			g := s.startReadyGateway()
+			bounds := *g.bounds.Load()
+			bounds.ShutdownGrace = 500 * time.Millisecond
+			g.bounds.Store(&bounds)
+			got := make(chan answer, 1)
+			r := s.request(context.Background(), g, http.MethodPost, path, "book")
+			go func() { got <- s.send(r) }()
+			<-started
+			g.Drain(context.Background())
+			s.Assert(g.inFlight.Load(), qt.Equals, int64(0), qt.Commentf("the process would end now"))
+			a := <-got
+			s.Assert(a.err, qt.IsNil)
+			s.Assert(a.status, qt.Equals, http.StatusBadGateway)
+		})
+	}
+}
+
 // A panic in one of the loops neither ends the process nor the loop.
 func TestALoopRunsOnAfterAPanic(t *testing.T) {
 	s := newSite(t)
