End requests with an answer when the grace is over

Callers of a draining host whose requests were still in flight when 93% of the grace had passed saw their connections end without an answer, also for requests that had come late in the drain, over kept connections or from callers with an old answer of the directory.

Cause: the drain gave up its wait and the process closed the connections; the requests' contexts ended only then. Now their contexts end first, and the last 400 ms, which the wait took before as well, serve to send the answers: 503 for a request that has reached no endpoint, 502 for one that may have run. Streams that have begun are cut as before.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -43,18 +43,23 @@
 // finishTime is how long connections without a request in flight may take to end after a drain.
 const finishTime = 400 * time.Millisecond
 
-// finishCallers closes idle connections and waits for requests that arrived after the last check, until the context is done:
-// to close at once would cut off requests that have just been accepted.
+// finishCallers closes idle connections and waits for requests that arrived after the last check: to close at once would cut
+// off requests that have just been accepted. Once the context is done, it ends them with an answer.
 func (g *Gateway) finishCallers(ctx context.Context) {
 	if g.callerServer == nil {
 		return
 	}
 	for {
-		err := g.shutdownCallers()
+		parent, last := ctx, ctx.Err() != nil
+		if last {
+			g.endRequests()
+			parent = g.ctx
+		}
+		err := g.shutdownCallers(parent)
 		if err == nil {
 			return
 		}
-		if inFlight := g.inFlight.Load(); inFlight == 0 || ctx.Err() != nil || g.ctx.Err() != nil {
+		if inFlight := g.inFlight.Load(); inFlight == 0 || last || g.ctx.Err() != nil {
 			g.event(log.WarnLevel, "shutdown-incomplete").Err(err).Int64("in-flight", inFlight).Msg("")
 			return
 		}
@@ -62,8 +67,8 @@
 }
 
 // shutdownCallers stops to accept callers and waits for their connections to become idle, for finishTime at most.
-func (g *Gateway) shutdownCallers() error {
-	ctx, cancel := context.WithTimeout(g.ctx, finishTime)
+func (g *Gateway) shutdownCallers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, finishTime)
 	defer cancel()
 	return g.callerServer.Shutdown(ctx)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,9 +86,12 @@
 	// callerServer is the one of servers that serves callers.
 	callerServer *http.Server
 
-	ctx        context.Context
-	cancel     context.CancelFunc
-	goroutines conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	// requests is done when the requests in flight have to end, before the host itself does.
+	requests    context.Context
+	endRequests context.CancelFunc
+	goroutines  conc.WaitGroup
 }
 
 // New returns a gateway that hasn't been started.
@@ -102,6 +105,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
+	g.requests, g.endRequests = context.WithCancel(ctx)
 	g.bounds.Store(&settings.Bounds)
 	seed := rand.Uint64()
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -79,6 +79,7 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, q.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.requests, cancel)()
 	for {
 		placed, refused := p.acquireEndpoint(ctx, r.Context())
 		if refused != nil {
@@ -107,6 +108,11 @@
 		if callerGone.Err() != nil {
 			return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorCancelled, "the caller left")
 		}
+		if p.gateway.requests.Err() != nil {
+			refused := newRefusal(dotterelpulley.ErrorDraining, "the host ended")
+			refused.retryAfter = drainingRetryAfter
+			return scheduler.Placed{}, refused
+		}
 		return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorDeadlinePassed, "the deadline passed in the queue")
 	}
 	switch decision := decision.(type) {
@@ -355,8 +361,10 @@
 	case p.runs == 0:
 		refused := newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
 		p.refuse(refused)
+	case p.gateway.requests.Err() != nil:
+		p.gateway.writeRefusal(p.response.writer, p.request, newRefusal(dotterelpulley.ErrorOutcomeUnknown, "the host ended"))
 	case errors.Is(ctx.Err(), context.Canceled):
-		p.gateway.writeRefusal(p.response.writer, p.request, newRefusal(dotterelpulley.ErrorCancelled, "the caller left or the host ended"))
+		p.gateway.writeRefusal(p.response.writer, p.request, newRefusal(dotterelpulley.ErrorCancelled, "the caller left"))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refused := newRefusal(dotterelpulley.ErrorDeadlinePassed, "no answer by the deadline")
 		p.gateway.writeRefusal(p.response.writer, p.request, refused)
