Give each run of the host's process tests its own addresses

The tests of the command listened on fixed addresses and ports, so two runs at once on one computer failed: seen once as 'listen udp4 127.77.0.1:7600: bind: address already in use', after 30 s in vain for the reload. What they assert is unchanged.

--- a/cmd/dotterel-gateway/main_test.go
+++ b/cmd/dotterel-gateway/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -58,6 +59,11 @@
 	return h
 }
 
+// address returns a loopback address of this process, as the host's ports are fixed.
+func address(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 77+n, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+}
+
 // waitForEvent waits until the process has logged the event.
 func (h *host) waitForEvent(name string) {
 	options := prover.WaitOptions{Timeout: 30 * time.Second, Interval: time.Millisecond}
@@ -70,7 +76,7 @@
 func TestASignalDuringTheStartDoesNotKillTheHost(t *testing.T) {
 	store := standin.StartStore()
 	defer store.Close()
-	h := startHost(t, "127.77.0.1", store.Address(), func(h *host) {
+	h := startHost(t, address(1), store.Address(), func(h *host) {
 		// The process waits for the other end of the pipe as soon as it reads its settings.
 		h.Assert(syscall.Mkfifo(h.settingsPath, 0o600), qt.IsNil)
 	})
@@ -106,12 +112,12 @@
 	})
 	defer endpoint.Close()
 	endpoint.Register(store, "ready")
-	h := startHost(t, "127.77.0.2", store.Address(), func(h *host) {
+	h := startHost(t, address(2), store.Address(), func(h *host) {
 		h.Assert(os.WriteFile(h.settingsPath, h.settings, 0o600), qt.IsNil)
 	})
 	h.waitForEvent("configuration")
 	h.waitForEvent("endpoint")
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.77.0.2:8001/call/", http.NoBody)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(2)+":8001/call/", http.NoBody)
 	h.Assert(err, qt.IsNil)
 	request.Host = "h.example"
 	request.Header.Set("Dotterelpulley-Attempt-Id", "a1")
