--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -102,6 +102,7 @@
 		RequestMetadata: platform.DecodeRequestMetadata(r.Header), arrived: now,
 		method: r.Method, target: r.RequestURI, host: r.Host,
 	}
+	q.deadline = now.Add(timeoutOf(q))
 	table := g.table.Load()
 	if table == nil {
 		refused := newRefusal(dotterelpulley.ErrorNotReady, "no configuration yet")
@@ -140,13 +141,13 @@
 	return q, nil
 }
 
-// timeoutOf returns the time limit of the request, the lower one of its caller's and its route's.
+// timeoutOf returns the time limit of the request, the lower one of its caller's and its route's, if that is known.
 func timeoutOf(q *request) time.Duration {
 	timeout := defaultTimeout
 	if q.Timeout > 0 {
 		timeout = q.Timeout
 	}
-	if q.route.Timeout > 0 {
+	if q.route != nil && q.route.Timeout > 0 {
 		timeout = min(timeout, q.route.Timeout)
 	}
 	return timeout
