Carry out the roll-outs that operators order

Cause: nothing carried out ordered roll-outs; the order was an unknown record and the scheduler ignored versions.

Now, with the parts of moves (docs/design/rollouts.md): - promoter, pure: stages that only grow, a limit on each host whose sum keeps the exposure limit, evidence and verdict. - assessor: Unfinished samples, settings for a stricter verdict, and the spread of latencies on each endpoint, as hardware several times faster hides answers several times slower. splitter: a limit that keeps its count. - scheduler: Split says where work may run, Sample what each run showed. Endpoints that are slow after their start (cold_left_ms was not read) give no latencies. - gateway: facts in every digest, evidence asked from all hosts by the readers, the outcome written by the first reader on the condition that the status topic has not grown.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -77,6 +77,19 @@
 	Updates []Update
 	// Crashes lists recent endpoint crashes seen by the host, with the attempts that were running.
 	Crashes []Crash
+	// Rollouts is what the host knows of the operators' roll-outs.
+	Rollouts []Rollout
+}
+
+// Rollout is how far the roll-out of an order has come.
+type Rollout struct {
+	dotterelpulley.RolloutOrder
+	// Era and Next are the position after the order's record.
+	Era  dotterelpulley.StoreEra
+	Next int64
+	// Stage and Remaining are sent in whole numbers and milliseconds.
+	Stage     int
+	Remaining time.Duration
 }
 
 // Usage is what an organisation has used on a host since the host's start, and the level of its token bucket there,
@@ -145,6 +158,7 @@
 	fieldProbe
 	fieldAck
 	fieldUpdate
+	fieldRollout
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -198,6 +212,9 @@
 	for _, c := range d.Crashes {
 		b = appendNumbers(b, fieldCrash, c.Fingerprint, c.Attempt, uint64(c.Endpoint))
 	}
+	for _, r := range d.Rollouts {
+		b = fields.AppendBytes(b, fieldRollout, r.encode())
+	}
 	return b
 }
 
@@ -296,6 +313,12 @@
 			return protowire.ParseError(m)
 		}
 		d.Updates = append(d.Updates, Update{Host: dotterelpulley.HostID(value[n+m:]), Incarnation: incarnation, Suspected: protowire.DecodeBool(suspected)})
+	case fieldRollout:
+		r, err := decodeRollout(value)
+		if err != nil {
+			return err
+		}
+		d.Rollouts = append(d.Rollouts, r)
 	case fieldCrash:
 		v, err := consumeNumbers(value, 3)
 		if err != nil {
--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -38,6 +38,17 @@
 type Assessor struct {
 	// FalseAlarmRate bounds the probability of a false alarm in one step; DefaultFalseAlarmRate if zero.
 	FalseAlarmRate float64
+	// SlowRate is the least fraction of slow requests that is tolerated; minSlowRate if zero.
+	SlowRate float64
+	// RouteRequests is the number of requests after which a version is proved on its busiest route;
+	// minBusiestRouteRequests if zero.
+	RouteRequests int
+	// SlowBuckets is how far a latency lies above most of the old version's to count as slow, in buckets of the histogram;
+	// slowBucketMargin if zero.
+	SlowBuckets int
+	// Assurance is how far the log ratio of all requests of a step has to lie below zero for a version to be proved. Zero
+	// permits ratios somewhat above zero.
+	Assurance float64
 }
 
 // Assessment is the result for a new version.
@@ -104,9 +115,11 @@
 func (a Assessor) Assess(e *Evidence, now time.Time) Assessment {
 	groups := a.groups(e)
 	limits := a.limits(groups, now.Sub(e.StartedAt))
-	worst, excess, provable := group{}, math.Inf(-1), true
+	worst, doubted, excess, provable := group{}, group{}, math.Inf(-1), true
 	for g, collected := range groups {
-		provable = provable && collected.doubt.mean() < maxDoubtFraction*limits[g.scope]
+		if collected.doubt.mean() >= a.maxDoubt(g, limits) {
+			doubted, provable = g, false
+		}
 		groupExcess := collected.bad.mean() - limits[g.scope]
 		if groupExcess > excess || groupExcess == excess && less(g, worst) {
 			worst, excess = g, groupExcess
@@ -122,9 +135,29 @@
 		result.Reason = describe(worst, groups[worst].trials)
 		return result
 	}
+	spreadReason := ""
+	for _, m := range []struct {
+		spread *Spread
+		name   string
+	}{{&e.FirstToken, "first tokens"}, {&e.BetweenTokens, "tokens"}} {
+		bad, doubtful, reason := a.assessSpread(m.spread, m.name, limits)
+		if bad {
+			result.Bad, result.Reason = true, reason
+			return result
+		}
+		if doubtful {
+			provable, spreadReason = false, reason
+		}
+	}
 	unprovedRoutes := a.unproved(e)
-	result.EnoughEvidence = len(unprovedRoutes) == 0 && result.Requests >= minBusiestRouteRequests && provable
+	result.EnoughEvidence = len(unprovedRoutes) == 0 && result.Requests >= a.routeRequests() && provable
 	result.Reason = fmt.Sprintf("%d requests, %d failures", result.Requests, result.Failures)
+	switch {
+	case spreadReason != "":
+		result.Reason += ", in doubt for " + spreadReason
+	case !provable:
+		result.Reason += ", in doubt for " + describe(doubted, groups[doubted].trials)
+	}
 	if len(unprovedRoutes) > 0 {
 		result.Reason += fmt.Sprintf(", routes not proved: %q", unprovedRoutes)
 	}
@@ -154,6 +187,7 @@
 func (a Assessor) groups(e *Evidence) map[group]*groupEvidence {
 	found := map[group]*groupEvidence{}
 	ref := newReference(e)
+	ref.slowRate, ref.slowBuckets = a.slowRate(), cmp.Or(a.SlowBuckets, slowBucketMargin)
 	for cell, evidence := range e.Cells {
 		if evidence.Step.New.Requests == 0 {
 			continue
@@ -182,6 +216,22 @@
 	}
 }
 
+// maxDoubt returns the log ratio below which the evidence against a version must stay for it to be proved.
+func (a Assessor) maxDoubt(g group, limits [scopeCount]float64) float64 {
+	if a.Assurance > 0 && g.scope == scopeAll && !g.recent {
+		return -a.Assurance
+	}
+	return maxDoubtFraction * limits[g.scope]
+}
+
+func (a Assessor) slowRate() float64 {
+	return cmp.Or(a.SlowRate, minSlowRate)
+}
+
+func (a Assessor) routeRequests() int {
+	return cmp.Or(a.RouteRequests, minBusiestRouteRequests)
+}
+
 // unproved returns the routes of the old version on which the new one has not served enough requests in this step.
 func (a Assessor) unproved(e *Evidence) []dotterelpulley.RouteID {
 	oldRequests := map[dotterelpulley.RouteID]int{}
@@ -196,7 +246,7 @@
 	}
 	var unprovedRoutes []dotterelpulley.RouteID
 	for route, n := range oldRequests {
-		required := max(minRouteRequests, minBusiestRouteRequests*n/max(1, busiest))
+		required := max(minRouteRequests, a.routeRequests()*n/max(1, busiest))
 		if newRequests[route] < required {
 			unprovedRoutes = append(unprovedRoutes, route)
 		}
--- a/assessor/cell.go
+++ b/assessor/cell.go
@@ -64,7 +64,11 @@
 // Sample is the outcome of one request at an endpoint.
 type Sample struct {
 	Cell
-	Failed bool
+	// Endpoint is the endpoint that ran the request; empty if the spread of its latencies isn't counted.
+	Endpoint dotterelpulley.EndpointID
+	Failed   bool
+	// Unfinished samples hold latencies of a request that goes on; its outcome follows in a sample of its own.
+	Unfinished bool
 	// FirstToken and BetweenTokens are latencies; 0 means not measured.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
@@ -80,7 +84,9 @@
 
 // Add counts one sample.
 func (t *Tally) Add(s Sample) {
-	t.Requests++
+	if !s.Unfinished {
+		t.Requests++
+	}
 	if s.Failed {
 		t.Failures++
 		return
--- a/assessor/evidence.go
+++ b/assessor/evidence.go
@@ -47,6 +47,9 @@
 	Exposure  Exposure
 	StartedAt time.Time
 	Cells     map[Cell]*CellEvidence
+	// FirstToken and BetweenTokens are the spreads of latencies on each endpoint.
+	FirstToken    Spread
+	BetweenTokens Spread
 
 	current   map[Cell]*Comparison
 	previous  map[Cell]*Comparison
@@ -77,7 +80,9 @@
 	}
 	if e.Exposure.Service != x.Service || e.Exposure.Old != x.Old {
 		e.Cells = nil
+		e.FirstToken, e.BetweenTokens = Spread{}, Spread{}
 	}
+	e.FirstToken.New, e.BetweenTokens.New = nil, nil
 	for _, evidence := range e.Cells {
 		*evidence = CellEvidence{Old: evidence.Old}
 	}
@@ -97,12 +102,18 @@
 	case e.Exposure.New:
 		evidence.Step.New.Add(s)
 		recent.New.Add(s)
+	default:
+		return
 	}
+	e.FirstToken.add(s.Endpoint, version != e.Exposure.Old, s.FirstToken)
+	e.BetweenTokens.add(s.Endpoint, version != e.Exposure.Old, s.BetweenTokens)
 }
 
 // Refresh updates the recent tallies to the given time.
 func (e *Evidence) Refresh(now time.Time) {
 	e.rotate(now)
+	e.FirstToken.refresh()
+	e.BetweenTokens.refresh()
 	for cell, evidence := range e.Cells {
 		evidence.Recent = Comparison{}
 		for _, window := range []map[Cell]*Comparison{e.current, e.previous} {
@@ -131,6 +142,8 @@
 		merged.Step.merge(&added.Step)
 		merged.Recent.merge(&added.Recent)
 	}
+	e.FirstToken.merge(&other.FirstToken)
+	e.BetweenTokens.merge(&other.BetweenTokens)
 	if e.StartedAt.IsZero() || other.StartedAt.Before(e.StartedAt) {
 		e.StartedAt = other.StartedAt
 	}
--- a/assessor/reference.go
+++ b/assessor/reference.go
@@ -7,6 +7,10 @@
 	cells map[Cell]*CellEvidence
 	// pooled combines all routes and tiers of one generation and load.
 	pooled map[pooledCell]*CellEvidence
+	// slowRate is the least fraction of slow requests that is tolerated.
+	slowRate float64
+	// slowBuckets is how far above most of the old version's a latency is slow.
+	slowBuckets int
 }
 
 type pooledCell struct {
@@ -58,11 +62,11 @@
 	if old.total() < minReferenceRequests {
 		return trials{}, false
 	}
-	threshold := old.quantile(slowFraction) + slowBucketMargin
+	threshold := old.quantile(slowFraction) + r.slowBuckets
 	concurrent, candidate := histogramOf(m, &tallies.Old), histogramOf(m, &tallies.New)
 	slow := newRates(old.proportionAbove(threshold), concurrent.proportionAbove(threshold))
 	observed := candidate.proportionAbove(threshold)
-	return trials{observed.total, observed.count, slow.atLeast(minSlowRate)}, true
+	return trials{observed.total, observed.count, slow.atLeast(r.slowRate)}, true
 }
 
 // failureRates returns the failure rates that the new version is tested against in the cell.
--- /dev/null
+++ b/assessor/spread.go
@@ -0,0 +1,99 @@
+package assessor
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+const (
+	// minEndpointSamples is the number of latencies of an endpoint from which on their spread is counted for the old version.
+	minEndpointSamples = 8
+	// baseTail is the fraction of an endpoint's latencies that lies above the one with which they are compared. It is high, as
+	// that one has to be a usual latency although half of them may be slow.
+	baseTail = 0.75
+	// baseBucket is the bucket of a latency that equals the one with which it is compared.
+	baseBucket = buckets / 4
+)
+
+// Spread holds how far the latencies of each endpoint lie above a usual one of the same endpoint. It shows a version of which a
+// part of the answers is slow, whatever the speed of the hardware that it runs on.
+type Spread struct {
+	// Old counts the old version's latencies relative to the usual one of their endpoint on each host.
+	Old Histogram
+	// New counts the new version's latencies by endpoint, as a host alone sees few of them.
+	New map[dotterelpulley.EndpointID]*Histogram
+
+	// old counts the old version's latencies on this host by endpoint.
+	old map[dotterelpulley.EndpointID]*Histogram
+}
+
+// add counts a latency of either version.
+func (s *Spread) add(id dotterelpulley.EndpointID, isNew bool, d time.Duration) {
+	if id == "" || d <= 0 {
+		return
+	}
+	if isNew {
+		endpointHistogram(&s.New, id).Add(d)
+		return
+	}
+	endpointHistogram(&s.old, id).Add(d)
+}
+
+func endpointHistogram(of *map[dotterelpulley.EndpointID]*Histogram, id dotterelpulley.EndpointID) *Histogram {
+	if *of == nil {
+		*of = map[dotterelpulley.EndpointID]*Histogram{}
+	}
+	if (*of)[id] == nil {
+		(*of)[id] = &Histogram{}
+	}
+	return (*of)[id]
+}
+
+// refresh computes Old.
+func (s *Spread) refresh() {
+	s.Old = Histogram{}
+	for _, h := range s.old {
+		if h.total() >= minEndpointSamples {
+			relative := h.relative()
+			s.Old.merge(&relative)
+		}
+	}
+}
+
+func (s *Spread) merge(other *Spread) {
+	s.Old.merge(&other.Old)
+	for id, h := range other.New {
+		endpointHistogram(&s.New, id).merge(h)
+	}
+}
+
+// relative returns the latencies relative to a usual one.
+func (h *Histogram) relative() Histogram {
+	base := h.quantile(baseTail)
+	var relative Histogram
+	for b, n := range h {
+		relative[min(max(b-base+baseBucket, 0), buckets-1)] += n
+	}
+	return relative
+}
+
+// assessSpread assesses whether more of the new version's latencies lie far above a usual one of their endpoint than of the old
+// version's.
+func (a Assessor) assessSpread(s *Spread, name string, limits [scopeCount]float64) (bad, doubtful bool, reason string) {
+	var spread Histogram
+	for _, h := range s.New {
+		relative := h.relative()
+		spread.merge(&relative)
+	}
+	if s.Old.total() < minReferenceRequests || spread.total() == 0 {
+		return false, false, ""
+	}
+	threshold := s.Old.quantile(slowFraction) + slowBucketMargin
+	rate := max(a.slowRate(), min(maxToleratedRate, upperBound(s.Old.proportionAbove(threshold))))
+	observed := spread.proportionAbove(threshold)
+	evidence := trials{requests: observed.total, hits: observed.count}.logRatios(rate).mean()
+	reason = fmt.Sprintf("uneven %s: %d of %d requests", name, observed.count, observed.total)
+	return evidence >= limits[scopeAll], evidence >= a.maxDoubt(group{scope: scopeAll}, limits), reason
+}
--- a/assessor/wire.go
+++ b/assessor/wire.go
@@ -36,6 +36,13 @@
 	New     string     `json:"new"`
 	Began   time.Time  `json:"began"`
 	Cells   []wireCell `json:"cells"`
+	First   wireSpread `json:"first-token-spread"`
+	Between wireSpread `json:"between-tokens-spread"`
+}
+
+type wireSpread struct {
+	Old map[string]int            `json:"old,omitempty"`
+	New map[string]map[string]int `json:"new,omitempty"`
 }
 
 // Encode returns the evidence of one host as JSON.
@@ -72,6 +79,8 @@
 		Old:     string(e.Exposure.Old),
 		New:     string(e.Exposure.New),
 		Began:   e.StartedAt.UTC(),
+		First:   e.FirstToken.toWire(),
+		Between: e.BetweenTokens.toWire(),
 	}
 	for cell, evidence := range e.Cells {
 		w.Cells = append(w.Cells, wireCell{
@@ -101,6 +110,14 @@
 		StartedAt: w.Began,
 		Cells:     map[Cell]*CellEvidence{},
 	}
+	for _, field := range []struct {
+		wire wireSpread
+		to   *Spread
+	}{{w.First, &e.FirstToken}, {w.Between, &e.BetweenTokens}} {
+		if err := field.to.fromWire(field.wire); err != nil {
+			return nil, err
+		}
+	}
 	for _, wc := range w.Cells {
 		cell, err := wc.cell()
 		if err != nil {
@@ -169,6 +186,26 @@
 	return t, t.BetweenTokens.fromWire(w.BetweenTokens)
 }
 
+func (s *Spread) toWire() wireSpread {
+	w := wireSpread{Old: s.Old.toWire(), New: map[string]map[string]int{}}
+	for id, h := range s.New {
+		w.New[string(id)] = h.toWire()
+	}
+	return w
+}
+
+func (s *Spread) fromWire(w wireSpread) error {
+	if err := s.Old.fromWire(w.Old); err != nil {
+		return err
+	}
+	for id, h := range w.New {
+		if err := endpointHistogram(&s.New, dotterelpulley.EndpointID(id)).fromWire(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (h *Histogram) toWire() map[string]int {
 	w := map[string]int{}
 	for b, n := range h {
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -38,6 +38,7 @@
 		d.Configuration = t.Version
 	}
 	d.LeavingInstances = g.leaving.reported(now)
+	d.Rollouts = g.promotions.report(now)
 	g.queue.access(func(now time.Time, s *scheduler.Scheduler) {
 		addReport(&d, s.HostReport(now))
 	})
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -94,6 +94,7 @@
 		batch.Unreadable = append(batch.Unreadable, id)
 		return
 	}
+	registration.WarmAt = time.Now().Add(registration.ColdLeft)
 	batch.Records = append(batch.Records, registrar.Record{Registration: registration, Encoded: value})
 }
 
@@ -122,7 +123,7 @@
 	g.registry.mutex.Lock()
 	for _, e := range g.registry.Registrations() {
 		byService[e.Service] = append(byService[e.Service], scheduler.Endpoint{
-			Endpoint: e.Endpoint, Version: e.Version, Slots: e.Slots, StartedAt: e.StartedAt,
+			Endpoint: e.Endpoint, Version: e.Version, Slots: e.Slots, StartedAt: e.StartedAt, WarmAt: e.WarmAt,
 		})
 	}
 	g.registry.mutex.Unlock()
@@ -136,4 +137,5 @@
 			s.SetEndpoints(id, endpoints)
 		}
 	})
+	g.updateSplits(time.Now())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/limiter"
 	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/promoter"
 	"github.com/dotterelpulley/dotterelpulley/rationer"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 	"github.com/dotterelpulley/dotterelpulley/router"
@@ -76,6 +77,7 @@
 	readers     readerSelection
 	changes     changeFeed
 	rollouts    rolloutOrders
+	promotions  promotions
 	leaving     leavingReports
 	catchingUp  atomic.Bool
 
@@ -144,6 +146,8 @@
 	g.supervise("announce-state", g.announceState)
 	g.supervise("receive-digests", g.receiveDigests)
 	g.supervise("probe-members", func() { repeater.Every(g.ctx, announcer.ProbeInterval, g.probeMembers) })
+	g.supervise("promote-versions", g.promoteVersions)
+	g.supervise("write-rollout-status", g.writeRolloutStatus)
 	g.supervise("housekeeping", func() { repeater.Every(g.ctx, housekeepingInterval, g.runHousekeeping) })
 	return nil
 }
@@ -182,6 +186,7 @@
 	// Each host counts only its own retries: the burst is its share of RetryExtra, and a negative PerSecond allows no steady rate beside the ratio.
 	g.retryBudget.PerSecond = -1
 	g.retryBudget.Burst = max(b.RetryExtra*retryBudgetFraction/float64(g.peers.knownHosts()), 1)
+	g.promotions.limit(promoter.Settings{Share: b.ExposureShare, Slack: float64(b.ExposureSlack), Hosts: max(g.peers.knownHosts(), g.peers.expectedHosts())})
 }
 
 // limitIdleConnections limits the idle connections to this host's share of what the endpoints accept.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -236,6 +236,7 @@
 		g.peers.sendNow()
 	}
 	g.markLeaving(now, d.LeavingInstances)
+	g.learnRollouts(now, d.Rollouts)
 	g.catchUp(d)
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.SetHostReport(now, d.ID, reportOf(d)) })
 	g.mutex.Lock()
--- /dev/null
+++ b/gateway/promotion_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/promoter"
+)
+
+// order writes an operator's order to move the plain service to v2.
+func (s *site) order() {
+	s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(`{"service":"plain","target":"v2","duration_s":60}`))
+}
+
+// targetEndpoint starts an endpoint of v2.
+func (s *site) targetEndpoint(id string, handler standin.Handler) *standin.Endpoint {
+	e := standin.StartEndpoint(dotterelpulley.EndpointID(id), "plain", handler)
+	s.TB.(*testing.T).Cleanup(e.Close)
+	e.Version = "v2"
+	e.Register(s.store, "ready")
+	return e
+}
+
+// status returns the newest status in the store.
+func (s *site) status() (dotterelpulley.RolloutStatus, bool) {
+	records := s.store.Records(platform.StatusTopic)
+	if len(records) == 0 {
+		return dotterelpulley.RolloutStatus{}, false
+	}
+	status, err := platform.DecodeRolloutStatus(records[len(records)-1])
+	s.Assert(err, qt.IsNil)
+	return status, true
+}
+
+func (s *site) waitForStatus(state dotterelpulley.RolloutState) {
+	s.waitFor("the status is "+state.String(), func() bool {
+		status, ok := s.status()
+		return ok && status.State == state && status.Target == "v2"
+	})
+}
+
+func (s *site) waitForEndpoints(count int) {
+	for _, g := range s.gateways {
+		s.waitFor("all endpoints are known", func() bool { return len(registrations(g)) == count })
+	}
+}
+
+func (s *site) waitForStage(stage promoter.Stage) {
+	for _, g := range s.gateways {
+		s.waitFor("the stage is "+stage.String(), func() bool {
+			g.promotions.mutex.Lock()
+			defer g.promotions.mutex.Unlock()
+			c, ok := g.promotions.promoter.Rollout("plain")
+			return ok && c.Stage == stage
+		})
+	}
+}
+
+// Guards against a bad version that gets as many requests as the one in force, without a status for the operator.
+func TestABadVersionOfAnOrderIsTakenBack(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	s.endpoint("i-2", "plain", answerHello)
+	hosts := startHosts(s, 3)
+	sent := 0
+	call := func() {
+		s.post(hosts[sent%len(hosts)], "/call/", "book")
+		sent++
+	}
+	for range 60 {
+		call()
+	}
+	s.order()
+	for _, g := range hosts {
+		s.waitFor("the order is known", func() bool {
+			_, ok := g.rollouts.get("plain")
+			return ok
+		})
+	}
+	bad := s.targetEndpoint("i-3", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		standin.SignResponse(w)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	s.waitForEndpoints(3)
+	sent = 0
+	s.waitFor("the version is taken back", func() bool {
+		call()
+		s.Assert(float64(len(bad.Received())) <= exposureShare*float64(sent)+exposureSlack, qt.IsTrue)
+		status, ok := s.status()
+		return ok && status.State == dotterelpulley.RolloutRolledBack
+	})
+	s.waitForStage(promoter.RolledBack)
+	s.Assert(len(bad.Received()) > 0, qt.IsTrue)
+	before := len(bad.Received())
+	for range 60 {
+		call()
+	}
+	s.Assert(bad.Received(), qt.HasLen, before)
+}
+
+// Guards against hosts that go back to stopped endpoints after all of them have restarted.
+func TestACompletedRolloutHoldsAfterAllHostsHaveRestarted(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.order()
+	s.store.Put(platform.StatusTopic, "rollout/plain", []byte(`{"service":"plain","target":"v2","state":"completed"}`))
+	old := s.endpoint("i-1", "plain", answerHello)
+	target := s.targetEndpoint("i-2", answerHello)
+	hosts := startHosts(s, 3)
+	s.waitForStage(promoter.Completed)
+	s.waitForEndpoints(2)
+	before := len(old.Received())
+	for i := range 12 {
+		s.Assert(s.post(hosts[i%3], "/call/", "book").status, qt.Equals, http.StatusOK)
+	}
+	s.Assert(old.Received(), qt.HasLen, before)
+	s.Assert(len(target.Received()) >= 12, qt.IsTrue)
+}
+
+// Guards against an order whose age nobody knows being carried out beyond its time limit.
+func TestAnOrderOfUnknownAgeIsTakenBack(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.order()
+	s.endpoint("i-1", "plain", answerHello)
+	target := s.targetEndpoint("i-2", answerHello)
+	hosts := startHosts(s, 2)
+	s.waitForStatus(dotterelpulley.RolloutRolledBack)
+	s.waitForStage(promoter.RolledBack)
+	for i := range 12 {
+		s.Assert(s.post(hosts[i%2], "/call/", "book").status, qt.Equals, http.StatusOK)
+	}
+	s.Assert(target.Received(), qt.HasLen, 0)
+}
+
+// Guards against a host that was frozen and completes on what it knew before another host has taken the version back.
+func TestAHostWithOldKnowledgeCannotCompleteARollout(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStatus(dotterelpulley.RolloutInProgress)
+	var stale statusWriter
+	s.Assert(g.readStatuses(context.Background(), &stale), qt.IsNil)
+	s.store.Put(platform.StatusTopic, "rollout/plain", []byte(`{"service":"plain","target":"v2","state":"rolled_back"}`))
+	g.promotions.mutex.Lock()
+	unfinished := g.promotions.promoter.Unfinished()
+	g.promotions.mutex.Unlock()
+	s.Assert(g.writeStatuses(&stale, unfinished), qt.IsNotNil)
+	s.Assert(g.readStatuses(context.Background(), &stale), qt.IsNil)
+	s.waitForStage(promoter.RolledBack)
+	status, _ := s.status()
+	s.Assert(status.State, qt.Equals, dotterelpulley.RolloutRolledBack)
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -102,7 +102,7 @@
 	decision, err := p.gateway.queue.acquire(waitCtx, scheduler.Work{
 		ID:      scheduler.ID(p.gateway.nextWorkID.Add(1)),
 		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
-		Service: p.service,
+		Service: p.service, Route: p.route.ID, ForTarget: p.gateway.promotions.forTarget(time.Now(), p.service, p.route.ID, p.attempts),
 		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
 		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
 		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
 	"github.com/dotterelpulley/dotterelpulley/relayer"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
@@ -131,6 +132,10 @@
 		return m.Marshal(), nil
 	case *relayer.FollowResponse:
 		return m.Marshal(), nil
+	case *evidenceQuery:
+		return nil, nil
+	case *evidenceReport:
+		return assessor.Encode(m.evidence)
 	}
 	return nil, fmt.Errorf("marshal %T: %w", message, errUnknownMessage)
 }
@@ -142,6 +147,12 @@
 		return m.Unmarshal(data)
 	case *relayer.FollowResponse:
 		return m.Unmarshal(data)
+	case *evidenceQuery:
+		return nil
+	case *evidenceReport:
+		evidence, err := assessor.Decode(data)
+		m.evidence = evidence
+		return err
 	}
 	return fmt.Errorf("unmarshal %T: %w", message, errUnknownMessage)
 }
@@ -153,6 +164,7 @@
 		func(ctx context.Context, request *connect.Request[relayer.FollowRequest]) (*connect.Response[relayer.FollowResponse], error) {
 			return connect.NewResponse(g.answerFollower(ctx, *request.Msg)), nil
 		}, connect.WithCodec(relayCodec{})))
+	mux.Handle(evidenceProcedure, g.evidenceHandler())
 	return mux
 }
 
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -2,11 +2,13 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/promoter"
 	"github.com/dotterelpulley/dotterelpulley/relayer"
 )
 
@@ -60,6 +62,7 @@
 	}
 	if len(o.Value) == 0 {
 		g.rollouts.remove(service, o.After)
+		g.withdrawRollout(service)
 		g.event(log.InfoLevel, "rollout-withdrawn").Str("service", string(service)).Int64("after", o.After.Next).Msg("")
 		return
 	}
@@ -72,4 +75,5 @@
 	g.rollouts.put(receivedOrder{RolloutOrder: order, after: o.After})
 	g.event(log.InfoLevel, "rollout-order").Str("service", string(service)).Str("target", string(order.Target)).
 		Dur("duration", order.Duration).Int64("after", o.After.Next).Msg("")
+	g.startRollout(time.Now(), promoter.Order{RolloutOrder: order, Number: promoter.Number{Era: o.After.Era, Next: o.After.Next}})
 }
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -25,6 +25,12 @@
 // conditionTimeout is how long a test waits for an expected condition.
 const conditionTimeout = 30 * time.Second
 
+// exposureShare and exposureSlack limit the requests that a bad version may get.
+const (
+	exposureShare = 0.1
+	exposureSlack = 50
+)
+
 // site is a simulated platform with gateways.
 type site struct {
 	*qt.C
@@ -78,6 +84,7 @@
 		CallerAddress: freeAddress(s, ip), DirectoryAddress: freeAddress(s, ip), ReadinessAddress: freeAddress(s, ip),
 		Bounds: platform.Bounds{
 			RevocationLimit: 5 * time.Second, ShutdownGrace: 8 * time.Second, RetryRatio: 1, RetryExtra: 100, DirectoryTTL: 5 * time.Second,
+			ExposureShare: exposureShare, ExposureSlack: exposureSlack, RollbackLimit: 5 * time.Second,
 		},
 	}
 	settings.FirstPeerPort = freePair(s, ip)
--- /dev/null
+++ b/promoter/decide.go
@@ -0,0 +1,83 @@
+package promoter
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
+)
+
+// Proof is what the acting host has learned of a target.
+type Proof struct {
+	assessor.Assessment
+	// Hosts is the number of hosts that the acting host knows, itself included; Reports is how many of them are in the evidence.
+	Hosts   int
+	Reports int
+	// Rate is the service's requests per second over all hosts.
+	Rate float64
+}
+
+// isQuorum reports whether no other host can have evidence from as many hosts.
+func (f Proof) isQuorum() bool {
+	return 2*f.Reports > f.Hosts
+}
+
+// Decide advances the roll-out by the evidence, on the acting host. The stages before the outcome need no agreement: their
+// limits hold on each host, and a stage back wins over one ahead.
+func (p *Promoter) Decide(now time.Time, service dotterelpulley.ServiceID, proof Proof) (Change, bool) {
+	r := p.rollouts[service]
+	if r == nil {
+		return Change{}, false
+	}
+	advanced := false
+	switch {
+	case r.stage == Held && now.Sub(r.seenAt) >= heldTime:
+		advanced = r.advance(TakenBack, "no host knows the time that is left")
+	case !r.stage.running():
+	case proof.Bad:
+		advanced = r.advance(TakenBack, proof.Reason)
+	case r.stage == Canary && !now.Before(r.completeAt()):
+		advanced = r.advance(TakenBack, fmt.Sprintf("not proved in time: %s, evidence of %d of %d hosts", proof.Reason, proof.Reports, proof.Hosts))
+	case r.stage == Canary && !now.Before(r.completeAt().Add(-p.fullTime(r, proof.Rate))) && proof.EnoughEvidence && proof.isQuorum():
+		advanced = r.advance(Full, proof.Reason)
+	}
+	return r.change(), advanced
+}
+
+func (r *rollout) completeAt() time.Time {
+	return r.deadline.Add(-completionMargin)
+}
+
+// Wanted returns the status that the store should hold, as far as the acting host's evidence goes.
+func (p *Promoter) Wanted(now time.Time, service dotterelpulley.ServiceID, proof Proof) (dotterelpulley.RolloutStatus, bool) {
+	r := p.rollouts[service]
+	if r == nil || r.stage == Held || r.stage.final() {
+		return dotterelpulley.RolloutStatus{}, false
+	}
+	status := dotterelpulley.RolloutStatus{Service: service, Target: r.Target, State: dotterelpulley.RolloutInProgress}
+	switch {
+	case r.stage == TakenBack:
+		status.State = dotterelpulley.RolloutRolledBack
+	case r.stage == Full && !now.Before(r.completeAt()) && now.Before(r.deadline) && proof.EnoughEvidence && !proof.Bad && proof.isQuorum():
+		status.State = dotterelpulley.RolloutCompleted
+	}
+	return status, true
+}
+
+// Stored applies the status that the store holds.
+func (p *Promoter) Stored(status dotterelpulley.RolloutStatus) (Change, bool) {
+	r := p.rollouts[status.Service]
+	if r == nil || r.Target != status.Target {
+		return Change{}, false
+	}
+	advanced := false
+	switch status.State {
+	case dotterelpulley.RolloutCompleted:
+		advanced = r.advance(Completed, "in the store")
+	case dotterelpulley.RolloutRolledBack:
+		advanced = r.advance(RolledBack, "in the store")
+	case dotterelpulley.RolloutInProgress:
+	}
+	return r.change(), advanced
+}
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -19,6 +19,10 @@
 	StartedAt time.Time
 	// Sequence counts what the endpoint has written since its start.
 	Sequence int64
+	// ColdLeft is how much longer the endpoint stays slow after its start, as of the registration's writing.
+	ColdLeft time.Duration
+	// WarmAt is when that time is over at the latest, by this host's clock.
+	WarmAt time.Time
 }
 
 // Record is a registration with its encoded form, in which it is relayed to other hosts.
--- a/scheduler/affinity.go
+++ b/scheduler/affinity.go
@@ -50,7 +50,7 @@
 		return best
 	}
 	for _, e := range v.sorted {
-		if e.State != dotterelpulley.EndpointLive {
+		if e.State != dotterelpulley.EndpointLive || !v.split.permitsAny(e) || v.split.Focus == e.ID {
 			continue
 		}
 		// Among exponential variables with the weights as rates, each is the smallest with a probability by its weight.
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -17,6 +17,8 @@
 	Slots int
 	// StartedAt is when the endpoint started; another time under the same id is another instance.
 	StartedAt time.Time
+	// WarmAt is until when the endpoint is slow after its start.
+	WarmAt time.Time
 }
 
 // isSameInstance reports whether both are the same start of the same endpoint.
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -78,9 +78,10 @@
 // the fastest measured one, so that they are tried.
 func (v *service) prepare(now time.Time, others int) {
 	v.eventInterval, v.prefillPerToken = 0, 0
+	v.split.update(now, v.sorted)
 	slots, free := 0.0, 0.0
 	for _, e := range v.sorted {
-		e.available, e.expected = e.usable(now), e.estimateBacklog(now, others)
+		e.available, e.expected = e.usable(now) && v.split.permitsAny(e), e.estimateBacklog(now, others)
 		if e.available {
 			slots += float64(e.slots())
 			free += e.freeSlots()
@@ -103,11 +104,21 @@
 
 // choose returns the endpoint with the lowest score for the work in this pass, or nil if it has to wait.
 func (s *Scheduler) choose(now time.Time, v *service, w Work, p pass) *endpoint {
+	if v.split.prefersTarget(w) {
+		if e := s.chooseAmong(now, v, w, p, func(e *endpoint) bool { return e.Version == v.split.Target }); e != nil {
+			return e
+		}
+	}
+	return s.chooseAmong(now, v, w, p, func(e *endpoint) bool { return v.split.permits(e, w) })
+}
+
+// chooseAmong returns the endpoint with the lowest score for the work among those that match, or nil if none has room.
+func (s *Scheduler) chooseAmong(now time.Time, v *service, w Work, p pass, matches func(*endpoint) bool) *endpoint {
 	var best *endpoint
 	lowest := math.Inf(1)
 	left := w.Arrived.Add(w.Objective).Sub(now)
 	for _, e := range v.sorted {
-		if !e.available || w.ExcludedEndpoints[e.ID] {
+		if !e.available || w.ExcludedEndpoints[e.ID] || !matches(e) {
 			continue
 		}
 		expected := e.expected
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -9,6 +9,7 @@
 // run is work that has been placed on an endpoint.
 type run struct {
 	Work
+	timing
 	endpoint *endpoint
 	// prefilled means that the prompt no longer counts as pending, streaming that the first event has come.
 	prefilled bool
@@ -47,6 +48,8 @@
 		r.endPrefill()
 		r.endpoint.streaming++
 		r.streaming = true
+		r.observe(now)
+		s.sampleFirst(now, r)
 	}
 }
 
@@ -61,6 +64,7 @@
 // ObserveInterval records the time between two events of a run, or the time of a plain answer.
 func (s *Scheduler) ObserveInterval(now time.Time, id ID, interval time.Duration) {
 	if r, ok := s.runs[id]; ok {
+		r.observe(now)
 		r.endpoint.observeInterval(interval)
 		r.endpoint.lastActivity = now
 	}
@@ -82,5 +86,6 @@
 		// No run has had an event since this one was placed: the endpoint may be unreachable.
 		result = ResultUnreachable
 	}
+	s.sampleEnd(now, r, result)
 	r.endpoint.recordResult(now, result)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	pauses         pauses
 	// paceTurn is the number of paces reported so far.
 	paceTurn int
+	// samples are those that haven't been taken.
+	samples []Sample
 }
 
 // service holds the endpoints and the queue of one service.
@@ -45,6 +47,7 @@
 	freeShare float64
 	placed    placedPrefixes
 	homeRates homeRates
+	split     splitState
 	// recentStarts is the decayed number of recent starts, from which retry delays are computed.
 	recentStarts   float64
 	recentStartsAt time.Time
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -30,6 +30,7 @@
 	Urgency
 	ID      ID
 	Service dotterelpulley.ServiceID
+	Route   dotterelpulley.RouteID
 	// Arrived is when the caller's request came in.
 	Arrived time.Time
 	// Objective is the time from the arrival within which the answer has its full value.
@@ -46,6 +47,8 @@
 	Answer dotterelpulley.Tokens
 	// ExcludedEndpoints are the endpoints that the work must not run on.
 	ExcludedEndpoints map[dotterelpulley.EndpointID]bool
+	// ForTarget marks work that may run on the target of the service's split, and does if that has room.
+	ForTarget bool
 
 	// homes are those of Prefix when the work was offered.
 	homes homes
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -13,17 +13,52 @@
 // limit holds across all hosts, whichever of them join or die.
 type Splitter struct {
 	shares []dotterelpulley.Share
+	// credit is the number of requests that the second version may get beyond its share.
+	credit float64
 	total  int
 	second int
 }
 
+// Limit bounds the part of the second version in all requests that have been divided.
+type Limit struct {
+	First    dotterelpulley.VersionID
+	Second   dotterelpulley.VersionID
+	Fraction float64
+	// Credit is the number of requests beyond the fraction.
+	Credit float64
+}
+
 // SetShares sets the shares in force, the fallback version first; a change restarts the count.
 func (s *Splitter) SetShares(shares []dotterelpulley.Share) {
 	if equalShares(s.shares, shares) {
 		return
 	}
 	s.shares = append([]dotterelpulley.Share(nil), shares...)
-	s.total, s.second = 0, 0
+	s.credit, s.total, s.second = 0, 0, 0
+}
+
+// SetLimit sets the limit and keeps the count, so that the limit holds for the requests divided before as well.
+func (s *Splitter) SetLimit(l Limit) {
+	s.shares = []dotterelpulley.Share{{Version: l.First}, {Version: l.Second, Fraction: l.Fraction}}
+	s.credit = l.Credit
+}
+
+// Spare returns how many requests the second version may get at once.
+func (s *Splitter) Spare() int {
+	if len(s.shares) < 2 {
+		return 0
+	}
+	return max(int(s.limit())-s.second, 0)
+}
+
+// limit returns the number of requests that the second version may have had by now.
+func (s *Splitter) limit() float64 {
+	return s.shares[1].Fraction*float64(s.total) + s.credit + roundingTolerance
+}
+
+// Skip counts a request that goes to the first version whatever the share.
+func (s *Splitter) Skip() {
+	s.total++
 }
 
 // Choose returns the version for the next request; a conversation stays on one version while the limit allows.
@@ -36,7 +71,7 @@
 		return s.shares[0].Version
 	}
 	share := s.shares[1]
-	allowed := float64(s.second+1) <= share.Fraction*float64(s.total)+roundingTolerance
+	allowed := float64(s.second+1) <= s.limit()
 	if !allowed || !prefersSecond(conversation, share) {
 		return s.shares[0].Version
 	}
