Let a second reader write a roll-out's outcome

Both readers have the evidence, and the store takes the first outcome: a second reader now writes it 150 ms after the first should have.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -149,13 +149,14 @@
 	s.order()
 	s.waitForStatus(dotterelpulley.RolloutInProgress)
 	var stale statusWriter
-	s.Assert(g.readStatuses(context.Background(), &stale), qt.IsNil)
+	s.Assert(g.syncStatuses(context.Background(), &stale), qt.IsNil)
 	s.store.Put(platform.StatusTopic, "rollout/plain", []byte(`{"service":"plain","target":"v2","state":"rolled_back"}`))
 	g.promotions.mutex.Lock()
 	unfinished := g.promotions.promoter.Unfinished()
 	g.promotions.mutex.Unlock()
-	s.Assert(g.writeStatuses(&stale, unfinished), qt.IsNotNil)
-	s.Assert(g.readStatuses(context.Background(), &stale), qt.IsNil)
+	s.Assert(g.writeStatuses(&stale, 0, unfinished), qt.IsNotNil)
+	stale.synced = false
+	s.Assert(g.syncStatuses(context.Background(), &stale), qt.IsNil)
 	s.waitForStage(promoter.RolledBack)
 	status, _ := s.status()
 	s.Assert(status.State, qt.Equals, dotterelpulley.RolloutRolledBack)
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -17,6 +18,8 @@
 	statusInterval = 50 * time.Millisecond
 	// maxProofAge is the age from which on evidence no longer supports a completion.
 	maxProofAge = 800 * time.Millisecond
+	// handoverTime is how long each reader gives those before it to write an outcome, so that one of them may be frozen.
+	handoverTime = 150 * time.Millisecond
 )
 
 // statusWriter writes the status of roll-outs on the condition that no other host has written since it last read. Its first
@@ -27,9 +30,11 @@
 	synced bool
 	// written is what this host has written since it last read.
 	written map[dotterelpulley.ServiceID]dotterelpulley.RolloutStatus
+	// wantedSince is since when each status is wanted.
+	wantedSince map[dotterelpulley.RolloutStatus]time.Time
 }
 
-// writeRolloutStatus keeps the status of the roll-outs in the store up to date while this host is the first reader.
+// writeRolloutStatus keeps the status of the roll-outs in the store up to date while this host reads the store for others.
 func (g *Gateway) writeRolloutStatus() {
 	var w statusWriter
 	for g.ctx.Err() == nil {
@@ -39,11 +44,12 @@
 		p.mutex.Lock()
 		unfinished := p.promoter.Unfinished()
 		p.mutex.Unlock()
-		if readers := g.selectReaders(now); len(unfinished) == 0 || len(readers) == 0 || readers[0] != g.settings.Host {
-			w.synced = false
+		rank := slices.Index(g.selectReaders(now), g.settings.Host)
+		if len(unfinished) == 0 || rank < 0 {
+			w = statusWriter{}
 			continue
 		}
-		if err := g.writeStatuses(&w, unfinished); err != nil && g.ctx.Err() == nil {
+		if err := g.writeStatuses(&w, rank, unfinished); err != nil && g.ctx.Err() == nil {
 			w.synced = false
 			g.metrics.Inc("rollout-status-failures")
 			g.event(log.InfoLevel, "rollout-status-failed").Err(err).Msg("")
@@ -52,24 +58,25 @@
 	}
 }
 
-// writeStatuses writes what the store lacks; after an error it has to be read again, as the answer may have been lost.
-func (g *Gateway) writeStatuses(w *statusWriter, unfinished []promoter.Change) error {
+// writeStatuses writes what the store lacks. After an error it has to be read again, as the answer may have been lost.
+func (g *Gateway) writeStatuses(w *statusWriter, rank int, unfinished []promoter.Change) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeAnswerTimeout)
 	defer cancel()
-	if !w.synced {
-		return g.readStatuses(ctx, w)
-	}
 	for _, c := range unfinished {
-		now := time.Now()
-		p := &g.promotions
-		p.mutex.Lock()
-		proof := p.proofs[c.Service]
-		if now.Sub(proof.at) > maxProofAge {
-			proof = datedProof{}
+		if rank > 0 {
+			// What another host wrote is seen only by reading again.
+			w.synced = false
+		} else if err := g.syncStatuses(ctx, w); err != nil {
+			return err
 		}
-		wanted, ok := p.promoter.Wanted(now, c.Service, proof.Proof)
-		p.mutex.Unlock()
-		if last, written := w.written[c.Service]; !ok || written && last == wanted {
+		wanted, ok := g.wantedStatus(w, rank, c.Service)
+		if !ok {
+			continue
+		}
+		if err := g.syncStatuses(ctx, w); err != nil {
+			return err
+		}
+		if wanted, ok = g.wantedStatus(w, rank, c.Service); !ok {
 			continue
 		}
 		end, err := g.store.AppendAt(ctx, platform.StatusTopic, w.end, platform.EncodeRolloutStatus(wanted))
@@ -84,8 +91,36 @@
 	return nil
 }
 
-// readStatuses applies the statuses in the store.
-func (g *Gateway) readStatuses(ctx context.Context, w *statusWriter) error {
+// wantedStatus returns the status that this host has to write. A reader after the first one writes an outcome alone, if those
+// before it haven't for some time.
+func (g *Gateway) wantedStatus(w *statusWriter, rank int, service dotterelpulley.ServiceID) (dotterelpulley.RolloutStatus, bool) {
+	now := time.Now()
+	p := &g.promotions
+	p.mutex.Lock()
+	proof := p.proofs[service]
+	if now.Sub(proof.at) > maxProofAge {
+		proof = datedProof{}
+	}
+	wanted, ok := p.promoter.Wanted(now, service, proof.Proof)
+	p.mutex.Unlock()
+	if last, written := w.written[service]; !ok || written && last == wanted {
+		return wanted, false
+	}
+	if w.wantedSince == nil {
+		w.wantedSince = map[dotterelpulley.RolloutStatus]time.Time{}
+	}
+	since, known := w.wantedSince[wanted]
+	if !known {
+		since, w.wantedSince[wanted] = now, now
+	}
+	return wanted, rank == 0 || wanted.State != dotterelpulley.RolloutInProgress && now.Sub(since) >= time.Duration(rank)*handoverTime
+}
+
+// syncStatuses applies the statuses in the store if this host doesn't know where the topic ends.
+func (g *Gateway) syncStatuses(ctx context.Context, w *statusWriter) error {
+	if w.synced {
+		return nil
+	}
 	snapshot, err := g.store.Newest(ctx, platform.StatusTopic)
 	if err != nil {
 		return err
