Tell the outcome of an earlier order from that of a new one

An operator who orders a version again after it was rolled back would have got no status and no traffic on it: the store still holds the outcome of the earlier order for the same target. An outcome that is there before any host has written of the new order is now taken as old.

--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -142,7 +142,7 @@
 func (g *Gateway) applyStored(status dotterelpulley.RolloutStatus) {
 	p := &g.promotions
 	p.mutex.Lock()
-	change, advanced := p.promoter.Stored(status)
+	change, advanced := p.promoter.Stored(time.Now(), status)
 	p.mutex.Unlock()
 	if advanced {
 		g.applyStage(time.Now(), change)
--- a/promoter/decide.go
+++ b/promoter/decide.go
@@ -65,19 +65,23 @@
 	return status, true
 }
 
-// Stored applies the status that the store holds.
-func (p *Promoter) Stored(status dotterelpulley.RolloutStatus) (Change, bool) {
+// Stored applies the status that the store holds. An outcome that is there when the order has just come, before any host has
+// written of it, belongs to an earlier order for the same target.
+func (p *Promoter) Stored(now time.Time, status dotterelpulley.RolloutStatus) (Change, bool) {
 	r := p.rollouts[status.Service]
 	if r == nil || r.Target != status.Target {
 		return Change{}, false
 	}
+	earlier := r.stage.running() && !r.announced && r.deadline.Sub(now) > r.Duration-announceTime
 	advanced := false
-	switch status.State {
-	case dotterelpulley.RolloutCompleted:
+	switch {
+	case status.State == dotterelpulley.RolloutInProgress:
+		r.announced = true
+	case earlier:
+	case status.State == dotterelpulley.RolloutCompleted:
 		advanced = r.advance(Completed, "in the store")
-	case dotterelpulley.RolloutRolledBack:
+	case status.State == dotterelpulley.RolloutRolledBack:
 		advanced = r.advance(RolledBack, "in the store")
-	case dotterelpulley.RolloutInProgress:
 	}
 	return r.change(), advanced
 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -30,6 +30,8 @@
 	usualAge = 1500 * time.Millisecond
 	// maxAgeFraction is the fraction of its duration up to which an order of that age is started.
 	maxAgeFraction = 0.25
+	// announceTime is the time after an order within which the store may hold the outcome of an earlier one.
+	announceTime = 2 * time.Second
 	// focusTime is how long the canary's requests go to one of the target's endpoints.
 	focusTime = 2 * time.Second
 )
@@ -58,6 +60,8 @@
 	// seenAt is when this host heard of the order; deadline is when it goes back without a completion.
 	seenAt   time.Time
 	deadline time.Time
+	// announced means that the store was seen to hold that the roll-out is in progress.
+	announced bool
 	split    splitter.Splitter
 	// divided counts the requests since the order, perRoute those sent to the target.
 	divided  int
--- /dev/null
+++ b/promoter/promoter_test.go
@@ -0,0 +1,70 @@
+package promoter_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/promoter"
+)
+
+func newOrder(next int64) promoter.Order {
+	return promoter.Order{
+		RolloutOrder: dotterelpulley.RolloutOrder{Service: service, Target: target, Duration: orderDuration},
+		Number:       promoter.Number{Era: 1, Next: next},
+	}
+}
+
+func status(state dotterelpulley.RolloutState) dotterelpulley.RolloutStatus {
+	return dotterelpulley.RolloutStatus{Service: service, Target: target, State: state}
+}
+
+func stageOf(p *promoter.Promoter) promoter.Stage {
+	c, _ := p.Rollout(service)
+	return c.Stage
+}
+
+// Guards against a version that can't be ordered again after it was rolled back.
+func TestTheOutcomeOfAnEarlierOrderIsNotThatOfANewOne(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.TakeBack(service, "bad")
+	p.Stored(epoch.Add(5*time.Second), status(dotterelpulley.RolloutRolledBack))
+	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
+	again := epoch.Add(time.Minute)
+	c.Assert(p.ReceiveOrder(again, newOrder(9), 0), qt.IsTrue)
+	p.Stored(again.Add(50*time.Millisecond), status(dotterelpulley.RolloutRolledBack))
+	c.Assert(stageOf(&p), qt.Equals, promoter.Canary)
+	p.Stored(again.Add(60*time.Millisecond), status(dotterelpulley.RolloutInProgress))
+	p.Stored(again.Add(time.Second), status(dotterelpulley.RolloutRolledBack))
+	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
+}
+
+// Guards against a store that returns from a copy, with other offsets, starting a roll-out anew.
+func TestAnOrderFromACopyOfTheStoreIsTheSameOrder(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.TakeBack(service, "bad")
+	copied := newOrder(3)
+	copied.Number.Era = 2
+	c.Assert(p.ReceiveOrder(epoch.Add(time.Second), copied, 0), qt.IsFalse)
+	c.Assert(stageOf(&p), qt.Equals, promoter.TakenBack)
+}
+
+// Guards against a verdict that another host's older knowledge undoes.
+func TestAVerdictHoldsWhateverOtherHostsTell(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.TakeBack(service, "bad")
+	for _, s := range []promoter.Stage{promoter.Held, promoter.Canary, promoter.Full, promoter.Completed + 1} {
+		_, advanced := p.Learn(epoch, promoter.Fact{Order: newOrder(7), Stage: s, Remaining: time.Hour})
+		c.Check(advanced, qt.IsFalse)
+	}
+	c.Check(stageOf(&p), qt.Equals, promoter.TakenBack)
+	c.Check(p.ForTarget(epoch, service, "a"), qt.IsFalse)
+}
