Count a roll-out's time from its order

Orders mostly come much sooner than the greatest age that they can have. The limit now counts from when the first host had the order; one whose age may be over a quarter of its time is still held.

TestHostsThatWereBehindDoNotShortenARollout fails with the age taken off.

--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -26,8 +26,6 @@
 	maxFullTime = 4 * time.Second
 	// heldTime is how long the other hosts have to tell the time that is left of an order of unknown age.
 	heldTime = 1500 * time.Millisecond
-	// usualAge is the age up to which an order counts as new, as most come much sooner than their greatest age.
-	usualAge = 1500 * time.Millisecond
 	// maxAgeFraction is the fraction of its duration up to which an order of that age is started.
 	maxAgeFraction = 0.25
 	// announceTime is the time after an order within which the store may hold the outcome of an earlier one.
@@ -100,11 +98,9 @@
 		return false
 	}
 	r := p.start(now, o)
-	switch {
-	case age <= usualAge:
+	if age <= time.Duration(maxAgeFraction*float64(o.Duration)) {
+		// Most orders come much sooner than their greatest age, and the host that had it first tells the others the deadline.
 		r.stage, r.reason, r.deadline = Canary, "ordered", now.Add(o.Duration)
-	case age <= time.Duration(maxAgeFraction*float64(o.Duration)):
-		r.stage, r.reason, r.deadline = Canary, "ordered some time ago", now.Add(o.Duration-age)
 	}
 	return true
 }
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -68,3 +68,16 @@
 	c.Check(stageOf(&p), qt.Equals, promoter.TakenBack)
 	c.Check(p.ForTarget(epoch, service, "a"), qt.IsFalse)
 }
+
+// Guards against a deadline that is brought forward because some hosts didn't have the operators' records lately.
+func TestHostsThatWereBehindDoNotShortenARollout(t *testing.T) {
+	c := qt.New(t)
+	var first, behind promoter.Promoter
+	first.ReceiveOrder(epoch, newOrder(7), 0)
+	behind.ReceiveOrder(epoch.Add(10*time.Millisecond), newOrder(7), 2*time.Second)
+	for _, f := range behind.Facts(epoch.Add(20 * time.Millisecond)) {
+		first.Learn(epoch.Add(30*time.Millisecond), f)
+	}
+	c.Assert(first.Expire(epoch.Add(orderDuration-time.Millisecond)), qt.HasLen, 0)
+	c.Assert(first.Expire(epoch.Add(orderDuration)), qt.HasLen, 1)
+}
