Don't watch a version in doubt for long

The verdict looked only for answers slower than nearly all of the old version's; most of the slow ones lay below that.

- The spread of latencies on each endpoint is tested a second time, for many answers that are somewhat slower.
- After 48 requests a version that has been in doubt for 2 s is taken back without waiting for the limit.

TestABadVersionIsNotWatchedForLong fails without both.

--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -59,7 +59,9 @@
 	// EnoughEvidence is true if every route of the old version has had enough requests on the new one without signs of a
 	// bad version.
 	EnoughEvidence bool
-	Reason         string
+	// Doubtful is true if the evidence of the requests so far speaks too much against the version for it to be proved.
+	Doubtful bool
+	Reason   string
 }
 
 type measure int
@@ -149,6 +151,7 @@
 			provable, spreadReason = false, reason
 		}
 	}
+	result.Doubtful = !provable
 	unprovedRoutes := a.unproved(e)
 	result.EnoughEvidence = len(unprovedRoutes) == 0 && result.Requests >= a.routeRequests() && provable
 	result.Reason = fmt.Sprintf("%d requests, %d failures", result.Requests, result.Failures)
--- a/assessor/spread.go
+++ b/assessor/spread.go
@@ -17,6 +17,10 @@
 	baseBucket = buckets / 4
 )
 
+// spreadTails are the fractions of the old version's relative latencies above those from which the thresholds are derived: few
+// answers that are much slower, and many that are slower.
+var spreadTails = [...]float64{slowFraction, 0.25}
+
 // Spread holds how far the latencies of each endpoint lie above a usual one of the same endpoint. It shows a version of which a
 // part of the answers is slow, whatever the speed of the hardware that it runs on.
 type Spread struct {
@@ -90,10 +94,18 @@
 	if s.Old.total() < minReferenceRequests || spread.total() == 0 {
 		return false, false, ""
 	}
-	threshold := s.Old.quantile(slowFraction) + slowBucketMargin
-	rate := max(a.slowRate(), min(maxToleratedRate, upperBound(s.Old.proportionAbove(threshold))))
-	observed := spread.proportionAbove(threshold)
-	evidence := trials{requests: observed.total, hits: observed.count}.logRatios(rate).mean()
-	reason = fmt.Sprintf("uneven %s: %d of %d requests", name, observed.count, observed.total)
-	return evidence >= limits[scopeAll], evidence >= a.maxDoubt(group{scope: scopeAll}, limits), reason
+	for i, tail := range spreadTails {
+		threshold := s.Old.quantile(tail) + slowBucketMargin
+		rate := max(a.slowRate(), min(maxToleratedRate, upperBound(s.Old.proportionAbove(threshold))))
+		observed := spread.proportionAbove(threshold)
+		evidence := trials{requests: observed.total, hits: observed.count}.logRatios(rate).mean()
+		bad = bad || evidence >= limits[scopeAll]
+		// Assurance is asked for once: two tests of the same latencies would fail twice as many good versions.
+		doubtful = doubtful || evidence >= a.maxDoubt(group{scope: scopeAll, recent: i > 0}, limits)
+		reason = fmt.Sprintf("uneven %s: %d of %d requests", name, observed.count, observed.total)
+		if bad || doubtful {
+			return bad, doubtful, reason
+		}
+	}
+	return false, false, ""
 }
--- a/promoter/decide.go
+++ b/promoter/decide.go
@@ -30,6 +30,9 @@
 	if r == nil {
 		return Change{}, false
 	}
+	if !proof.Doubtful || proof.Requests < maxDoubtfulRequests {
+		r.doubtfulSince = now
+	}
 	advanced := false
 	switch {
 	case r.stage == Held && now.Sub(r.seenAt) >= heldTime:
@@ -37,6 +40,8 @@
 	case !r.stage.running():
 	case proof.Bad:
 		advanced = r.advance(TakenBack, proof.Reason)
+	case r.stage == Canary && now.Sub(r.doubtfulSince) >= doubtTime && !r.doubtfulSince.IsZero():
+		advanced = r.advance(TakenBack, proof.Reason)
 	case r.stage == Canary && !now.Before(r.completeAt()):
 		advanced = r.advance(TakenBack, fmt.Sprintf("not proved in time: %s, evidence of %d of %d hosts", proof.Reason, proof.Reports, proof.Hosts))
 	case r.stage == Canary && !now.Before(r.completeAt().Add(-p.fullTime(r, proof.Rate))) && proof.EnoughEvidence && proof.isQuorum():
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -28,6 +28,10 @@
 	heldTime = 1500 * time.Millisecond
 	// maxAgeFraction is the fraction of its duration up to which an order of that age is started.
 	maxAgeFraction = 0.25
+	// maxDoubtfulRequests is the number of requests from which on a version in doubt is taken back, as it may have given as many
+	// bad answers; doubtTime is how long it has to be in doubt.
+	maxDoubtfulRequests = 48
+	doubtTime           = 2 * time.Second
 	// announceTime is the time after an order within which the store may hold the outcome of an earlier one.
 	announceTime = 2 * time.Second
 	// focusTime is how long the canary's requests go to one of the target's endpoints.
@@ -58,9 +62,11 @@
 	// seenAt is when this host heard of the order; deadline is when it goes back without a completion.
 	seenAt   time.Time
 	deadline time.Time
+	// doubtfulSince is since when the version has been in doubt.
+	doubtfulSince time.Time
 	// announced means that the store was seen to hold that the roll-out is in progress.
 	announced bool
-	split    splitter.Splitter
+	split     splitter.Splitter
 	// divided counts the requests since the order, perRoute those sent to the target.
 	divided  int
 	perRoute map[dotterelpulley.RouteID]int
--- a/promoter/replay_test.go
+++ b/promoter/replay_test.go
@@ -29,10 +29,6 @@
 	factInterval                            = 100 * time.Millisecond
 	decideInterval                          = 150 * time.Millisecond
 	slowSampleTime                          = 1500 * time.Millisecond
-	// badPart is the part of the answers of a bad version that are bad.
-	badPart = 0.5
-	// slowFactor is how many times longer a slow answer takes.
-	slowFactor = 4.0
 	// noiseDeviation is the standard deviation of the logarithm of the time that an answer takes.
 	noiseDeviation = 0.3
 	// slotCount is the number of requests from which on an engine counts as full.
@@ -74,13 +70,17 @@
 	random  *rand.Rand
 	bad     badness
 	badFrom time.Duration
-	hosts   []*replayHost
-	engines []*engine
-	now     time.Duration
-	events  eventQueue
-	order   promoter.Order
-	down    bool
-	state   dotterelpulley.RolloutState
+	// badPart is the part of the answers of a bad version that are bad.
+	badPart float64
+	// slowFactor is how many times longer a slow answer takes.
+	slowFactor float64
+	hosts      []*replayHost
+	engines    []*engine
+	now        time.Duration
+	events     eventQueue
+	order      promoter.Order
+	down       bool
+	state      dotterelpulley.RolloutState
 
 	all, exposed, late int
 	badAnswers         int
@@ -125,10 +125,14 @@
 }
 
 func newReplay(seed uint64, bad badness) *replay {
+	return newReplayOf(seed, bad, orderDuration, 0.5, 4)
+}
+
+func newReplayOf(seed uint64, bad badness, duration time.Duration, badPart, slowFactor float64) *replay {
 	r := &replay{
-		random: rand.New(rand.NewPCG(seed, seed)), bad: bad, badFrom: orderedAt,
+		random: rand.New(rand.NewPCG(seed, seed)), bad: bad, badFrom: orderedAt, badPart: badPart, slowFactor: slowFactor,
 		order: promoter.Order{
-			RolloutOrder: dotterelpulley.RolloutOrder{Service: service, Target: target, Duration: orderDuration},
+			RolloutOrder: dotterelpulley.RolloutOrder{Service: service, Target: target, Duration: duration},
 			Number:       promoter.Number{Era: 1, Next: 7},
 		},
 	}
@@ -297,7 +301,7 @@
 }
 
 func (r *replay) isBad(route dotterelpulley.RouteID, e *engine) bool {
-	if r.bad == "" || e.version != target || r.now < r.badFrom || r.random.Float64() >= badPart {
+	if r.bad == "" || e.version != target || r.now < r.badFrom || r.random.Float64() >= r.badPart {
 		return false
 	}
 	return (r.bad != "route" || route == "b") && (r.bad != "load" || e.running >= 3)
@@ -305,7 +309,7 @@
 
 func (r *replay) send(h *replayHost, route dotterelpulley.RouteID, e *engine) {
 	sent := r.now
-	if sent >= orderedAt && sent < orderedAt+orderDuration {
+	if sent >= orderedAt && sent < orderedAt+r.order.Duration {
 		r.all++
 		if e.version == target && !h.cut {
 			r.exposed++
@@ -321,7 +325,7 @@
 	first, interval, tokens := 0.05*pace, 0.012*pace, 20+r.random.IntN(120)
 	failed := bad && r.bad != "slow"
 	if bad && r.bad == "slow" {
-		first, interval = first*slowFactor, interval*slowFactor
+		first, interval = first*r.slowFactor, interval*r.slowFactor
 	}
 	total := first + interval*float64(tokens)
 	if failed {
@@ -393,6 +397,17 @@
 	}
 }
 
+// Guards against a version that is watched for long while it gives bad answers.
+func TestABadVersionIsNotWatchedForLong(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(seeds) {
+		const duration = 60 * time.Second
+		r := newReplayOf(seed, "slow", duration, 0.6, 3)
+		r.run(orderedAt + duration + orderDuration)
+		r.checkExposure(c)
+	}
+}
+
 // leastCompleted is the part of the good versions that has to be completed; a verdict in doubt is against the version.
 const leastCompleted = 0.8
 
