Forget versions some time after a completed roll-out

Endpoints that are added after a completion, under whatever version, would have got no requests for good, and the latencies of endpoints that are gone were kept. Found by reading; versions are now ignored 30 s after a completion, when the old endpoints are gone, and latencies of endpoints fade like the other references.

--- a/assessor/evidence.go
+++ b/assessor/evidence.go
@@ -65,6 +65,8 @@
 		return
 	}
 	e.halvedAt = now
+	e.FirstToken.halve()
+	e.BetweenTokens.halve()
 	for cell, evidence := range e.Cells {
 		evidence.Old.halve()
 		if evidence.Old.Requests == 0 {
--- a/assessor/spread.go
+++ b/assessor/spread.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// halve halves the weight of the old version's latencies and forgets endpoints that are gone.
+func (s *Spread) halve() {
+	for id, h := range s.old {
+		if h.halve(); h.total() == 0 {
+			delete(s.old, id)
+		}
+	}
+}
+
 func (s *Spread) merge(other *Spread) {
 	s.Old.merge(&other.Old)
 	for id, h := range other.New {
--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -90,7 +90,7 @@
 // withdrawRollout takes back the roll-out whose order the operator withdrew.
 func (g *Gateway) withdrawRollout(service dotterelpulley.ServiceID) {
 	g.promotions.mutex.Lock()
-	change, advanced := g.promotions.promoter.TakeBack(service, "the order was withdrawn")
+	change, advanced := g.promotions.promoter.TakeBack(time.Now(), service, "the order was withdrawn")
 	g.promotions.mutex.Unlock()
 	if advanced {
 		g.applyStage(time.Now(), change)
@@ -151,6 +151,9 @@
 	}
 	p.available[service] = len(endpoints) > 0
 	split := scheduler.Split{Target: change.Target, Mode: splitModes[change.Stage], Focus: p.promoter.Focus(now, service, endpoints)}
+	if p.promoter.Settled(now, service) {
+		split = scheduler.Split{}
+	}
 	p.mutex.Unlock()
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.SetSplit(now, service, split) })
 }
--- a/promoter/decide.go
+++ b/promoter/decide.go
@@ -36,16 +36,16 @@
 	advanced := false
 	switch {
 	case r.stage == Held && now.Sub(r.seenAt) >= heldTime:
-		advanced = r.advance(TakenBack, "no host knows the time that is left")
+		advanced = r.advance(now, TakenBack, "no host knows the time that is left")
 	case !r.stage.running():
 	case proof.Bad:
-		advanced = r.advance(TakenBack, proof.Reason)
+		advanced = r.advance(now, TakenBack, proof.Reason)
 	case r.stage == Canary && now.Sub(r.doubtfulSince) >= doubtTime && !r.doubtfulSince.IsZero():
-		advanced = r.advance(TakenBack, proof.Reason)
+		advanced = r.advance(now, TakenBack, proof.Reason)
 	case r.stage == Canary && !now.Before(r.completeAt()):
-		advanced = r.advance(TakenBack, fmt.Sprintf("not proved in time: %s, evidence of %d of %d hosts", proof.Reason, proof.Reports, proof.Hosts))
+		advanced = r.advance(now, TakenBack, fmt.Sprintf("not proved in time: %s, evidence of %d of %d hosts", proof.Reason, proof.Reports, proof.Hosts))
 	case r.stage == Canary && !now.Before(r.completeAt().Add(-p.fullTime(r, proof.Rate))) && proof.EnoughEvidence && proof.isQuorum():
-		advanced = r.advance(Full, proof.Reason)
+		advanced = r.advance(now, Full, proof.Reason)
 	}
 	return r.change(), advanced
 }
@@ -84,9 +84,9 @@
 		r.announced = true
 	case earlier:
 	case status.State == dotterelpulley.RolloutCompleted:
-		advanced = r.advance(Completed, "in the store")
+		advanced = r.advance(now, Completed, "in the store")
 	case status.State == dotterelpulley.RolloutRolledBack:
-		advanced = r.advance(RolledBack, "in the store")
+		advanced = r.advance(now, RolledBack, "in the store")
 	}
 	return r.change(), advanced
 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -32,6 +32,9 @@
 	// bad answers; doubtTime is how long it has to be in doubt.
 	maxDoubtfulRequests = 48
 	doubtTime           = 2 * time.Second
+	// settleTime is the time after a completion in which the other versions' endpoints stop. Those that come later are none of
+	// its business.
+	settleTime = 30 * time.Second
 	// announceTime is the time after an order within which the store may hold the outcome of an earlier one.
 	announceTime = 2 * time.Second
 	// focusTime is how long the canary's requests go to one of the target's endpoints.
@@ -64,6 +67,8 @@
 	deadline time.Time
 	// doubtfulSince is since when the version has been in doubt.
 	doubtfulSince time.Time
+	// stageSince is since when this host has known the stage.
+	stageSince time.Time
 	// announced means that the store was seen to hold that the roll-out is in progress.
 	announced bool
 	split     splitter.Splitter
@@ -84,11 +89,11 @@
 }
 
 // advance raises the stage and reports whether that is news.
-func (r *rollout) advance(s Stage, reason string) bool {
+func (r *rollout) advance(now time.Time, s Stage, reason string) bool {
 	if s <= r.stage {
 		return false
 	}
-	r.stage, r.reason = s, reason
+	r.stage, r.reason, r.stageSince = s, reason, now
 	return true
 }
 
@@ -142,7 +147,7 @@
 			r.deadline = told
 		}
 	}
-	advanced := f.Stage <= Completed && r.advance(f.Stage, "told by another host")
+	advanced := f.Stage <= Completed && r.advance(now, f.Stage, "told by another host")
 	return r.change(), advanced
 }
 
@@ -195,7 +200,7 @@
 	var changes []Change
 	for _, service := range p.Services() {
 		r := p.rollouts[service]
-		if r.stage.running() && !now.Before(r.deadline) && r.advance(TakenBack, "not completed by the deadline") {
+		if r.stage.running() && !now.Before(r.deadline) && r.advance(now, TakenBack, "not completed by the deadline") {
 			changes = append(changes, r.change())
 		}
 	}
@@ -203,10 +208,16 @@
 }
 
 // TakeBack takes the service's roll-out back.
-func (p *Promoter) TakeBack(service dotterelpulley.ServiceID, reason string) (Change, bool) {
+func (p *Promoter) TakeBack(now time.Time, service dotterelpulley.ServiceID, reason string) (Change, bool) {
 	r := p.rollouts[service]
-	if r == nil || !r.advance(TakenBack, reason) {
+	if r == nil || !r.advance(now, TakenBack, reason) {
 		return Change{}, false
 	}
 	return r.change(), true
 }
+
+// Settled reports whether the roll-out was completed so long ago that versions no longer matter.
+func (p *Promoter) Settled(now time.Time, service dotterelpulley.ServiceID) bool {
+	r := p.rollouts[service]
+	return r != nil && r.stage == Completed && now.Sub(r.stageSince) >= settleTime
+}
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -31,7 +31,7 @@
 	c := qt.New(t)
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
-	p.TakeBack(service, "bad")
+	p.TakeBack(epoch, service, "bad")
 	p.Stored(epoch.Add(5*time.Second), status(dotterelpulley.RolloutRolledBack))
 	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
 	again := epoch.Add(time.Minute)
@@ -48,7 +48,7 @@
 	c := qt.New(t)
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
-	p.TakeBack(service, "bad")
+	p.TakeBack(epoch, service, "bad")
 	copied := newOrder(3)
 	copied.Number.Era = 2
 	c.Assert(p.ReceiveOrder(epoch.Add(time.Second), copied, 0), qt.IsFalse)
@@ -60,7 +60,7 @@
 	c := qt.New(t)
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
-	p.TakeBack(service, "bad")
+	p.TakeBack(epoch, service, "bad")
 	for _, s := range []promoter.Stage{promoter.Held, promoter.Canary, promoter.Full, promoter.Completed + 1} {
 		_, advanced := p.Learn(epoch, promoter.Fact{Order: newOrder(7), Stage: s, Remaining: time.Hour})
 		c.Check(advanced, qt.IsFalse)
@@ -81,3 +81,13 @@
 	c.Assert(first.Expire(epoch.Add(orderDuration-time.Millisecond)), qt.HasLen, 0)
 	c.Assert(first.Expire(epoch.Add(orderDuration)), qt.HasLen, 1)
 }
+
+// Guards against endpoints that are added after a completion, under another version, getting no requests for good.
+func TestVersionsNoLongerMatterSomeTimeAfterACompletion(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.Stored(epoch.Add(orderDuration), status(dotterelpulley.RolloutCompleted))
+	c.Assert(p.Settled(epoch.Add(orderDuration+time.Second), service), qt.IsFalse)
+	c.Assert(p.Settled(epoch.Add(orderDuration+time.Minute), service), qt.IsTrue)
+}
