--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -79,6 +79,19 @@
 	Crashes []Crash
 	// Parts is what the host knows of prompt parts that may have crashed endpoints.
 	Parts []PartFact
+	// Rollouts is what the host knows of the operators' roll-outs.
+	Rollouts []Rollout
+}
+
+// Rollout is how far the roll-out of an order has come.
+type Rollout struct {
+	dotterelpulley.RolloutOrder
+	// Era and Next are the position after the order's record.
+	Era  dotterelpulley.StoreEra
+	Next int64
+	// Stage and Remaining are sent in whole numbers and milliseconds.
+	Stage     int
+	Remaining time.Duration
 }
 
 // Usage is what an organisation has used on a host since the host's start, and the level of its token bucket there,
@@ -157,6 +170,7 @@
 	fieldAck
 	fieldUpdate
 	fieldPartFact
+	fieldRollout
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -213,6 +227,9 @@
 	for _, f := range d.Parts {
 		b = appendNumbers(b, fieldPartFact, f.Part, uint64(f.Incident), uint64(f.Evidence), uint64(max(f.Age, 0)/time.Millisecond))
 	}
+	for _, r := range d.Rollouts {
+		b = fields.AppendBytes(b, fieldRollout, r.encode())
+	}
 	return b
 }
 
@@ -311,6 +328,12 @@
 			return protowire.ParseError(m)
 		}
 		d.Updates = append(d.Updates, Update{Host: dotterelpulley.HostID(value[n+m:]), Incarnation: incarnation, Suspected: protowire.DecodeBool(suspected)})
+	case fieldRollout:
+		r, err := decodeRollout(value)
+		if err != nil {
+			return err
+		}
+		d.Rollouts = append(d.Rollouts, r)
 	case fieldCrash:
 		v, err := consumeNumbers(value, 3)
 		if err != nil {
