Let silent endpoints of the tests go on when the silence has been noticed

They went on 200 ms after the limit: on a busy computer, the host could notice the silence later or not at all, so that four cases could pass without any silence and the cases with a second endpoint fail. They now wait for the host's count of silences and, where the other endpoint's attempt ends by itself, for its end. With a host that ends silent streams, the same cases fail as before (tried).

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -16,17 +16,34 @@
 // wholeStream is the stream of events 1 and 2.
 const wholeStream = "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\n"
 
-// pauseMidway sends one event, falls silent for longer than the limit and goes on.
-func pauseMidway(w http.ResponseWriter, r *http.Request, _ int) {
-	standin.WriteEvents(w, 1, 1)
-	select {
-	case <-time.After(nextEventTimeout + 200*time.Millisecond):
-	case <-r.Context().Done():
-		return
+// pauseMidway sends one event, falls silent and goes on once the channel is closed.
+func pauseMidway(proceed <-chan struct{}) standin.Handler {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		standin.WriteEvents(w, 1, 1)
+		select {
+		case <-proceed:
+		case <-r.Context().Done():
+			return
+		}
+		standin.WriteEvents(w, 2, 2)
 	}
-	standin.WriteEvents(w, 2, 2)
 }
 
+// postAcrossSilence sends a caller's request and closes the channel, at which its silent endpoint goes on, when the host has
+// noticed the silence and the condition holds.
+func (s *site) postAcrossSilence(g *Gateway, proceed chan<- struct{}, condition func() bool) answer {
+	got := make(chan answer, 1)
+	r := s.request(context.Background(), g, http.MethodPost, "/advice/", "prompt")
+	go func() { got <- s.send(r) }()
+	s.waitFor("the endpoint is silent", func() bool {
+		return len(got) > 0 || g.metrics.counts.Get("silences") > 0 && condition()
+	})
+	close(proceed)
+	return <-got
+}
+
+func always() bool { return true }
+
 // slotsHeld returns the number of runs that the host counts at all endpoints.
 func slotsHeld(g *Gateway) int {
 	running := 0
@@ -40,9 +57,10 @@
 func TestASilentStreamIsNotCutWithoutAnotherEndpoint(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
-	e := s.endpoint("i-1", "model", pauseMidway)
+	proceed := make(chan struct{})
+	e := s.endpoint("i-1", "model", pauseMidway(proceed))
 	g := s.startReadyGateway()
-	a := s.post(g, "/advice/", "prompt")
+	a := s.postAcrossSilence(g, proceed, always)
 	s.Assert(a.err, qt.IsNil)
 	s.Assert(a.body, qt.Equals, wholeStream)
 	s.Assert(e.Received(), qt.HasLen, 1)
@@ -52,18 +70,19 @@
 func TestAStreamThatStartsSilentIsNotFailedWithoutAnotherEndpoint(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
+	proceed := make(chan struct{})
 	s.endpoint("i-1", "model", func(w http.ResponseWriter, r *http.Request, _ int) {
 		standin.WriteEvents(w, 1, 0)
 		s.Check(http.NewResponseController(w).Flush(), qt.IsNil)
 		select {
-		case <-time.After(firstEventTimeout + 200*time.Millisecond):
+		case <-proceed:
 		case <-r.Context().Done():
 			return
 		}
 		standin.WriteEvents(w, 1, 2)
 	})
 	g := s.startReadyGateway()
-	a := s.post(g, "/advice/", "prompt")
+	a := s.postAcrossSilence(g, proceed, always)
 	s.Assert(a.err, qt.IsNil)
 	s.Assert(a.status, qt.Equals, http.StatusOK)
 	s.Assert(a.body, qt.Equals, wholeStream)
@@ -73,14 +92,15 @@
 func TestASilentStreamIsNotCutWithoutRetryBudget(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
-	first, second := s.endpoint("i-1", "model", pauseMidway), s.endpoint("i-2", "model", pauseMidway)
+	proceed := make(chan struct{})
+	first, second := s.endpoint("i-1", "model", pauseMidway(proceed)), s.endpoint("i-2", "model", pauseMidway(proceed))
 	g := s.startReadyGateway()
 	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
 	g.mutex.Lock()
 	for g.retryBudget.Withdraw(time.Now(), "model") {
 	}
 	g.mutex.Unlock()
-	a := s.post(g, "/advice/", "prompt")
+	a := s.postAcrossSilence(g, proceed, always)
 	s.Assert(a.err, qt.IsNil)
 	s.Assert(a.body, qt.Equals, wholeStream)
 	s.Assert(len(first.Received())+len(second.Received()), qt.Equals, 1)
@@ -88,32 +108,39 @@
 
 // A silent stream must not be cut because the endpoint that was to go on with it doesn't.
 func TestASilentStreamOutlivesAnEndpointThatDoesNotTakeOver(t *testing.T) {
-	for name, handler := range map[string]standin.Handler{
-		"refused": func(w http.ResponseWriter, _ *http.Request, _ int) { standin.WriteNotExecuted(w) },
-		"broken":  abort,
-		"hanging": func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() },
-		"silent": func(w http.ResponseWriter, r *http.Request, _ int) {
+	for name, test := range map[string]struct {
+		handler standin.Handler
+		// counter counts the attempt's end, if it ends by itself.
+		counter string
+	}{
+		"refused": {func(w http.ResponseWriter, _ *http.Request, _ int) { standin.WriteNotExecuted(w) }, "tries-refused"},
+		"broken":  {abort, "tries-failed"},
+		"hanging": {func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }, ""},
+		"silent": {func(w http.ResponseWriter, r *http.Request, _ int) {
 			standin.WriteEvents(w, 1, 0)
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
-		},
+		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
 			s.publishConfiguration(1, 1000)
 			var runs atomic.Int64
+			proceed := make(chan struct{})
 			either := func(w http.ResponseWriter, r *http.Request, n int) {
 				if runs.Add(1) == 1 {
-					pauseMidway(w, r, n)
+					pauseMidway(proceed)(w, r, n)
 					return
 				}
-				handler(w, r, n)
+				test.handler(w, r, n)
 			}
 			s.endpoint("i-1", "model", either)
 			s.endpoint("i-2", "model", either)
 			g := s.startReadyGateway()
 			s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
-			a := s.post(g, "/advice/", "prompt")
+			a := s.postAcrossSilence(g, proceed, func() bool {
+				return runs.Load() > 1 && (test.counter == "" || g.metrics.counts.Get(test.counter) > 0)
+			})
 			s.Assert(a.err, qt.IsNil)
 			s.Assert(a.body, qt.Equals, wholeStream)
 			s.Assert(runs.Load() > 1, qt.IsTrue)
