See versions of which some endpoints are bad

In the log, nine requests on one slow endpoint had waited 2 s for a first event when their callers gave up. Such a run left no sample: it counts as slow only after 1.5 s and more for its prompt, and a run that this side ends had no outcome. Besides, the canary kept to one endpoint at a time, chosen anew each time, so that few of them were met.

A run whose caller gives up after 1.5 s without any event now counts as failed, for both versions. Every other turn the canary's requests go to all endpoints, and the turns between go through them in order. TestABadVersionIsTakenBackWithinItsLimits has versions with slow and with failing endpoints.

--- a/promoter/replay_test.go
+++ b/promoter/replay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,6 +52,8 @@
 	id      dotterelpulley.EndpointID
 	speed   float64
 	running int
+	// bad engines of the target are those that give bad answers, if only some do.
+	bad bool
 }
 
 // replayHost is a host of the replay with its part of the machinery around the promoter.
@@ -144,8 +147,8 @@
 	for i := range 9 {
 		speeds := []float64{0.55, 1, 2.8}
 		r.engines = append(r.engines,
-			&engine{"v1", dotterelpulley.EndpointID(fmt.Sprint("old-", i)), speeds[r.random.IntN(3)], 0},
-			&engine{target, dotterelpulley.EndpointID(fmt.Sprint("new-", i)), speeds[r.random.IntN(3)], 0})
+			&engine{"v1", dotterelpulley.EndpointID(fmt.Sprint("old-", i)), speeds[r.random.IntN(3)], 0, false},
+			&engine{target, dotterelpulley.EndpointID(fmt.Sprint("new-", i)), speeds[r.random.IntN(3)], 0, i%2 == 1})
 	}
 	if bad == "late" {
 		r.badFrom += 2*time.Second + time.Duration(r.random.Int64N(int64(8*time.Second)))
@@ -289,6 +292,10 @@
 		return best
 	}
 	focus := h.Focus(r.clock(), service, ids)
+	if c, _ := h.Rollout(service); focus == "" && c.Stage == promoter.Canary {
+		// Nothing is known of the speed of endpoints that have had no requests.
+		focus = ids[r.random.IntN(len(ids))]
+	}
 	for _, e := range r.engines {
 		if e.id == focus && e.running < slotCount {
 			return e
@@ -301,7 +308,13 @@
 }
 
 func (r *replay) isBad(route dotterelpulley.RouteID, e *engine) bool {
-	if r.bad == "" || e.version != target || r.now < r.badFrom || r.random.Float64() >= r.badPart {
+	if r.bad == "" || e.version != target || r.now < r.badFrom {
+		return false
+	}
+	if strings.HasSuffix(string(r.bad), " endpoints") {
+		return e.bad
+	}
+	if r.random.Float64() >= r.badPart {
 		return false
 	}
 	return (r.bad != "route" || route == "b") && (r.bad != "load" || e.running >= 3)
@@ -323,8 +336,8 @@
 	e.running++
 	pace := (1 + 0.15*float64(e.running)) / e.speed * noise
 	first, interval, tokens := 0.05*pace, 0.012*pace, 20+r.random.IntN(120)
-	failed := bad && r.bad != "slow"
-	if bad && r.bad == "slow" {
+	failed := bad && !strings.HasPrefix(string(r.bad), "slow")
+	if bad && !failed {
 		first, interval = first*r.slowFactor, interval*r.slowFactor
 	}
 	total := first + interval*float64(tokens)
@@ -385,11 +398,15 @@
 
 // Guards against a bad version that is completed, or gets more requests than it may.
 func TestABadVersionIsTakenBackWithinItsLimits(t *testing.T) {
-	for _, bad := range []badness{"slow", "errors", "late", "load", "route"} {
+	for _, bad := range []badness{"slow", "slow endpoints", "errors", "failing endpoints", "late", "load", "route"} {
 		t.Run(string(bad), func(t *testing.T) {
 			c := qt.New(t)
 			for seed := range uint64(seeds) {
 				r := newReplay(seed, bad)
+				if bad == "slow endpoints" {
+					// Less slow ones may look like other hardware.
+					r.slowFactor = 8
+				}
 				r.run(orderedAt + 2*orderDuration)
 				r.checkExposure(c)
 			}
--- a/promoter/share.go
+++ b/promoter/share.go
@@ -1,7 +1,9 @@
 package promoter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,21 +85,20 @@
 	return min(max(full, minFullTime), maxFullTime, r.Duration/4)
 }
 
-// Focus returns which of the target's endpoints gets the canary's requests. One at a time gets them all, so that it shows how
-// the version does under load; all hosts choose alike, and the turns show several endpoints, whose hardware differs.
+// Focus returns which of the target's endpoints gets the canary's requests, or none for all of them. Every other turn one
+// endpoint gets them all, so that it shows how the version does under load; in between all endpoints get some, as a part of
+// them may be bad. All hosts choose alike.
 func (p *Promoter) Focus(now time.Time, service dotterelpulley.ServiceID, endpoints []dotterelpulley.EndpointID) dotterelpulley.EndpointID {
 	r := p.rollouts[service]
 	if r == nil || r.stage != Canary || len(endpoints) == 0 {
 		return ""
 	}
-	turn := uint64(max(r.Duration-r.deadline.Sub(now), 0) / focusTime)
-	var best dotterelpulley.EndpointID
-	lowest := uint64(math.MaxUint64)
-	for _, id := range endpoints {
-		h := xxhash.Sum64String(string(id)+"\x00"+string(r.Target)) ^ turn*0x9e3779b97f4a7c15
-		if h <= lowest {
-			best, lowest = id, h
-		}
+	turn := int(max(r.Duration-r.deadline.Sub(now), 0) / focusTime)
+	if turn%2 == 1 {
+		return ""
 	}
-	return best
+	order := slices.SortedFunc(slices.Values(endpoints), func(a, b dotterelpulley.EndpointID) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+	})
+	return order[turn/2%len(order)]
 }
--- a/scheduler/sample.go
+++ b/scheduler/sample.go
@@ -93,7 +93,7 @@
 }
 
 // sampleEnd reports the outcome of a run and the latencies that haven't been. A run that did not take place, or that this side
-// ended, has no outcome.
+// ended early or after its first event, has no outcome.
 func (s *Scheduler) sampleEnd(now time.Time, r *run, result Result) {
 	switch result {
 	case ResultCompleted:
@@ -108,8 +108,9 @@
 	case ResultFailed, ResultDead:
 		s.addSample(r, Sample{Ended: true, Failed: true})
 	case ResultCancelled:
-		if r.isSlow(now) {
-			s.sampleFirst(now, r)
+		if !r.streaming && now.Sub(r.placedAt) >= slowSampleTime {
+			// The caller gave up waiting for an endpoint that has shown nothing for long.
+			s.addSample(r, Sample{Ended: true, Failed: true})
 		}
 	case ResultRefused, ResultUnreachable, ResultWrongInstance:
 	}
