Don't end an event at a line of the reader's size

A stream cut inside an event could reach its caller as complete: a line of exactly 4 KB was read in two parts, and the second, only the line's end, was taken for the blank line that ends an event.

Found by reading. TestALineOfTheBuffersSizeDoesNotEndItsEvent failed before: the reader returned the begun event as whole. A line's parts are now told from lines; so are comments of more than 4 KB, whose later parts counted as fields.

--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -141,3 +141,13 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// A line as long as the reader's buffer must not be taken for the end of its event: a stream cut there looked complete.
+func TestALineOfTheBuffersSizeDoesNotEndItsEvent(t *testing.T) {
+	c := qt.New(t)
+	line := "data: " + strings.Repeat("x", lineChunk-len("data: "))
+	r := newEventReader(new(bufferBudget), strings.NewReader(line+"\n"+"data: more"))
+	defer r.release()
+	_, err := r.next()
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -24,12 +24,17 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer
+	// inLine is true while a line has been read in part.
+	inLine bool
 	// commentBytes counts the bytes since the last event that was no comment.
 	commentBytes int
 }
 
+// lineChunk is the most that is read of a line at once.
+const lineChunk = 4 << 10
+
 func newEventReader(budget *bufferBudget, body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReader(body), buffer: buffer{budget: budget}}
+	return &eventReader{reader: bufio.NewReaderSize(body, lineChunk), buffer: buffer{budget: budget}}
 }
 
 // next returns the next complete event, valid until the next call; io.EOF without data is the regular end of the stream.
@@ -44,8 +49,11 @@
 		if e.data = r.data; len(e.data) > maxEventBytes {
 			return e, errEventTooLarge
 		}
-		e.comment = e.comment && (len(bytes.TrimRight(line, "\r\n")) == 0 || line[0] == ':')
-		if errors.Is(err, bufio.ErrBufferFull) {
+		atStart := !r.inLine
+		r.inLine = errors.Is(err, bufio.ErrBufferFull)
+		text := bytes.TrimRight(line, "\r\n")
+		e.comment = e.comment && (!atStart || len(text) == 0 || text[0] == ':')
+		if r.inLine {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(e.data) > 0 {
@@ -54,11 +62,10 @@
 		if err != nil {
 			return e, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		if atStart && len(text) == 0 {
 			return e, r.countComments(e)
 		}
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok && atStart {
 			e.id = string(bytes.TrimSpace(id))
 		}
 	}
