Pass large events on in parts when the buffers are full

Where the stream can't go on elsewhere, such an event is now relayed in parts, still up to 1 MB. A stream that ends inside one is broken off as before. TestALargeEventOfASoundStreamIsNotCutWhileTheBuffersAreFull failed before with an unexpected EOF.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -176,14 +176,14 @@
 	p.runs++
 	reader := newEventReader(&p.gateway.answers, exchange.Body)
 	defer reader.release()
-	var firstEventAt, lastEventAt time.Time
-	events := 0
-	longestPause := time.Duration(0)
+	// A stream that can't go on elsewhere needs no whole events.
+	reader.inParts = !p.route.Resumable || !p.canRunAgain()
+	var timing eventTiming
 	watch := silenceWatch{proxiedRequest: p, ctx: ctx, attempt: a, exchange: exchange}
 	defer watch.Close()
 	for progress := true; ; {
 		if progress {
-			watch.expectEvent(events == 0)
+			watch.expectEvent(timing.events == 0)
 		}
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) && len(event.data) == 0 {
@@ -209,21 +209,11 @@
 			continue
 		}
 		watch.eventArrived()
-		now := time.Now()
-		if events == 0 {
-			firstEventAt = now
-			p.gateway.queue.access(func(now time.Time, s *scheduler.Scheduler) { s.ObserveFirstEvent(now, a.ID) })
-			p.gateway.metrics.recordLatency("first-event-"+string(p.route.ID), now.Sub(p.arrived))
-		} else {
-			gap := now.Sub(lastEventAt)
-			longestPause = max(longestPause, gap)
-			p.gateway.queue.access(func(now time.Time, s *scheduler.Scheduler) { s.ObserveInterval(now, a.ID, gap) })
-		}
-		lastEventAt = now
-		events++
-		p.events = events
-		if events == 2 {
-			p.noteAnswered(a)
+		if !event.continued {
+			timing.observe(p, a, time.Now())
+			if p.events = timing.events; p.events == 2 {
+				p.noteAnswered(a)
+			}
 		}
 		if !p.writeEvent(exchange, event) {
 			exchange.Abort()
@@ -231,14 +221,14 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if events == 0 {
+	if timing.events == 0 {
 		p.response.sendHeaders(exchange)
 	}
 	watch.Close()
 	p.noteAnswered(a)
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
-	p.logAnswered(a, exchange.StatusCode, longestPause, firstEventAt)
+	p.logAnswered(a, exchange.StatusCode, timing.longestPause, timing.firstAt)
 	return outcomeDone
 }
 
--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -102,15 +102,6 @@
 	return false, nil
 }
 
-// append adds bytes.
-func (b *buffer) append(data []byte) error {
-	if !b.grow(len(data)) {
-		return errBuffersFull
-	}
-	b.data = append(b.data, data...)
-	return nil
-}
-
 // reset empties the buffer and keeps its room, unless that counts against the budget.
 func (b *buffer) reset() {
 	if b.reserved > 0 {
--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -142,6 +144,23 @@
 	return int64(stats.HeapAlloc)
 }
 
+// A sound stream must not be cut because other answers take all the room.
+func TestALargeEventOfASoundStreamIsNotCutWhileTheBuffersAreFull(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	large := "id: 2\ndata: " + strings.Repeat("x", 100<<10) + "\n\n"
+	s.scriptedEndpoint("i-1", "model", func(conn net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: piece-1\n\n%s",
+			strings.ReplaceAll(signedHead, "ID", r.Header.Get("Dotterelpulley-Attempt-Id")), large)
+		return false
+	})
+	g := s.startReadyGateway()
+	g.answers.used.Store(sharedBufferBytes)
+	a := s.post(g, "/plan/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, "id: 1\ndata: piece-1\n\n"+large)
+}
+
 // A line as long as the reader's buffer must not be taken for the end of its event: a stream cut there looked complete.
 func TestALineOfTheBuffersSizeDoesNotEndItsEvent(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -13,6 +13,8 @@
 	id   string
 	// comment is true if the event has no field at all, so that it is no part of the answer.
 	comment bool
+	// continued is true if the data goes on with the event before, which came in parts.
+	continued bool
 }
 
 // maxEventBytes is the largest size of an event.
@@ -24,9 +26,13 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer
-	// inLine is true while a line has been read in part.
-	inLine bool
-	// commentBytes counts the bytes since the last event that was no comment.
+	// inParts makes next return an event in parts if the budget has no room for it.
+	inParts bool
+	// continuing is true while an event has been returned in part, inLine while a line has been read in part.
+	continuing bool
+	inLine     bool
+	// eventBytes counts the bytes of the current event, commentBytes those since the last event that was no comment.
+	eventBytes   int
 	commentBytes int
 }
 
@@ -37,16 +43,26 @@
 	return &eventReader{reader: bufio.NewReaderSize(body, lineChunk), buffer: buffer{budget: budget}}
 }
 
-// next returns the next complete event, valid until the next call; io.EOF without data is the regular end of the stream.
+// next returns the next complete event or a part of it, valid until the next call; io.EOF without data is the regular end of
+// the stream.
 func (r *eventReader) next() (sseEvent, error) {
 	r.reset()
-	e := sseEvent{comment: true}
+	e := sseEvent{comment: !r.continuing, continued: r.continuing}
+	if !r.continuing {
+		r.eventBytes = 0
+	}
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		if err := r.append(line); err != nil {
-			return e, err
+		if !r.grow(lineChunk) {
+			if !r.inParts {
+				return e, errBuffersFull
+			}
+			r.continuing, e.comment = true, false
+			return e, nil
 		}
-		if e.data = r.data; len(e.data) > maxEventBytes {
+		line, err := r.reader.ReadSlice('\n')
+		r.data = append(r.data, line...)
+		e.data = r.data
+		if r.eventBytes += len(line); r.eventBytes > maxEventBytes {
 			return e, errEventTooLarge
 		}
 		atStart := !r.inLine
@@ -56,13 +72,14 @@
 		if r.inLine {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(e.data) > 0 {
+		if errors.Is(err, io.EOF) && r.eventBytes > 0 {
 			return e, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return e, err
 		}
 		if atStart && len(text) == 0 {
+			r.continuing = false
 			return e, r.countComments(e)
 		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok && atStart {
