Test the limit of peers' messages without 64 MB in a second

The limit is now a field of the entry host, which the test lowers to 1 MB; what it asserts is the same, and it fails with the limit of either way raised.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,8 @@
 	logClient      appender.Client
 	pollClient     slurper.Client
 	peerClient     *http.Client
+	// peerMessageLimit is the largest message of another host.
+	peerMessageLimit slurper.Bytes
 
 	certificates certificates
 
@@ -68,12 +70,13 @@
 // New returns an entry host for settings that have been checked; it is idle until Start is called.
 func New(settings Settings, logger *log.Logger) *Entry {
 	e := &Entry{
-		settings:       settings,
-		log:            logger,
-		hostListClient: lister.Client{Address: settings.HostListAddress},
-		logClient:      appender.Client{Address: settings.LogAddress},
-		pollClient:     slurper.Client{Limit: maxReportBytes},
-		drainStarted:   make(chan struct{}),
+		settings:         settings,
+		log:              logger,
+		hostListClient:   lister.Client{Address: settings.HostListAddress},
+		logClient:        appender.Client{Address: settings.LogAddress},
+		pollClient:       slurper.Client{Limit: maxReportBytes},
+		peerMessageLimit: slurper.DefaultLimit,
+		drainStarted:     make(chan struct{}),
 	}
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerTLS, Protocols: []string{"http/1.1"}}
 	e.certificates.peers = certifier.Certifier{Files: settings.PeerTLS, Protocols: []string{"h2", "http/1.1"}}
@@ -153,7 +156,7 @@
 	mux.HandleFunc("GET /v1/evidence", e.handleEvidence)
 	mux.HandleFunc("GET /v1/records", e.handleRecords)
 	mux.HandleFunc("POST /v1/bad-versions", e.handleBadVersion)
-	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}, limitPeerMessages()))
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}, e.limitPeerMessages()))
 	e.peerServer = &http.Server{
 		Handler:           mux,
 		Protocols:         peerListenerProtocols(),
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -13,7 +13,6 @@
 	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb"
 	"github.com/dotterelpulley/dotterelpulley/internal/peerpb/peerpbconnect"
-	"github.com/dotterelpulley/dotterelpulley/internal/slurper"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
 
@@ -29,12 +28,12 @@
 )
 
 func (e *Entry) peer(address dotterelpulley.Address) peerpbconnect.PeerServiceClient {
-	return peerpbconnect.NewPeerServiceClient(e.peerClient, e.peerURL(address), limitPeerMessages())
+	return peerpbconnect.NewPeerServiceClient(e.peerClient, e.peerURL(address), e.limitPeerMessages())
 }
 
 // limitPeerMessages limits the size of each message of another host.
-func limitPeerMessages() connect.Option {
-	return connect.WithReadMaxBytes(int(slurper.DefaultLimit))
+func (e *Entry) limitPeerMessages() connect.Option {
+	return connect.WithReadMaxBytes(int(e.peerMessageLimit))
 }
 
 // forward sends the request to the host named by the claimer and copies the answer into a local output.
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -91,10 +91,11 @@
 // A host whose messages have no end must not fill the memory of the others.
 func TestAnotherHostsMessageBeyondTheLimitIsAnError(t *testing.T) {
 	f := newFleet(t, 1, nil)
+	f.entries[0].peerMessageLimit = 1 << 20
 	peer := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
-		part := make([]byte, 1<<20)
-		for sent := slurper.Bytes(0); sent <= slurper.DefaultLimit; sent += slurper.Bytes(len(part)) {
+		part := make([]byte, 1<<16)
+		for sent := slurper.Bytes(0); sent <= f.entries[0].peerMessageLimit; sent += slurper.Bytes(len(part)) {
 			if _, err := w.Write(part); err != nil {
 				return
 			}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -151,7 +151,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, fmt.Errorf("call %q of peer %q: status %d", path, address, resp.StatusCode)
 	}
-	return slurper.ReadAll(resp.Body, slurper.DefaultLimit)
+	return slurper.ReadAll(resp.Body, e.peerMessageLimit)
 }
 
 // handleRecords serves the records that a peer has not read.
