Clear no part of a prompt by an answer that is no success

Callers saw endpoints crash on a part that had been isolated or was suspected: any whole answer below 500 counted as proof that the part crashes nothing, and one host's proof clears it on all. A 413 or 429 of an endpoint comes before it has begun the prompt, and a 3xx or 4xx that nobody signed may be garbage.

TestAnAnswerThatIsNoSuccessClearsNoPart failed before, signed and unsigned: the part was sound instead of suspected. Only a success, which is signed at this point, counts now.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -119,7 +119,7 @@
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
-	if !failed {
+	if isSuccess(exchange.StatusCode) {
 		p.noteAnswered(a)
 	}
 	if !whole {
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -137,6 +137,32 @@
 	f.waitFor("the host has read the part", func() bool { return f.knows(other) })
 }
 
+// Guards against a deadly part that is taken for sound since an endpoint refused one of its requests, or garbled its answer.
+func TestAnAnswerThatIsNoSuccessClearsNoPart(t *testing.T) {
+	handlers := map[string]standin.Handler{
+		"signed": func(w http.ResponseWriter, _ *http.Request, _ int) {
+			standin.SignResponse(w)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		},
+		"unsigned": func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(http.StatusBadRequest) },
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			f := &fragileFleet{site: newSite(t)}
+			f.publishConfiguration(1, 1000)
+			e := f.endpoint("i-1", "model", handler)
+			g := f.startReadyGateway()
+			part := partOfID(deadlyPart)
+			g.receiveParts(time.Now(), "host-9", []announcer.PartFact{{Part: uint64(part), Incident: 1, Age: time.Second}})
+			f.Assert(f.ask(g, "/plan/", deadlyPart).status >= http.StatusBadRequest, qt.IsTrue)
+			f.Assert(e.Received(), qt.HasLen, 1)
+			g.mutex.Lock()
+			defer g.mutex.Unlock()
+			f.Assert(g.parts.State(time.Now(), part), qt.Equals, isolator.Suspected)
+		})
+	}
+}
+
 // Guards against a part that no host keeps, as all were told of the deciding crash, and against one that stays in the store
 // after an answer has cleared it.
 func TestAPartIsInTheStoreWhileItIsIsolated(t *testing.T) {
