Clear no part of a prompt by a stream without an event

A stream that ends with its connection looks whole when its endpoint crashes after the headers and the connection is closed without a reset. It cleared all parts of its prompt on all hosts, so that the deadly one had to crash endpoints anew.

The new case of TestAnAnswerThatIsNoSuccessClearsNoPart failed before: the part was sound instead of suspected. A stream without an event proves nothing of its prompt, whatever ended it.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -235,7 +235,9 @@
 		p.response.sendHeaders(exchange)
 	}
 	watch.Close()
-	p.noteAnswered(a)
+	if events > 0 {
+		p.noteAnswered(a)
+	}
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
 	p.logAnswered(a, exchange.StatusCode, longestPause, firstEventAt)
