Try an isolated part again after a trial that proved nothing

Callers of a sound part that had been isolated by chance were refused for 20 minutes if the only trial ended without a verdict: the endpoint was full, the caller left, or the deadline passed. The trial counted as made until a further incident.

TestAPartIsTriedAgainAfterATrialWithoutAVerdict failed before with one trial in five minutes. A trial is now repeated after the same wait as the one before it; a failed one still doubles the wait, as TestAFailedTrialDoublesTheParole shows.

--- a/isolator/part.go
+++ b/isolator/part.go
@@ -142,13 +142,13 @@
 	}
 }
 
-// paroleAt returns when the isolated part may be tried.
-func (s standing) paroleAt() time.Time {
+// parole returns the time after the newest incident, and between two trials, until the isolated part may be tried.
+func (s standing) parole() time.Duration {
 	wait := firstParole
 	for range s.incidents - s.limit {
 		wait = min(2*wait, maxParole)
 	}
-	return s.newest.Add(wait)
+	return wait
 }
 
 func (r *partRecord) standing(now time.Time) standing {
--- a/isolator/part_guard.go
+++ b/isolator/part_guard.go
@@ -67,10 +67,11 @@
 	return len(rest.incidents) == len(r.incidents) || rest.standing(now).incidents >= own.limit
 }
 
+// onParole reports whether the part may be tried now; a trial that proved nothing is repeated after the same wait.
 func (g *PartGuard) onParole(now time.Time, p Part, mayTry func(Part) bool) bool {
 	r := g.records[p]
-	due := r.standing(now).paroleAt()
-	return !now.Before(due) && r.triedAt.Before(due) && mayTry(p)
+	s := r.standing(now)
+	return now.Sub(s.newest) >= s.parole() && now.Sub(r.triedAt) >= s.parole() && mayTry(p)
 }
 
 // Begin records that a run begins on the endpoint, unless the request is refused because of the returned part. A part on parole
--- a/isolator/part_guard_test.go
+++ b/isolator/part_guard_test.go
@@ -167,6 +167,27 @@
 	c.Assert(h.State(now, 7), qt.Equals, isolator.Sound)
 }
 
+// Guards against a sound part that stays refused as its trial proved nothing: the endpoint was full, or the caller left.
+func TestAPartIsTriedAgainAfterATrialWithoutAVerdict(t *testing.T) {
+	c := qt.New(t)
+	now := fleetStart
+	var h partHost
+	for i := range isolator.Incident(3) {
+		h.crash(now, i, 7)
+		now = now.Add(time.Second)
+	}
+	always := func(isolator.Part) bool { return true }
+	trials := 0
+	for end := now.Add(5 * time.Minute); now.Before(end); now = now.Add(time.Second) {
+		if _, refused := h.Begin(now, []isolator.Part{7}, "e", 50, always); !refused {
+			trials++
+			h.Ended("e", 50)
+		}
+	}
+	c.Assert(trials > 1, qt.IsTrue, qt.Commentf("%d trials in five minutes", trials))
+	c.Assert(trials <= 10, qt.IsTrue, qt.Commentf("%d trials in five minutes", trials))
+}
+
 func TestAFailedTrialDoublesTheParole(t *testing.T) {
 	c := qt.New(t)
 	now := fleetStart
