Keep parts with several incidents when many new ones come

Endpoints went on crashing on one part where prompts list many: each crash brought up to hundreds of new parts, and they took the place of the deadly one, whose incidents were counted from the beginning, as the oldest record went first, and one of the crash before is older than the crash at hand.

TestADeadlyPartIsIsolatedAmongPromptsOfManyParts failed before with 16 parts in a prompt: suspected after five crashes. Now the parts that are known get the incident first, and the record with the fewest open incidents goes first.

--- a/isolator/part_guard.go
+++ b/isolator/part_guard.go
@@ -176,13 +176,24 @@
 	runs := g.waiting[endpoint]
 	delete(g.waiting, endpoint)
 	var changes []PartChange
+	var unknown []Part
 	for _, run := range runs {
 		for _, p := range run.parts {
+			if _, ok := g.records[p]; !ok {
+				unknown = append(unknown, p)
+				continue
+			}
 			if c, ok := g.add(now, p, partIncident{id: incident, at: now}); ok {
 				changes = append(changes, c)
 			}
 		}
 	}
+	// Parts that have crashed endpoints before must not make room for those that come with them.
+	for _, p := range unknown {
+		if c, ok := g.add(now, p, partIncident{id: incident, at: now}); ok {
+			changes = append(changes, c)
+		}
+	}
 	return changes
 }
 
@@ -209,7 +220,7 @@
 	return c, c.From != c.To || before.incidents != after.incidents
 }
 
-// makeRoom makes room for a part with an incident at that time. Isolated parts are kept, and of others the newest.
+// makeRoom makes room for a part with an incident at that time, in place of an older one with the fewest open incidents.
 func (g *PartGuard) makeRoom(at time.Time) bool {
 	if g.records == nil {
 		g.records = map[Part]*partRecord{}
@@ -217,17 +228,22 @@
 	if len(g.records) < maxParts {
 		return true
 	}
-	var oldest Part
-	oldestAt := at
+	var weakest Part
+	var weakestAt time.Time
+	fewest := -1
 	for p, r := range g.records {
-		if r.standing(at).state() != IsolatedPart && r.newest().Before(oldestAt) {
-			oldest, oldestAt = p, r.newest()
+		s, newest := r.standing(at), r.newest()
+		if s.state() == IsolatedPart || !newest.Before(at) {
+			continue
+		}
+		if fewest < 0 || s.incidents < fewest || s.incidents == fewest && newest.Before(weakestAt) {
+			weakest, weakestAt, fewest = p, newest, s.incidents
 		}
 	}
-	if oldestAt.Equal(at) {
+	if fewest < 0 {
 		return false
 	}
-	delete(g.records, oldest)
+	delete(g.records, weakest)
 	return true
 }
 
--- a/isolator/part_guard_test.go
+++ b/isolator/part_guard_test.go
@@ -167,6 +167,33 @@
 	c.Assert(h.State(now, 7), qt.Equals, isolator.Sound)
 }
 
+// Guards against a deadly part whose incidents are displaced by the many other parts of the runs that crash with it.
+func TestADeadlyPartIsIsolatedAmongPromptsOfManyParts(t *testing.T) {
+	for _, partsOfOne := range []int{2, 8, 16} {
+		t.Run(fmt.Sprint(partsOfOne), func(t *testing.T) {
+			c := qt.New(t)
+			const runs, limit = 32, 5
+			now := fleetStart
+			var h partHost
+			for i := range isolator.Incident(limit) {
+				now = now.Add(time.Second)
+				for run := range runs {
+					var parts []isolator.Part
+					for at := range partsOfOne {
+						parts = append(parts, isolator.Part((int(i)*runs+run)*partsOfOne+at))
+					}
+					if run == runs/4 {
+						parts[partsOfOne-1] = deadlyPart
+					}
+					h.begin(now, parts)
+				}
+				h.EndpointCrashed(now.Add(100*time.Millisecond), "e", i)
+			}
+			c.Assert(h.State(now, deadlyPart), qt.Equals, isolator.IsolatedPart)
+		})
+	}
+}
+
 // Guards against a sound part that stays refused as its trial proved nothing: the endpoint was full, or the caller left.
 func TestAPartIsTriedAgainAfterATrialWithoutAVerdict(t *testing.T) {
 	c := qt.New(t)
