Bound the refusals of popular parts from their first answer on

The bound held only for parts that were answered before the first crash of the play, though only parts that were never answered cannot be told from deadly ones.

--- a/isolator/part_fleet_test.go
+++ b/isolator/part_fleet_test.go
@@ -77,9 +77,9 @@
 	// refused and sent count the sound requests, by first part.
 	refused, sent map[isolator.Part]int
 	isolatedAt    map[int]time.Time
-	// answered holds the first parts that were answered before any crash.
-	answered map[isolator.Part]bool
-	crashes  int
+	// answered holds the first parts that have been answered, refusedLater counts the sound requests refused after that.
+	answered     map[isolator.Part]bool
+	refusedLater map[isolator.Part]int
 }
 
 var fleetStart = time.Unix(1_800_000_000, 0)
@@ -89,7 +89,7 @@
 		partLoad: load, now: fleetStart, random: rand.New(rand.NewPCG(load.seed, 7)),
 		guards: make([]isolator.PartGuard, load.hosts), servers: make([]fleetEndpoint, load.endpoints),
 		digests: make([]uint64, load.hosts), sentFacts: make([]int, load.hosts),
-		refused: map[isolator.Part]int{}, sent: map[isolator.Part]int{}, isolatedAt: map[int]time.Time{}, answered: map[isolator.Part]bool{},
+		refused: map[isolator.Part]int{}, sent: map[isolator.Part]int{}, isolatedAt: map[int]time.Time{}, answered: map[isolator.Part]bool{}, refusedLater: map[isolator.Part]int{},
 	}
 	f.after(0, f.arrive)
 	for host := range f.guards {
@@ -159,6 +159,9 @@
 	if _, refused := f.guards[r.host].Begin(f.now, r.parts, endpointID(best), r.id, f.mayTry(r.host)); refused {
 		if !r.deadly {
 			f.refused[r.parts[0]]++
+			if f.answered[r.parts[0]] {
+				f.refusedLater[r.parts[0]]++
+			}
 		}
 		return
 	}
@@ -176,7 +179,7 @@
 			f.crashedAt = append(f.crashedAt, f.now)
 			f.crash(best)
 		default:
-			f.answered[r.parts[0]] = f.answered[r.parts[0]] || f.crashes == 0
+			f.answered[r.parts[0]] = true
 			f.note(r.host, f.guards[r.host].Answered(f.now, endpointID(best), r.id))
 			f.after(300*time.Millisecond+f.upTo(4*time.Second), func() { f.end(best, r) })
 		}
@@ -208,7 +211,6 @@
 	if f.now.Before(s.downTill) {
 		return
 	}
-	f.crashes++
 	incident := isolator.Incident(endpoint*1000 + s.start)
 	s.start++
 	s.downTill = f.now.Add(3*time.Second + f.upTo(2*time.Second))
--- a/isolator/part_guard_test.go
+++ b/isolator/part_guard_test.go
@@ -58,8 +58,8 @@
 		f := playPartLoad(load, 75*time.Second)
 		for first, n := range f.sent {
 			// Nothing tells a part that was never answered from one that is deadly; only its parole does.
-			if f.answered[first] && f.refused[first]*20 > n && f.refused[first] > 5 {
-				t.Fatalf("%d requests with part %s refused, %d sent", f.refused[first], first, n)
+			if refused := f.refusedLater[first]; refused*20 > n && refused > 5 {
+				t.Fatalf("%d requests with part %s refused, %d sent", refused, first, n)
 			}
 		}
 		for host := range f.guards {
