--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -119,7 +119,7 @@
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, err)
 	}
-	if !failed {
+	if isSuccess(exchange.StatusCode) {
 		p.noteAnswered(a)
 	}
 	if !whole {
@@ -225,7 +225,9 @@
 		p.response.sendHeaders(exchange)
 	}
 	watch.Close()
-	p.noteAnswered(a)
+	if timing.events > 0 {
+		p.noteAnswered(a)
+	}
 	exchange.Release()
 	p.finishAttempt(a, scheduler.ResultCompleted, nil)
 	p.logAnswered(a, exchange.StatusCode, timing.longestPause, timing.firstAt)
--- a/isolator/part_guard_test.go
+++ b/isolator/part_guard_test.go
@@ -58,8 +58,8 @@
 		f := playPartLoad(load, 75*time.Second)
 		for first, n := range f.sent {
 			// Nothing tells a part that was never answered from one that is deadly; only its parole does.
-			if f.answered[first] && f.refused[first]*20 > n && f.refused[first] > 5 {
-				t.Fatalf("%d requests with part %s refused, %d sent", f.refused[first], first, n)
+			if refused := f.refusedLater[first]; refused*20 > n && refused > 5 {
+				t.Fatalf("%d requests with part %s refused, %d sent", refused, first, n)
 			}
 		}
 		for host := range f.guards {
@@ -167,6 +167,54 @@
 	c.Assert(h.State(now, 7), qt.Equals, isolator.Sound)
 }
 
+// Guards against a deadly part whose incidents are displaced by the many other parts of the runs that crash with it.
+func TestADeadlyPartIsIsolatedAmongPromptsOfManyParts(t *testing.T) {
+	for _, partsOfOne := range []int{2, 8, 16} {
+		t.Run(fmt.Sprint(partsOfOne), func(t *testing.T) {
+			c := qt.New(t)
+			const runs, limit = 32, 5
+			now := fleetStart
+			var h partHost
+			for i := range isolator.Incident(limit) {
+				now = now.Add(time.Second)
+				for run := range runs {
+					var parts []isolator.Part
+					for at := range partsOfOne {
+						parts = append(parts, isolator.Part((int(i)*runs+run)*partsOfOne+at))
+					}
+					if run == runs/4 {
+						parts[partsOfOne-1] = deadlyPart
+					}
+					h.begin(now, parts)
+				}
+				h.EndpointCrashed(now.Add(100*time.Millisecond), "e", i)
+			}
+			c.Assert(h.State(now, deadlyPart), qt.Equals, isolator.IsolatedPart)
+		})
+	}
+}
+
+// Guards against a sound part that stays refused as its trial proved nothing: the endpoint was full, or the caller left.
+func TestAPartIsTriedAgainAfterATrialWithoutAVerdict(t *testing.T) {
+	c := qt.New(t)
+	now := fleetStart
+	var h partHost
+	for i := range isolator.Incident(3) {
+		h.crash(now, i, 7)
+		now = now.Add(time.Second)
+	}
+	always := func(isolator.Part) bool { return true }
+	trials := 0
+	for end := now.Add(5 * time.Minute); now.Before(end); now = now.Add(time.Second) {
+		if _, refused := h.Begin(now, []isolator.Part{7}, "e", 50, always); !refused {
+			trials++
+			h.Ended("e", 50)
+		}
+	}
+	c.Assert(trials > 1, qt.IsTrue, qt.Commentf("%d trials in five minutes", trials))
+	c.Assert(trials <= 10, qt.IsTrue, qt.Commentf("%d trials in five minutes", trials))
+}
+
 func TestAFailedTrialDoublesTheParole(t *testing.T) {
 	c := qt.New(t)
 	now := fleetStart
