Keep work off a version that was taken back while the others' endpoints pause

The split is suspended only while the permitted versions have no live endpoint. One that refuses, is unreachable or is silent comes back or leaves the registrations; until then the work waits or is refused, as the other version may be bad.

--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -28,15 +28,15 @@
 	Focus dotterelpulley.EndpointID
 }
 
-// splitGrace is how long no endpoint of the permitted versions has to be usable until the others get work as well.
+// splitGrace is how long there has to be no live endpoint of the permitted versions until the others get work as well.
 const splitGrace = time.Second
 
 // splitState is the split of a service with what follows from its endpoints.
 type splitState struct {
 	Split
-	// usableAt is when an endpoint of the permitted versions was last usable.
-	usableAt time.Time
-	// suspended means that the split is ignored because its versions have no usable endpoint.
+	// liveAt is when an endpoint of the permitted versions was last live.
+	liveAt time.Time
+	// suspended means that the split is ignored because its versions have no live endpoint.
 	suspended bool
 }
 
@@ -44,7 +44,7 @@
 func (s *Scheduler) SetSplit(now time.Time, id dotterelpulley.ServiceID, split Split) {
 	v := s.service(id)
 	if v.split.Split != split {
-		v.split = splitState{Split: split, usableAt: now}
+		v.split = splitState{Split: split, liveAt: now}
 	}
 }
 
@@ -59,14 +59,15 @@
 	return found
 }
 
-// update suspends the split while the versions that it permits have had no usable endpoint for some time.
+// update suspends the split while the versions that it permits have had no live endpoint for some time. One that is unusable
+// for a while, as it pauses or restarts, is waited for: the others may be bad.
 func (p *splitState) update(now time.Time, endpoints []*endpoint) {
 	for _, e := range endpoints {
-		if p.permitsAny(e) && (p.Mode == SplitAll) == (e.Version == p.Target) && e.usable(now) {
-			p.usableAt = now
+		if p.permitsAny(e) && (p.Mode == SplitAll) == (e.Version == p.Target) && e.State == dotterelpulley.EndpointLive {
+			p.liveAt = now
 		}
 	}
-	p.suspended = now.Sub(p.usableAt) >= splitGrace
+	p.suspended = now.Sub(p.liveAt) >= splitGrace
 }
 
 // permitsAny reports whether any work may run on the endpoint.
