Show that a turn of the canary stops a service with only the target

After an order for the version in force, or once the other endpoints have left, callers wait up to a second every two seconds: each turn replaces the split, which forgets that it was suspended.

--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -64,3 +64,18 @@
 		}
 	}
 }
+
+// Guards against a service without work at every turn of the canary's endpoint, when only endpoints of the target are usable.
+func TestATurnOfTheCanaryDoesNotStopAServiceWithOnlyTheTarget(t *testing.T) {
+	c := qt.New(t)
+	s := newVersions(map[dotterelpulley.EndpointID]dotterelpulley.VersionID{"b": targetVersion, "c": targetVersion})
+	split := Split{Target: targetVersion, Mode: SplitMarked}
+	s.SetSplit(start, testService, split)
+	now := start.Add(splitGrace)
+	_, ok := offer(s, now, arrived(1, now)).(Placed)
+	c.Assert(ok, qt.IsTrue)
+	split.Focus = "b"
+	s.SetSplit(now, testService, split)
+	_, ok = offer(s, now, arrived(2, now)).(Placed)
+	c.Assert(ok, qt.IsTrue)
+}
