--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -43,8 +43,14 @@
 // SetSplit replaces the split of the service.
 func (s *Scheduler) SetSplit(now time.Time, id dotterelpulley.ServiceID, split Split) {
 	v := s.service(id)
-	if v.split.Split != split {
-		v.split = splitState{Split: split, liveAt: now}
+	known := v.split
+	if known.Split == split {
+		return
+	}
+	v.split = splitState{Split: split, liveAt: now}
+	if known.Target == split.Target && (known.Mode == SplitAll) == (split.Mode == SplitAll) {
+		// The same versions have to be live as before.
+		v.split.liveAt, v.split.suspended = known.liveAt, known.suspended
 	}
 }
 
