Show that versions matter for good after a completed roll-out

Endpoints that are added under another version after a completion get no requests: that versions no longer matter is only looked at while some roll-out is unfinished.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -161,3 +162,29 @@
 	status, _ := s.status()
 	s.Assert(status.State, qt.Equals, dotterelpulley.RolloutRolledBack)
 }
+
+// Guards against endpoints that are added some time after a completion, under another version, getting no requests for good.
+func TestVersionsAreForgottenSomeTimeAfterACompletion(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStatus(dotterelpulley.RolloutInProgress)
+	s.waitForEndpoints(2)
+	// The completion became known nearly as long ago as versions matter.
+	const left = time.Second
+	known := time.Now().Add(left - 30*time.Second)
+	g.promotions.mutex.Lock()
+	change, advanced := g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted})
+	g.promotions.mutex.Unlock()
+	s.Assert(advanced, qt.IsTrue)
+	g.applyStage(known, change)
+	other := s.endpoint("i-3", "plain", answerHello)
+	s.waitForEndpoints(3)
+	s.waitFor("the other version gets requests", func() bool {
+		s.post(g, "/call/", "book")
+		return len(other.Received()) > 0
+	})
+}
