Look at versions after a completion, too

A roll-out that was completed some time ago is settled by the same loop that carries on unfinished ones, also when there is none of these.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -178,11 +178,9 @@
 		for _, c := range expired {
 			g.applyStage(now, c)
 		}
-		if len(unfinished) == 0 {
-			return
-		}
+		// Versions cease to matter some time after a completion, too.
 		g.updateSplits(now)
-		if g.isReader(now) {
+		if len(unfinished) > 0 && g.isReader(now) {
 			g.decideRollouts(client, unfinished)
 		}
 	})
