Show that refused and withdrawn requests raise the target's share

A target gets its share of all requests that are offered, those included that are refused or leave the queue. The test fails.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -188,3 +189,42 @@
 		return len(other.Received()) > 0
 	})
 }
+
+// Guards against a target that gets its share of requests that are refused or withdrawn, and more than that of those that are run.
+func TestRequestsThatReachNoEndpointDoNotRaiseTheTargetsShare(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	release := make(chan struct{})
+	old := s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, attempt int) {
+		<-release
+		answerHello(w, r, attempt)
+	})
+	s.TB.(*testing.T).Cleanup(func() { close(release) })
+	target := s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStage(promoter.Canary)
+	s.waitForEndpoints(2)
+	requests := make(chan *http.Request)
+	var callers sync.WaitGroup
+	for range 32 {
+		callers.Go(func() {
+			for r := range requests {
+				// The caller leaves before its request has waited long for an endpoint.
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				if response, err := http.DefaultTransport.RoundTrip(r.WithContext(ctx)); err == nil {
+					_ = response.Body.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	for range 3200 {
+		requests <- s.request(context.Background(), g, http.MethodPost, "/lookup/", "book")
+	}
+	close(requests)
+	callers.Wait()
+	reached := len(old.Received()) + len(target.Received())
+	s.Assert(float64(len(target.Received())) <= exposureShare*float64(reached)+exposureSlack, qt.IsTrue,
+		qt.Commentf("%d of %d requests that reached an endpoint", len(target.Received()), reached))
+}
