Count the requests that are sent, not those that are offered, in a target's share

What is refused, leaves the queue or looks for a successor in vain reaches no endpoint, so it raises no limit.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -53,12 +53,20 @@
 	}
 	if attempts > 0 && c.Stage == promoter.Canary {
 		// What has failed once is no test for a version that isn't proved.
-		p.promoter.Skip(service, route)
 		return false
 	}
 	return p.promoter.ForTarget(now, service, route)
 }
 
+// sent counts a request that is sent to an endpoint.
+func (p *promotions) sent(service dotterelpulley.ServiceID, route dotterelpulley.RouteID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.available[service] {
+		p.promoter.Sent(service, route)
+	}
+}
+
 // report returns what this host tells the others of the roll-outs.
 func (p *promotions) report(now time.Time) []announcer.Rollout {
 	p.mutex.Lock()
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -171,6 +171,7 @@
 		return attempt{}, refused
 	}
 	p.attempts++
+	p.gateway.promotions.sent(p.service, p.route.ID)
 	return a, nil
 }
 
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -72,7 +72,7 @@
 	// announced means that the store was seen to hold that the roll-out is in progress.
 	announced bool
 	split     splitter.Splitter
-	// divided counts the requests since the order, perRoute those sent to the target.
+	// divided counts the requests sent since the order, perRoute those for the target.
 	divided  int
 	perRoute map[dotterelpulley.RouteID]int
 }
--- a/promoter/replay_test.go
+++ b/promoter/replay_test.go
@@ -272,6 +272,7 @@
 	if c, ok := h.Rollout(service); ok && c.Stage == promoter.Completed {
 		version = target
 	}
+	h.Sent(service, route)
 	r.send(h, route, r.choose(h, version))
 }
 
--- a/promoter/share.go
+++ b/promoter/share.go
@@ -19,25 +19,20 @@
 	if r == nil || !r.stage.running() || !now.Before(r.deadline) {
 		return false
 	}
-	r.divided++
 	r.split.SetLimit(splitter.Limit{First: "", Second: r.Target, Fraction: p.fraction(r), Credit: p.credit(now, r)})
-	if r.stage == Canary && !r.balanced(route) {
-		r.split.Skip()
-		return false
-	}
-	if r.split.Choose("") != r.Target {
+	if r.stage == Canary && !r.balanced(route) || !r.split.Take() {
 		return false
 	}
 	r.perRoute[route]++
 	return true
 }
 
-// Skip counts a request that goes to another version whatever the share.
-func (p *Promoter) Skip(service dotterelpulley.ServiceID, route dotterelpulley.RouteID) {
+// Sent counts a request that is sent to an endpoint. What is refused or leaves the queue gives the target no share.
+func (p *Promoter) Sent(service dotterelpulley.ServiceID, route dotterelpulley.RouteID) {
 	if r := p.rollouts[service]; r != nil && r.stage.running() {
 		r.divided++
 		r.perRoute[route] += 0
-		r.split.Skip()
+		r.split.Count()
 	}
 }
 
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -56,8 +56,17 @@
 	return s.shares[1].Fraction*float64(s.total) + s.credit + roundingTolerance
 }
 
-// Skip counts a request that goes to the first version whatever the share.
-func (s *Splitter) Skip() {
+// Take reports whether the second version may get one more request, and counts it for that version. Count counts it in all.
+func (s *Splitter) Take() bool {
+	if s.Spare() == 0 {
+		return false
+	}
+	s.second++
+	return true
+}
+
+// Count counts a request of either version.
+func (s *Splitter) Count() {
 	s.total++
 }
 
