Show that a version that was taken back gets requests once another is ordered

Callers get the bad version again while its endpoints last: beside the next order all versions but its target count as the one in force.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -228,3 +228,29 @@
 	s.Assert(float64(len(target.Received())) <= exposureShare*float64(reached)+exposureSlack, qt.IsTrue,
 		qt.Commentf("%d of %d requests that reached an endpoint", len(target.Received()), reached))
 }
+
+// Guards against a version that was taken back getting requests again once another one is ordered.
+func TestAVersionThatWasTakenBackGetsNothingBesideTheNextOrder(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	bad := s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStage(promoter.Canary)
+	s.waitForEndpoints(2)
+	g.promotions.mutex.Lock()
+	change, _ := g.promotions.promoter.TakeBack(time.Now(), "plain", "bad")
+	g.promotions.mutex.Unlock()
+	g.applyStage(time.Now(), change)
+	before := len(bad.Received())
+	s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(`{"service":"plain","target":"v3","duration_s":60}`))
+	s.waitFor("the next order is known", func() bool {
+		o, ok := g.rollouts.get("plain")
+		return ok && o.Target == "v3"
+	})
+	for range 40 {
+		s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusOK)
+	}
+	s.Assert(bad.Received(), qt.HasLen, before)
+}
