Bar the target of an order that was not completed beside the next one

A version that wasn't proved gets no work beside the next order's roll-out, also where the others' endpoints have left. A completed one is the version in force.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -159,7 +159,7 @@
 		p.available = map[dotterelpulley.ServiceID]bool{}
 	}
 	p.available[service] = len(endpoints) > 0
-	split := scheduler.Split{Target: change.Target, Mode: splitModes[change.Stage], Focus: p.promoter.Focus(now, service, endpoints)}
+	split := scheduler.Split{Target: change.Target, Barred: change.Barred, Mode: splitModes[change.Stage], Focus: p.promoter.Focus(now, service, endpoints)}
 	if p.promoter.Settled(now, service) {
 		split = scheduler.Split{}
 	}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -60,6 +60,8 @@
 
 type rollout struct {
 	Order
+	// barred is the target of the order before, if that was not completed.
+	barred dotterelpulley.VersionID
 	stage  Stage
 	reason string
 	// seenAt is when this host heard of the order; deadline is when it goes back without a completion.
@@ -80,12 +82,14 @@
 // Change is a roll-out's new stage.
 type Change struct {
 	Order
+	// Barred is a version that gets no requests beside this roll-out, as it was not proved; empty for none.
+	Barred dotterelpulley.VersionID
 	Stage  Stage
 	Reason string
 }
 
 func (r *rollout) change() Change {
-	return Change{Order: r.Order, Stage: r.stage, Reason: r.reason}
+	return Change{Order: r.Order, Barred: r.barred, Stage: r.stage, Reason: r.reason}
 }
 
 // advance raises the stage and reports whether that is news.
@@ -128,6 +132,9 @@
 		p.rollouts = map[dotterelpulley.ServiceID]*rollout{}
 	}
 	r := &rollout{Order: o, reason: "of unknown age", seenAt: now, perRoute: map[dotterelpulley.RouteID]int{}}
+	if before := p.rollouts[o.Service]; before != nil && before.stage != Completed && before.Target != o.Target {
+		r.barred = before.Target
+	}
 	p.rollouts[o.Service] = r
 	return r
 }
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -23,6 +23,8 @@
 type Split struct {
 	// Target is the version that is being introduced.
 	Target dotterelpulley.VersionID
+	// Barred is a version that gets no work at all; empty for none.
+	Barred dotterelpulley.VersionID
 	Mode   SplitMode
 	// Focus is the target's only endpoint that gets marked work; empty for all of them.
 	Focus dotterelpulley.EndpointID
@@ -48,7 +50,7 @@
 		return
 	}
 	v.split = splitState{Split: split, liveAt: now}
-	if known.Target == split.Target && (known.Mode == SplitAll) == (split.Mode == SplitAll) {
+	if known.Target == split.Target && known.Barred == split.Barred && (known.Mode == SplitAll) == (split.Mode == SplitAll) {
 		// The same versions have to be live as before.
 		v.split.liveAt, v.split.suspended = known.liveAt, known.suspended
 	}
@@ -78,6 +80,9 @@
 
 // permitsAny reports whether any work may run on the endpoint.
 func (p *splitState) permitsAny(e *endpoint) bool {
+	if p.Barred != "" && e.Version == p.Barred {
+		return false
+	}
 	if p.Target == "" || p.suspended {
 		return true
 	}
