Show that the withdrawal of an earlier order takes the next one's roll-out back

A host that hears of an order from another host, and only then reads the withdrawal of the order before, takes the newer roll-out back everywhere. The test fails.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -10,9 +10,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 	"github.com/dotterelpulley/dotterelpulley/promoter"
+	"github.com/dotterelpulley/dotterelpulley/relayer"
 )
 
 // order writes an operator's order to move the plain service to v2.
@@ -254,3 +256,30 @@
 	}
 	s.Assert(bad.Received(), qt.HasLen, before)
 }
+
+// Guards against a roll-out that is taken back because a host hears of the withdrawal of an earlier order after the order.
+func TestTheWithdrawalOfAnEarlierOrderLeavesTheNextOneInForce(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(`{"service":"plain","target":"v9","duration_s":60}`))
+	s.waitForStage(promoter.Canary)
+	g.promotions.mutex.Lock()
+	before, _ := g.promotions.promoter.Rollout("plain")
+	g.promotions.mutex.Unlock()
+	// Another host, which has read both records, tells of the order.
+	after := before.Number.Next + 2
+	g.learnRollouts(time.Now(), []announcer.Rollout{{
+		RolloutOrder: dotterelpulley.RolloutOrder{Service: "plain", Target: "v2", Duration: time.Minute},
+		Era:          before.Number.Era, Next: after, Stage: int(promoter.Canary), Remaining: time.Minute,
+	}})
+	g.applyOrder(relayer.Order{
+		Record: relayer.Record{Key: "rollout/plain"}, After: relayer.Position{Era: before.Number.Era, Next: after - 1},
+	})
+	g.promotions.mutex.Lock()
+	defer g.promotions.mutex.Unlock()
+	change, _ := g.promotions.promoter.Rollout("plain")
+	s.Assert(change.Target, qt.Equals, dotterelpulley.VersionID("v2"))
+	s.Assert(change.Stage, qt.Equals, promoter.Canary)
+}
