Let a withdrawal take back only the orders before it

The position of the withdrawal is compared with the roll-out's, as orders are compared with each other.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -97,9 +97,9 @@
 }
 
 // withdrawRollout takes back the roll-out whose order the operator withdrew.
-func (g *Gateway) withdrawRollout(service dotterelpulley.ServiceID) {
+func (g *Gateway) withdrawRollout(service dotterelpulley.ServiceID, withdrawal promoter.Number) {
 	g.promotions.mutex.Lock()
-	change, advanced := g.promotions.promoter.TakeBack(time.Now(), service, "the order was withdrawn")
+	change, advanced := g.promotions.promoter.Withdraw(time.Now(), service, withdrawal)
 	g.promotions.mutex.Unlock()
 	if advanced {
 		g.applyStage(time.Now(), change)
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -60,9 +60,10 @@
 	if !ok || !g.changes.putOrder(o) {
 		return
 	}
+	number := promoter.Number{Era: o.After.Era, Next: o.After.Next}
 	if len(o.Value) == 0 {
 		g.rollouts.remove(service, o.After)
-		g.withdrawRollout(service)
+		g.withdrawRollout(service, number)
 		g.event(log.InfoLevel, "rollout-withdrawn").Str("service", string(service)).Int64("after", o.After.Next).Msg("")
 		return
 	}
@@ -75,5 +76,5 @@
 	g.rollouts.put(receivedOrder{RolloutOrder: order, after: o.After})
 	g.event(log.InfoLevel, "rollout-order").Str("service", string(service)).Str("target", string(order.Target)).
 		Dur("duration", order.Duration).Int64("after", o.After.Next).Msg("")
-	g.startRollout(time.Now(), promoter.Order{RolloutOrder: order, Number: promoter.Number{Era: o.After.Era, Next: o.After.Next}})
+	g.startRollout(time.Now(), promoter.Order{RolloutOrder: order, Number: number})
 }
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -214,6 +214,14 @@
 	return changes
 }
 
+// Withdraw takes back the service's roll-out if its order came before the withdrawal.
+func (p *Promoter) Withdraw(now time.Time, service dotterelpulley.ServiceID, withdrawal Number) (Change, bool) {
+	if r := p.rollouts[service]; r == nil || r.Number.Compare(withdrawal) > 0 {
+		return Change{}, false
+	}
+	return p.TakeBack(now, service, "the order was withdrawn")
+}
+
 // TakeBack takes the service's roll-out back.
 func (p *Promoter) TakeBack(now time.Time, service dotterelpulley.ServiceID, reason string) (Change, bool) {
 	r := p.rollouts[service]
