--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -53,12 +53,20 @@
 	}
 	if attempts > 0 && c.Stage == promoter.Canary {
 		// What has failed once is no test for a version that isn't proved.
-		p.promoter.Skip(service, route)
 		return false
 	}
 	return p.promoter.ForTarget(now, service, route)
 }
 
+// sent counts a request that is sent to an endpoint.
+func (p *promotions) sent(service dotterelpulley.ServiceID, route dotterelpulley.RouteID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.available[service] {
+		p.promoter.Sent(service, route)
+	}
+}
+
 // report returns what this host tells the others of the roll-outs.
 func (p *promotions) report(now time.Time) []announcer.Rollout {
 	p.mutex.Lock()
@@ -89,9 +97,9 @@
 }
 
 // withdrawRollout takes back the roll-out whose order the operator withdrew.
-func (g *Gateway) withdrawRollout(service dotterelpulley.ServiceID) {
+func (g *Gateway) withdrawRollout(service dotterelpulley.ServiceID, withdrawal promoter.Number) {
 	g.promotions.mutex.Lock()
-	change, advanced := g.promotions.promoter.TakeBack(time.Now(), service, "the order was withdrawn")
+	change, advanced := g.promotions.promoter.Withdraw(time.Now(), service, withdrawal)
 	g.promotions.mutex.Unlock()
 	if advanced {
 		g.applyStage(time.Now(), change)
@@ -151,7 +159,7 @@
 		p.available = map[dotterelpulley.ServiceID]bool{}
 	}
 	p.available[service] = len(endpoints) > 0
-	split := scheduler.Split{Target: change.Target, Mode: splitModes[change.Stage], Focus: p.promoter.Focus(now, service, endpoints)}
+	split := scheduler.Split{Target: change.Target, Barred: change.Barred, Mode: splitModes[change.Stage], Focus: p.promoter.Focus(now, service, endpoints)}
 	if p.promoter.Settled(now, service) {
 		split = scheduler.Split{}
 	}
@@ -178,11 +186,9 @@
 		for _, c := range expired {
 			g.applyStage(now, c)
 		}
-		if len(unfinished) == 0 {
-			return
-		}
+		// Versions cease to matter some time after a completion, too.
 		g.updateSplits(now)
-		if g.isReader(now) {
+		if len(unfinished) > 0 && g.isReader(now) {
 			g.decideRollouts(client, unfinished)
 		}
 	})
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 	"github.com/dotterelpulley/dotterelpulley/promoter"
+	"github.com/dotterelpulley/dotterelpulley/relayer"
 )
 
 // order writes an operator's order to move the plain service to v2.
@@ -161,3 +165,121 @@
 	status, _ := s.status()
 	s.Assert(status.State, qt.Equals, dotterelpulley.RolloutRolledBack)
 }
+
+// Guards against endpoints that are added some time after a completion, under another version, getting no requests for good.
+func TestVersionsAreForgottenSomeTimeAfterACompletion(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStatus(dotterelpulley.RolloutInProgress)
+	s.waitForEndpoints(2)
+	// The completion became known nearly as long ago as versions matter.
+	const left = time.Second
+	known := time.Now().Add(left - 30*time.Second)
+	g.promotions.mutex.Lock()
+	change, advanced := g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted})
+	g.promotions.mutex.Unlock()
+	s.Assert(advanced, qt.IsTrue)
+	g.applyStage(known, change)
+	other := s.endpoint("i-3", "plain", answerHello)
+	s.waitForEndpoints(3)
+	s.waitFor("the other version gets requests", func() bool {
+		s.post(g, "/call/", "book")
+		return len(other.Received()) > 0
+	})
+}
+
+// Guards against a target that gets its share of requests that are refused or withdrawn, and more than that of those that are run.
+func TestRequestsThatReachNoEndpointDoNotRaiseTheTargetsShare(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	release := make(chan struct{})
+	old := s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, attempt int) {
+		<-release
+		answerHello(w, r, attempt)
+	})
+	s.TB.(*testing.T).Cleanup(func() { close(release) })
+	target := s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStage(promoter.Canary)
+	s.waitForEndpoints(2)
+	requests := make(chan *http.Request)
+	var callers sync.WaitGroup
+	for range 32 {
+		callers.Go(func() {
+			for r := range requests {
+				// The caller leaves before its request has waited long for an endpoint.
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				if response, err := http.DefaultTransport.RoundTrip(r.WithContext(ctx)); err == nil {
+					_ = response.Body.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	for range 3200 {
+		requests <- s.request(context.Background(), g, http.MethodPost, "/lookup/", "book")
+	}
+	close(requests)
+	callers.Wait()
+	reached := len(old.Received()) + len(target.Received())
+	s.Assert(float64(len(target.Received())) <= exposureShare*float64(reached)+exposureSlack, qt.IsTrue,
+		qt.Commentf("%d of %d requests that reached an endpoint", len(target.Received()), reached))
+}
+
+// Guards against a version that was taken back getting requests again once another one is ordered.
+func TestAVersionThatWasTakenBackGetsNothingBesideTheNextOrder(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	bad := s.targetEndpoint("i-2", answerHello)
+	g := s.startReadyGateway()
+	s.order()
+	s.waitForStage(promoter.Canary)
+	s.waitForEndpoints(2)
+	g.promotions.mutex.Lock()
+	change, _ := g.promotions.promoter.TakeBack(time.Now(), "plain", "bad")
+	g.promotions.mutex.Unlock()
+	g.applyStage(time.Now(), change)
+	before := len(bad.Received())
+	s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(`{"service":"plain","target":"v3","duration_s":60}`))
+	s.waitFor("the next order is known", func() bool {
+		o, ok := g.rollouts.get("plain")
+		return ok && o.Target == "v3"
+	})
+	for range 40 {
+		s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusOK)
+	}
+	s.Assert(bad.Received(), qt.HasLen, before)
+}
+
+// Guards against a roll-out that is taken back because a host hears of the withdrawal of an earlier order after the order.
+func TestTheWithdrawalOfAnEarlierOrderLeavesTheNextOneInForce(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(`{"service":"plain","target":"v9","duration_s":60}`))
+	s.waitForStage(promoter.Canary)
+	g.promotions.mutex.Lock()
+	before, _ := g.promotions.promoter.Rollout("plain")
+	g.promotions.mutex.Unlock()
+	// Another host, which has read both records, tells of the order.
+	after := before.Number.Next + 2
+	g.learnRollouts(time.Now(), []announcer.Rollout{{
+		RolloutOrder: dotterelpulley.RolloutOrder{Service: "plain", Target: "v2", Duration: time.Minute},
+		Era:          before.Number.Era, Next: after, Stage: int(promoter.Canary), Remaining: time.Minute,
+	}})
+	g.applyOrder(relayer.Order{
+		Record: relayer.Record{Key: "rollout/plain"}, After: relayer.Position{Era: before.Number.Era, Next: after - 1},
+	})
+	g.promotions.mutex.Lock()
+	defer g.promotions.mutex.Unlock()
+	change, _ := g.promotions.promoter.Rollout("plain")
+	s.Assert(change.Target, qt.Equals, dotterelpulley.VersionID("v2"))
+	s.Assert(change.Stage, qt.Equals, promoter.Canary)
+}
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -23,28 +23,36 @@
 type Split struct {
 	// Target is the version that is being introduced.
 	Target dotterelpulley.VersionID
+	// Barred is a version that gets no work at all; empty for none.
+	Barred dotterelpulley.VersionID
 	Mode   SplitMode
 	// Focus is the target's only endpoint that gets marked work; empty for all of them.
 	Focus dotterelpulley.EndpointID
 }
 
-// splitGrace is how long no endpoint of the permitted versions has to be usable until the others get work as well.
+// splitGrace is how long there has to be no live endpoint of the permitted versions until the others get work as well.
 const splitGrace = time.Second
 
 // splitState is the split of a service with what follows from its endpoints.
 type splitState struct {
 	Split
-	// usableAt is when an endpoint of the permitted versions was last usable.
-	usableAt time.Time
-	// suspended means that the split is ignored because its versions have no usable endpoint.
+	// liveAt is when an endpoint of the permitted versions was last live.
+	liveAt time.Time
+	// suspended means that the split is ignored because its versions have no live endpoint.
 	suspended bool
 }
 
 // SetSplit replaces the split of the service.
 func (s *Scheduler) SetSplit(now time.Time, id dotterelpulley.ServiceID, split Split) {
 	v := s.service(id)
-	if v.split.Split != split {
-		v.split = splitState{Split: split, usableAt: now}
+	known := v.split
+	if known.Split == split {
+		return
+	}
+	v.split = splitState{Split: split, liveAt: now}
+	if known.Target == split.Target && known.Barred == split.Barred && (known.Mode == SplitAll) == (split.Mode == SplitAll) {
+		// The same versions have to be live as before.
+		v.split.liveAt, v.split.suspended = known.liveAt, known.suspended
 	}
 }
 
@@ -59,18 +67,22 @@
 	return found
 }
 
-// update suspends the split while the versions that it permits have had no usable endpoint for some time.
+// update suspends the split while the versions that it permits have had no live endpoint for some time. One that is unusable
+// for a while, as it pauses or restarts, is waited for: the others may be bad.
 func (p *splitState) update(now time.Time, endpoints []*endpoint) {
 	for _, e := range endpoints {
-		if p.permitsAny(e) && (p.Mode == SplitAll) == (e.Version == p.Target) && e.usable(now) {
-			p.usableAt = now
+		if p.permitsAny(e) && (p.Mode == SplitAll) == (e.Version == p.Target) && e.State == dotterelpulley.EndpointLive {
+			p.liveAt = now
 		}
 	}
-	p.suspended = now.Sub(p.usableAt) >= splitGrace
+	p.suspended = now.Sub(p.liveAt) >= splitGrace
 }
 
 // permitsAny reports whether any work may run on the endpoint.
 func (p *splitState) permitsAny(e *endpoint) bool {
+	if p.Barred != "" && e.Version == p.Barred {
+		return false
+	}
 	if p.Target == "" || p.suspended {
 		return true
 	}
