Pass on crashes of whole requests in large fleets

TestACrashThatAnotherHostReportsIsPassedOnOnce failed before: the digest had no crash. A host now reports a crash that it hears of for the first time as it does its own, so that each report spreads from host to host and ends when all know it.

--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
@@ -137,6 +138,27 @@
 	f.waitFor("the host has read the part", func() bool { return f.knows(other) })
 }
 
+// Guards against a request that goes on crashing endpoints through hosts of a large fleet that were never told of its crashes.
+func TestACrashThatAnotherHostReportsIsPassedOnOnce(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	crash := announcer.Crash{Fingerprint: 7, Attempt: 8, Endpoint: 9}
+	reported := func() []announcer.Crash {
+		var d announcer.Digest
+		g.addUsageAndCrashes(time.Now(), &d)
+		return d.Crashes
+	}
+	for i := range 3 {
+		g.handleDigest(time.Now(), "127.0.0.1:1", announcer.Digest{
+			Host:        announcer.Host{ID: dotterelpulley.HostID(fmt.Sprint("host-", 7+i)), PeerAddress: "127.0.0.1:1"},
+			Incarnation: 1, Start: 1, Sequence: 1, Crashes: []announcer.Crash{crash},
+		})
+		s.Assert(reported(), qt.DeepEquals, []announcer.Crash{crash})
+	}
+}
+
 // Guards against a deadly part that is taken for sound since an endpoint refused one of its requests, or garbled its answer.
 func TestAnAnswerThatIsNoSuccessClearsNoPart(t *testing.T) {
 	handlers := map[string]standin.Handler{
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,7 +40,7 @@
 	wake      chan struct{}
 }
 
-// observedCrash is a crash that this host observed itself.
+// observedCrash is a crash that this host observed itself or was told of first by another one.
 type observedCrash struct {
 	announcer.Crash
 	at time.Time
@@ -255,20 +255,27 @@
 		g.rationer.RemoveHost(d.ID)
 	}
 	for _, c := range d.Crashes {
-		g.isolator.AddCrash(isolator.Crash{
+		known := !g.isolator.AddCrash(isolator.Crash{
 			Fingerprint: isolator.Fingerprint(c.Fingerprint), Attempt: isolator.AttemptID(c.Attempt),
 			Endpoint: dotterelpulley.EndpointID(fmt.Sprintf("%08x", c.Endpoint)), Started: now, At: now,
 		})
+		if !known {
+			// The host that saw the crash reaches only some of a large fleet while it reports it.
+			g.reportCrash(now, c)
+		}
 	}
 }
 
 // recordCrash records an endpoint's crash; the mutex must be held.
 func (g *Gateway) recordCrash(now time.Time, id dotterelpulley.EndpointID) {
 	for _, d := range g.isolator.EndpointCrashed(now, id) {
-		g.crashes = append(g.crashes, observedCrash{at: now, Crash: announcer.Crash{
-			Fingerprint: uint64(d.Fingerprint), Attempt: uint64(d.Attempt), Endpoint: scheduler.EndpointKey(id),
-		}})
+		g.reportCrash(now, announcer.Crash{Fingerprint: uint64(d.Fingerprint), Attempt: uint64(d.Attempt), Endpoint: scheduler.EndpointKey(id)})
 	}
+}
+
+// reportCrash adds a crash to the next digests, in place of the oldest one if there are too many; the mutex must be held.
+func (g *Gateway) reportCrash(now time.Time, c announcer.Crash) {
+	g.crashes = append(g.crashes, observedCrash{at: now, Crash: c})
 	g.crashes = g.crashes[max(len(g.crashes)-maxReportedCrashes, 0):]
 }
 
