--- a/promoter/replay_test.go
+++ b/promoter/replay_test.go
@@ -421,6 +421,16 @@
 	}
 }
 
+// Guards against a version of which half of the endpoints are several times slower, on hardware that hides it.
+func TestAVersionWithFourTimesSlowerEndpointsIsTakenBack(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(seeds) {
+		r := newReplayOf(seed, "slow endpoints", orderDuration, 1, 4)
+		r.run(orderedAt + 2*orderDuration)
+		r.checkExposure(c)
+	}
+}
+
 // Guards against a version that is watched for long while it gives bad answers.
 func TestABadVersionIsNotWatchedForLong(t *testing.T) {
 	c := qt.New(t)
@@ -452,6 +462,17 @@
 	c.Check(float64(completed) >= leastCompleted*seeds, qt.IsTrue, qt.Commentf("%d of %d completed", completed, seeds))
 }
 
+// Guards against a good version that is taken back.
+func TestEveryGoodVersionIsCompletedInTime(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(seeds) {
+		r := newReplay(seed, "")
+		r.run(orderedAt + 2*orderDuration)
+		c.Check(r.state, qt.Equals, dotterelpulley.RolloutCompleted, qt.Commentf("seed %d: %s", seed, r.reason))
+		c.Check(r.doneAt <= orderedAt+orderDuration, qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
 // Guards against hosts that go on with a bad version while the one that decides is gone, or while the store is.
 func TestABadVersionIsTakenBackBesideAFault(t *testing.T) {
 	c := qt.New(t)
