Write a kept part again when it changes during its write

A part that was cleared while the store took its record stayed in the store as isolated, for as long as it counts: the hosts of a later restart of all would refuse its requests.

Cause: the part was taken off the list after its write, and with it the change that came meanwhile. It is now taken off before, and added again if the write fails. TestAPartThatChangesWhileItIsWrittenIsWrittenAgain holds the list to it; it needs the new method and can't run on the code before.

--- a/gateway/isolation_store.go
+++ b/gateway/isolation_store.go
@@ -48,21 +48,17 @@
 	}
 }
 
-func (k *partKeeper) next() (isolator.Part, bool) {
+// take removes a part and returns it. It is added again if it changes while it is being written.
+func (k *partKeeper) take() (isolator.Part, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	for p := range k.pending {
+		delete(k.pending, p)
 		return p, true
 	}
 	return 0, false
 }
 
-func (k *partKeeper) done(p isolator.Part) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	delete(k.pending, p)
-}
-
 // keptIncident is an incident of an isolated part in the store, for hosts that all start at once.
 type keptIncident struct {
 	Incident uint32 `json:"incident"`
@@ -104,13 +100,12 @@
 			return
 		case <-g.partKeeper.requested():
 		}
-		for p, ok := g.partKeeper.next(); ok && g.ctx.Err() == nil; p, ok = g.partKeeper.next() {
+		for p, ok := g.partKeeper.take(); ok && g.ctx.Err() == nil; p, ok = g.partKeeper.take() {
 			if err := g.writeKeptPart(p); err != nil {
 				g.event(log.InfoLevel, "part-unwritten").Str("part", p.String()).Err(err).Msg("")
+				g.partKeeper.add(p)
 				repeater.Sleep(g.ctx, fallbackRetryDelay+rand.N(fallbackRetryDelay))
-				continue
 			}
-			g.partKeeper.done(p)
 		}
 	}
 }
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -219,6 +219,21 @@
 	})
 }
 
+// Guards against a record that stays as it was since its part changed while it was being written.
+func TestAPartThatChangesWhileItIsWrittenIsWrittenAgain(t *testing.T) {
+	c := qt.New(t)
+	var k partKeeper
+	k.add(7)
+	p, ok := k.take()
+	c.Assert(ok, qt.IsTrue)
+	k.add(p)
+	again, ok := k.take()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(again, qt.Equals, p)
+	_, ok = k.take()
+	c.Assert(ok, qt.IsFalse)
+}
+
 // Guards against records that hosts of the next version can't read, or that another writer has garbled.
 func TestKeptPartsAreDecodedAsWritten(t *testing.T) {
 	c := qt.New(t)
