--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -179,10 +179,14 @@
 	// The completion became known nearly as long ago as versions matter.
 	const left = time.Second
 	known := time.Now().Add(left - 30*time.Second)
-	g.promotions.mutex.Lock()
-	change, advanced := g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted})
-	g.promotions.mutex.Unlock()
-	s.Assert(advanced, qt.IsTrue)
+	var change promoter.Change
+	s.waitFor("the host has seen its own status and takes the outcome", func() bool {
+		g.promotions.mutex.Lock()
+		defer g.promotions.mutex.Unlock()
+		var advanced bool
+		change, advanced = g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted})
+		return advanced
+	})
 	g.applyStage(known, change)
 	other := s.endpoint("i-3", "plain", answerHello)
 	s.waitForEndpoints(3)
