--- a/gateway/event.go
+++ b/gateway/event.go
@@ -26,7 +26,7 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer
-	// inParts makes next return an event in parts if the budget has no room for it.
+	// inParts makes next return a large event in parts, which need no room in the budget.
 	inParts bool
 	// continuing is true while an event has been returned in part, inLine while a line has been read in part.
 	continuing bool
@@ -52,13 +52,13 @@
 		r.eventBytes = 0
 	}
 	for {
-		if !r.grow(lineChunk) {
-			if !r.inParts {
-				return e, errBuffersFull
-			}
-			r.continuing, e.comment = true, false
+		if r.inParts && !e.comment && len(r.data)+lineChunk > ownBufferBytes {
+			r.continuing = true
 			return e, nil
 		}
+		if !r.grow(lineChunk) {
+			return e, errBuffersFull
+		}
 		line, err := r.reader.ReadSlice('\n')
 		r.data = append(r.data, line...)
 		e.data = r.data
