Test that hosts keep the limit of an endpoint together, which fails

Three hosts that were told of a limit of 1.3 requests a second send the endpoint 60 of 120 requests within 1.3 s; in four seconds 12 are allowed. The header isn't read anywhere.

--- /dev/null
+++ b/gateway/endpoint_limit_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+)
+
+// limitWindow and limitFactor with limitSlack are the users' bound on the requests that an endpoint with a limit gets.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// arrivals records when requests reach an endpoint.
+type arrivals struct {
+	mutex sync.Mutex
+	times []time.Time
+}
+
+// naming returns a handler that records each request and answers it with the header.
+func (a *arrivals) naming(header, value string) standin.Handler {
+	return func(w http.ResponseWriter, r *http.Request, n int) {
+		a.mutex.Lock()
+		a.times = append(a.times, time.Now())
+		a.mutex.Unlock()
+		w.Header().Set(header, value)
+		answerHello(w, r, n)
+	}
+}
+
+// busiest returns the largest number of requests within a window that begins after the time.
+func (a *arrivals) busiest(after time.Time, window time.Duration) int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	times := slices.DeleteFunc(slices.Clone(a.times), func(at time.Time) bool { return !at.After(after) })
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Hosts that were told of an endpoint's limit exceeded it together.
+func TestHostsKeepTheLimitOfAnEndpointTogether(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var limited arrivals
+	s.endpoint("i-1", "plain", limited.naming("Server-Limit", "1.3"))
+	hosts := startHosts(s, 3)
+	for _, g := range hosts {
+		s.waitForAllowance(g, 100)
+		s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
+	}
+	s.endpoint("i-2", "plain", answerHello)
+	for _, g := range hosts {
+		s.waitFor("the host knows both endpoints", func() bool { return len(registrations(g)) == 2 })
+	}
+	told := time.Now()
+	for range 40 {
+		for _, g := range hosts {
+			s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
+		}
+	}
+	limit := 1.3 * limitFactor * limitWindow.Seconds()
+	s.Assert(float64(limited.busiest(told, limitWindow)) <= limit+limitSlack, qt.IsTrue, qt.Commentf("%d requests in a window", limited.busiest(told, limitWindow)))
+}
