Divide the limit that an endpoint names among few hosts

Cause: no host reads Server-Limit, and nothing in placement bounds what an endpoint gets from all hosts together. The class is a bound over all hosts that each host can keep only by knowing the others' use or by owning its part.

Change: the endpoint's word is decoded, told to the other hosts with its age, and divided by rank: for each start of an endpoint the hosts order themselves by rendezvous hashing, and the first ones, one for each request a second and one more, hold an equal part each. A part that is gained has nothing saved up, so a host that comes, goes, freezes or is cut off adds at most its own part for the time of the disagreement. The scheduler takes a permit at each start of a run, so repeats, resumed streams, successors of silent streams and shares of roll-outs count as well.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -30,6 +30,7 @@
 		DeadEndpoints: []uint32{15, 1 << 31}, LeavingInstances: []uint32{17, 1 << 30},
 		Updates: []Update{{Host: "x", Incarnation: 19, Suspected: true}, {Host: "y", Incarnation: 20}},
 		Paces:   []Pace{{Key: 18, EventInterval: 30 * time.Millisecond, PrefillPerToken: 17 * time.Microsecond}},
+		Limits:  []EndpointLimit{{Instance: 22, PerSecond: 1.3, Age: 23 * time.Millisecond}, {Instance: 1 << 31, Lifted: true}},
 	}
 	got, err := Decode(d.Encode())
 	c.Assert(err, qt.IsNil)
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -81,6 +81,8 @@
 	Parts []PartFact
 	// Rollouts is what the host knows of the operators' roll-outs.
 	Rollouts []Rollout
+	// Limits are the limits that endpoints named to the host lately.
+	Limits []EndpointLimit
 }
 
 // Rollout is how far the roll-out of an order has come.
@@ -171,6 +173,7 @@
 	fieldUpdate
 	fieldPartFact
 	fieldRollout
+	fieldEndpointLimit
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -230,6 +233,9 @@
 	for _, r := range d.Rollouts {
 		b = fields.AppendBytes(b, fieldRollout, r.encode())
 	}
+	for _, l := range d.Limits {
+		b = fields.AppendBytes(b, fieldEndpointLimit, l.encode())
+	}
 	return b
 }
 
@@ -334,6 +340,12 @@
 			return err
 		}
 		d.Rollouts = append(d.Rollouts, r)
+	case fieldEndpointLimit:
+		l, err := decodeEndpointLimit(value)
+		if err != nil {
+			return err
+		}
+		d.Limits = append(d.Limits, l)
 	case fieldCrash:
 		v, err := consumeNumbers(value, 3)
 		if err != nil {
--- /dev/null
+++ b/emulator/limited_host.go
@@ -0,0 +1,326 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/apportioner"
+	"github.com/dotterelpulley/dotterelpulley/rationer"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
+)
+
+// limitedHost is a host of a LimitedFleet: its decisions are those of the real packages.
+type limitedHost struct {
+	run         *limitedRun
+	host        announcer.Host
+	announcer   announcer.Announcer
+	identity    announcer.Identity
+	scheduler   scheduler.Scheduler
+	apportioner apportioner.Apportioner
+	rationer    rationer.Rationer
+	requests    map[scheduler.ID]*limitedRequest
+	toldAt      map[apportioner.Key]time.Duration
+	// starts counts the host's starts; up and frozen are its state, cut means that it reaches no other host.
+	starts int
+	up     bool
+	frozen bool
+	cut    bool
+	// disturbed means that a fault excuses the host.
+	disturbed bool
+	// deferred is what happens once the host is no longer frozen.
+	deferred []func()
+}
+
+func (r *limitedRun) addHost(index int) {
+	id := dotterelpulley.HostID(fmt.Sprintf("host-%03d", index))
+	h := &limitedHost{run: r, host: announcer.Host{
+		ID: id, Zone: dotterelpulley.ZoneID(fmt.Sprintf("zone-%d", index%3)), PeerAddress: dotterelpulley.Address(id), CallerAddress: dotterelpulley.Address(id),
+	}}
+	r.hosts = append(r.hosts, h)
+	r.byAddress[h.host.PeerAddress] = h
+	h.start()
+}
+
+// start starts the host without a memory of earlier starts; the other hosts' addresses are known from the store.
+func (h *limitedHost) start() {
+	r := h.run
+	seed := r.random.Uint64()
+	h.starts++
+	h.announcer = announcer.Announcer{Self: h.host, Seed: seed}
+	h.identity = announcer.Identity{Start: seed, Incarnation: uint64(h.starts)}
+	h.scheduler = scheduler.Scheduler{Seed: seed, Zone: h.host.Zone}
+	h.apportioner = apportioner.Apportioner{Self: h.host.ID}
+	h.rationer = rationer.Rationer{Window: limitWindow, HostCount: r.Hosts}
+	h.requests, h.toldAt = map[scheduler.ID]*limitedRequest{}, map[apportioner.Key]time.Duration{}
+	h.up = true
+	for i := range r.Hosts {
+		if id := fmt.Sprintf("host-%03d", i); id != string(h.host.ID) {
+			h.announcer.AddHost(r.clock.now(), announcer.Host{ID: dotterelpulley.HostID(id), PeerAddress: dotterelpulley.Address(id)})
+		}
+	}
+	h.setEndpoints()
+	start := h.starts
+	h.every(start, time.Duration(r.random.Int64N(int64(100*time.Millisecond))), h.announcer.Interval, h.announce)
+	h.every(start, 0, func() time.Duration { return announcer.ProbeInterval }, h.probe)
+	h.every(start, 0, func() time.Duration { return limitedDecideInterval }, h.decide)
+}
+
+// every calls the function again and again until the host's start ends.
+func (h *limitedHost) every(start int, first time.Duration, interval func() time.Duration, do func()) {
+	h.run.clock.schedule(first, func() {
+		h.whenAwake(start, func() {
+			do()
+			h.every(start, interval(), interval, do)
+		})
+	})
+}
+
+// whenAwake calls the function now, or once the host goes on; never if its start has ended.
+func (h *limitedHost) whenAwake(start int, do func()) {
+	switch {
+	case h.starts != start || !h.up:
+	case h.frozen:
+		h.deferred = append(h.deferred, do)
+	default:
+		do()
+	}
+}
+
+// begin begins a fault and schedules its end.
+func (r *limitedRun) begin(f HostFault) {
+	h := r.hosts[f.Host]
+	h.disturbed = true
+	end := func() {}
+	switch f.Kind {
+	case Kill:
+		h.up = false
+		end = h.start
+	case Freeze:
+		h.frozen = true
+		end = func() {
+			h.frozen = false
+			deferred := h.deferred
+			h.deferred = nil
+			for _, do := range deferred {
+				do()
+			}
+		}
+	case CutFromHosts:
+		h.cut = true
+		end = func() { h.cut = false }
+	}
+	r.clock.schedule(f.Duration, end)
+	r.clock.schedule(f.Duration+stabilityWindow, func() { h.disturbed = false })
+}
+
+// send delivers a message to another host, unless one of them is cut off or down.
+func (h *limitedHost) send(to dotterelpulley.Address, m announcer.Message) {
+	target, ok := h.run.byAddress[to]
+	if !ok || h.cut || target.cut || !target.up {
+		return
+	}
+	start := target.starts
+	h.run.clock.schedule(networkDelay, func() {
+		target.whenAwake(start, func() { target.receive(h.host.PeerAddress, m) })
+	})
+}
+
+func (h *limitedHost) announce() {
+	now := h.run.clock.now()
+	if h.apportioner.Divides() {
+		h.refreshHosts()
+	}
+	h.identity.Sequence++
+	d := announcer.Digest{
+		Host: h.host, Start: h.identity.Start, Incarnation: h.identity.Incarnation, Sequence: h.identity.Sequence,
+		State: announcer.Serving, Updates: h.announcer.NextUpdates(),
+	}
+	d.Brief = h.announcer.Brief(d.Sequence)
+	report := h.apportioner.Report(now)
+	for _, l := range report.Limits {
+		d.Limits = append(d.Limits, announcer.EndpointLimit{Instance: uint32(l.Key), PerSecond: float64(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
+	}
+	if h.run.Share == ShareByReports {
+		d.Usage = map[dotterelpulley.OrganisationID]announcer.Usage{}
+		for id, usage := range h.rationer.LocalUsage(now) {
+			d.Usage[id] = announcer.Usage{Admitted: float64(usage.Admitted), Level: float64(usage.Level)}
+		}
+	}
+	for _, to := range h.announcer.Targets(now, d) {
+		h.send(to, d)
+	}
+}
+
+func (h *limitedHost) probe() {
+	for _, m := range h.announcer.Probe(h.run.clock.now()) {
+		h.send(m.To, m.Message)
+	}
+}
+
+func (h *limitedHost) receive(from dotterelpulley.Address, m announcer.Message) {
+	now := h.run.clock.now()
+	switch m := m.(type) {
+	case announcer.Digest:
+		h.receiveDigest(now, m)
+	case announcer.Probe:
+		if m.Target != h.host.PeerAddress {
+			h.send(m.Target, m)
+			return
+		}
+		h.send(from, announcer.Ack{Number: m.Number, Origin: m.Origin, Host: h.host.ID, Incarnation: h.identity.Incarnation})
+	case announcer.Ack:
+		if m.Origin != h.host.PeerAddress {
+			h.send(m.Origin, m)
+			return
+		}
+		h.announcer.ReceiveAck(now, m)
+	case announcer.Correction:
+	}
+}
+
+func (h *limitedHost) receiveDigest(now time.Time, d announcer.Digest) {
+	if fresh, _ := h.announcer.Receive(now, d); !fresh {
+		return
+	}
+	if h.announcer.ReceiveUpdates(now, d.Updates, h.identity) {
+		h.identity.Refute()
+	}
+	if h.run.Share == ShareByReports {
+		usage := map[dotterelpulley.OrganisationID]rationer.Usage{}
+		for id, u := range d.Usage {
+			usage[id] = rationer.Usage{Admitted: rationer.Amount(u.Admitted), Level: rationer.Amount(u.Level)}
+		}
+		h.rationer.RecordPeerUsage(now, d.ID, d.Start, usage)
+	}
+	var report apportioner.Report
+	for _, l := range d.Limits {
+		report.Limits = append(report.Limits, apportioner.Limit{Key: apportioner.Key(l.Instance), PerSecond: apportioner.Rate(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
+	}
+	if h.apportioner.Receive(now, report) {
+		h.refreshHosts()
+		h.setAllowances()
+	}
+	h.decide()
+}
+
+// refreshHosts updates the hosts that take part in the division.
+func (h *limitedHost) refreshHosts() {
+	now := h.run.clock.now()
+	hosts := []dotterelpulley.HostID{h.host.ID}
+	for _, m := range h.announcer.ActiveMembers(now) {
+		hosts = append(hosts, m.ID)
+	}
+	slices.Sort(hosts)
+	changed := h.apportioner.SetHosts(hosts)
+	if h.apportioner.Prune(now) || changed && h.apportioner.Divides() {
+		h.setAllowances()
+	}
+}
+
+func (h *limitedHost) setEndpoints() {
+	var endpoints []scheduler.Endpoint
+	for _, e := range h.run.endpoints {
+		endpoints = append(endpoints, e.Endpoint)
+	}
+	h.scheduler.SetEndpoints(limitedService, endpoints)
+	h.setAllowances()
+}
+
+// setAllowances passes the host's shares to its scheduler.
+func (h *limitedHost) setAllowances() {
+	now := h.run.clock.now()
+	allowances := map[dotterelpulley.EndpointID]scheduler.Allowance{}
+	for _, e := range h.run.endpoints {
+		allowances[e.ID] = h.allowance(now, e)
+	}
+	h.scheduler.SetAllowances(now, limitedService, allowances)
+}
+
+func (h *limitedHost) allowance(now time.Time, e *limitedEndpoint) scheduler.Allowance {
+	var a scheduler.Allowance
+	limit, limited := h.apportioner.Limit(e.key)
+	switch h.run.Share {
+	case ShareNothing:
+		return a
+	case ShareAmongFew:
+		share, ok := h.apportioner.Share(e.key)
+		a.RateLimited, a.PerSecond = ok, float64(share)
+	case ShareEqually:
+		a.RateLimited, a.PerSecond = limited, float64(limit)/float64(h.run.Hosts)
+	case ShareByReports:
+		id := dotterelpulley.OrganisationID(e.ID)
+		if !limited {
+			return a
+		}
+		h.rationer.SetCap(now, id, rationer.Cap{Rate: rationer.Amount(limit), Burst: 1})
+		level, ok := h.rationer.Level(now, id)
+		a.RateLimited = ok && level < 1
+	}
+	return a
+}
+
+// decide places the requests that wait on the host.
+func (h *limitedHost) decide() {
+	if !h.up || h.frozen {
+		return
+	}
+	if h.run.Share == ShareByReports {
+		h.setAllowances()
+	}
+	now := h.run.clock.now()
+	for _, d := range h.scheduler.Decide(now) {
+		switch d := d.(type) {
+		case scheduler.Placed:
+			q, e := h.requests[d.ID], h.run.byID[d.Endpoint.ID]
+			if h.run.Share == ShareByReports {
+				h.rationer.Admit(now, dotterelpulley.OrganisationID(e.ID), 1)
+			}
+			h.run.clock.schedule(networkDelay, func() { h.run.receive(q, e) })
+		case scheduler.Refused:
+			delete(h.requests, d.ID)
+			h.run.result.Refused++
+		}
+	}
+}
+
+// answer delivers the answer of an endpoint to the request's host, with what the endpoint says of itself.
+func (q *limitedRequest) answer(e *limitedEndpoint, result scheduler.Result) {
+	h := q.host
+	limit := e.limit
+	h.run.clock.schedule(networkDelay, func() {
+		h.whenAwake(q.start, func() {
+			now := h.run.clock.now()
+			h.scheduler.Ended(now, q.id, result)
+			delete(h.requests, q.id)
+			switch result {
+			case scheduler.ResultCompleted:
+				h.run.result.Served++
+			default:
+				h.run.result.Refused++
+			}
+			h.heed(now, e, limit)
+			h.decide()
+		})
+	})
+}
+
+// heed records what an answer says of its endpoint, and tells the other hosts at once if that is news.
+func (h *limitedHost) heed(now time.Time, e *limitedEndpoint, limit LimitChange) {
+	news := false
+	if limit.Lifted {
+		news = h.apportioner.ObserveNoLimit(now, e.key)
+	} else {
+		news = h.apportioner.ObserveLimit(now, e.key, apportioner.Rate(limit.PerSecond))
+		if h.toldAt[e.key] == 0 {
+			h.toldAt[e.key] = h.run.clock.elapsed
+		}
+	}
+	if news {
+		h.refreshHosts()
+		h.setAllowances()
+		h.announce()
+	}
+}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -39,6 +39,7 @@
 	}
 	d.LeavingInstances = g.leaving.reported(now)
 	d.Rollouts = g.promotions.report(now)
+	g.addLimits(now, &d)
 	g.queue.access(func(now time.Time, s *scheduler.Scheduler) {
 		addReport(&d, s.HostReport(now))
 	})
--- a/gateway/endpoint_limit_test.go
+++ b/gateway/endpoint_limit_test.go
@@ -4,12 +4,15 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 // limitWindow and limitFactor with limitSlack are the users' bound on the requests that an endpoint with a limit gets.
@@ -75,3 +78,65 @@
 	limit := 1.3 * limitFactor * limitWindow.Seconds()
 	s.Assert(float64(limited.busiest(told, limitWindow)) <= limit+limitSlack, qt.IsTrue, qt.Commentf("%d requests in a window", limited.busiest(told, limitWindow)))
 }
+
+// allowance returns the host's share of the endpoint; false if it has none.
+func allowance(g *Gateway, id dotterelpulley.EndpointID) (scheduler.Allowance, bool) {
+	for _, byEndpoint := range g.allowances() {
+		if a, ok := byEndpoint[id]; ok {
+			return a, true
+		}
+	}
+	return scheduler.Allowance{}, false
+}
+
+func TestHostsLearnALimitAndItsEndFromEachOther(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var limited atomic.Bool
+	limited.Store(true)
+	s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+		if limited.Load() {
+			w.Header().Set("Server-Limit", "2.5")
+		}
+		answerHello(w, r, n)
+	})
+	hosts := startHosts(s, 2)
+	for _, g := range hosts {
+		s.waitForAllowance(g, 20)
+	}
+	s.Assert(s.get(hosts[0], "/lookup/").header.Get("Server-Limit"), qt.Equals, "2.5")
+	for _, g := range hosts {
+		s.waitFor("the host knows the limit", func() bool {
+			a, ok := allowance(g, "i-1")
+			return ok && a.RateLimited && a.PerSecond == 1.25
+		})
+	}
+	limited.Store(false)
+	s.Assert(s.get(hosts[1], "/lookup/").status, qt.Equals, http.StatusOK)
+	for _, g := range hosts {
+		s.waitFor("the host knows that the limit has ended", func() bool {
+			_, ok := allowance(g, "i-1")
+			return !ok
+		})
+	}
+}
+
+// An answer that isn't the endpoint's own says nothing of the end of a limit.
+func TestAGarbledAnswerEndsNoLimit(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			w.Header().Set("Server-Limit", "5")
+			answerHello(w, r, n)
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 5)
+	s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusOK)
+	s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusInternalServerError)
+	a, _ := allowance(g, "i-1")
+	s.Assert(a.PerSecond, qt.Equals, 5.0)
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -120,6 +120,8 @@
 			byService[s.ID] = nil
 		}
 	}
+	g.allowanceUpdates.Lock()
+	defer g.allowanceUpdates.Unlock()
 	g.registry.mutex.Lock()
 	for _, e := range g.registry.Registrations() {
 		byService[e.Service] = append(byService[e.Service], scheduler.Endpoint{
@@ -127,7 +129,8 @@
 		})
 	}
 	g.registry.mutex.Unlock()
-	g.queue.updateAndDecide(func(_ time.Time, s *scheduler.Scheduler) {
+	allowances := g.allowances()
+	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) {
 		for _, id := range s.Services() {
 			if _, ok := byService[id]; !ok {
 				byService[id] = nil
@@ -136,6 +139,7 @@
 		for id, endpoints := range byService {
 			s.SetEndpoints(id, endpoints)
 		}
+		setAllowances(now, s, allowances)
 	})
 	g.updateSplits(time.Now())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/apportioner"
 	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/limiter"
@@ -69,9 +70,12 @@
 
 	registry endpointRegistry
 	queue    queue
+	// allowanceUpdates makes the scheduler get the allowances in the order in which they were computed.
+	allowanceUpdates sync.Mutex
 	// mutex guards the decision logic below.
 	mutex       sync.Mutex
 	rationer    rationer.Rationer
+	apportioner apportioner.Apportioner
 	retryBudget limiter.RetryBudget
 	isolator    isolator.Isolator
 	crashes     []observedCrash
@@ -118,6 +122,7 @@
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
 	g.queue.waiters = map[scheduler.ID]chan scheduler.Decision{}
 	g.isolator.Settings = isolator.Settings{Limit: isolateAfter, Lifetime: crashMemory}
+	g.apportioner.Self = settings.Host
 	g.bodies.limit = bodyBudget(settings.Memory)
 	g.connector.OnOpen = func() { g.metrics.Inc("connections-opened") }
 	g.peers.configure(settings, seed)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -141,6 +141,7 @@
 		case <-g.peers.wake:
 		case <-timer.C:
 		}
+		g.refreshAllowances(time.Now())
 		g.sendDigest(time.Now(), g.hostState())
 		timer.Reset(g.peers.interval())
 	}
@@ -238,6 +239,7 @@
 	g.markLeaving(now, d.LeavingInstances)
 	g.receiveParts(now, d.ID, d.Parts)
 	g.learnRollouts(now, d.Rollouts)
+	g.learnLimits(now, d)
 	g.catchUp(d)
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.SetHostReport(now, d.ID, reportOf(d)) })
 	g.mutex.Lock()
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -214,6 +214,7 @@
 	if metadata.Leaving {
 		p.gateway.endpointLeaves(time.Now(), a.Endpoint.ID)
 	}
+	p.heedLimits(time.Now(), a.Endpoint.ID, metadata)
 	if metadata.Pause > 0 {
 		p.gateway.metrics.Inc("endpoint-pauses")
 		p.gateway.requestEvent(log.InfoLevel, "endpoint-paused", p.request).Str("endpoint", string(a.Endpoint.ID)).Dur("for", metadata.Pause).Msg("")
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -80,6 +80,7 @@
 	blockedUntil time.Time
 	// pausedUntil is when the endpoint wants requests from this host again.
 	pausedUntil      time.Time
+	allowance        allowanceState
 	unreachableCount int
 	// deadUntil is how long this host reports to the others that the endpoint refuses connections.
 	deadUntil time.Time
@@ -119,6 +120,11 @@
 	return e.State == dotterelpulley.EndpointLive && !now.Before(e.blockedUntil) && !now.Before(e.pausedUntil) && !e.silent(now)
 }
 
+// accepts reports whether this host may place one more request on the endpoint now.
+func (e *endpoint) accepts(now time.Time) bool {
+	return e.usable(now) && e.allowance.admits(now)
+}
+
 // silent reports whether no event has come from the endpoint for too long although it runs requests of this host.
 func (e *endpoint) silent(now time.Time) bool {
 	return e.running > 0 && e.streaming > 0 && now.Sub(e.lastActivity) > silenceTimeout
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -28,6 +28,7 @@
 		v.homeRates.add(e, w.homes)
 	}
 	e.running++
+	e.allowance.use(now)
 	e.pendingPrompt += unread
 	e.addPlacement(now, unread)
 	if e.streaming == 0 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,6 +159,7 @@
 			decisions = append(decisions, Placed{ID: w.ID, Endpoint: e.Endpoint, Load: e.load(), LoadAge: s.loadAge(now)})
 			s.start(now, v, w, e)
 			e.expected = e.estimateBacklog(now, len(s.hostReports))
+			e.available = e.available && e.accepts(now)
 		}
 		clear(v.queue[len(kept):])
 		v.queue = kept
