Divide the places of brittle endpoints among the hosts

Endpoints that say Server-Brittle fail when they have to turn away too many requests in a second, summed over all hosts. Each host fills endpoints by reports that are late, so after a silence or an endpoint's return the hosts overfill it together: the same class as a limit that no single host can keep.

Change: while any endpoint of a service says so, and 15 s longer, as all of them may be away at once, the places of each of its endpoints, less a tenth, are parted by the same ranking that parts limits. Places that a host gains count a second later. A host that is turned away all the same leaves the endpoint alone for 1 s.

TestBrittleEndpointsAreNotOverfilled checks that the load makes endpoints fall without the division.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -83,6 +83,8 @@
 	Rollouts []Rollout
 	// Limits are the limits that endpoints named to the host lately.
 	Limits []EndpointLimit
+	// BrittleServices are the services whose endpoints told the host that they are brittle.
+	BrittleServices []BrittleService
 }
 
 // Rollout is how far the roll-out of an order has come.
@@ -174,6 +176,7 @@
 	fieldPartFact
 	fieldRollout
 	fieldEndpointLimit
+	fieldBrittleService
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -236,6 +239,9 @@
 	for _, l := range d.Limits {
 		b = fields.AppendBytes(b, fieldEndpointLimit, l.encode())
 	}
+	for _, s := range d.BrittleServices {
+		b = appendNumbers(b, fieldBrittleService, uint64(s.Service), uint64(max(s.Age, 0)/time.Millisecond))
+	}
 	return b
 }
 
@@ -346,6 +352,12 @@
 			return err
 		}
 		d.Limits = append(d.Limits, l)
+	case fieldBrittleService:
+		v, err := consumeNumbers(value, 2)
+		if err != nil {
+			return err
+		}
+		d.BrittleServices = append(d.BrittleServices, BrittleService{Service: uint32(v[0]), Age: time.Duration(min(v[1], maxMilliseconds)) * time.Millisecond})
 	case fieldCrash:
 		v, err := consumeNumbers(value, 3)
 		if err != nil {
--- a/announcer/endpoint_limit.go
+++ b/announcer/endpoint_limit.go
@@ -20,6 +20,14 @@
 	Age time.Duration
 }
 
+// BrittleService is a service whose endpoints fail if they have to turn many requests away.
+type BrittleService struct {
+	// Service is the hash of the service's id.
+	Service uint32
+	// Age is the time since an endpoint last said so, sent in whole milliseconds.
+	Age time.Duration
+}
+
 func (l EndpointLimit) encode() []byte {
 	b := protowire.AppendFixed64(nil, math.Float64bits(l.PerSecond))
 	for _, v := range []uint64{uint64(l.Instance), protowire.EncodeBool(l.Lifted), uint64(max(l.Age, 0) / time.Millisecond)} {
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -18,6 +18,9 @@
 // Key identifies what is divided, the same on all hosts: one start of an endpoint.
 type Key uint32
 
+// ServiceKey identifies a service, the same on all hosts.
+type ServiceKey uint32
+
 const (
 	// minRate is the rate that is divided at least, so that the end of a limit is noticed by the answer to a request.
 	minRate Rate = 0.2
@@ -29,8 +32,14 @@
 	reportTime = 10 * time.Second
 	// limitMemory is how long a limit is remembered that no answer has confirmed.
 	limitMemory = 10 * time.Minute
+	// brittleMemory is how long a service counts as brittle after the last answer that said so, longer than its endpoints take to
+	// come back after they have all failed.
+	brittleMemory = 15 * time.Second
 	// maxReported is the number of limits in a report; the reports take turns if there are more.
 	maxReported = 16
+	// placeReserve is the fraction of an endpoint's places that all hosts leave free, for connections that hold one before their
+	// request.
+	placeReserve = 0.1
 )
 
 // Limit is an endpoint's limit as last observed.
@@ -44,19 +53,28 @@
 	Age time.Duration
 }
 
+// Brittle is a service whose endpoints say that they fail when they have to turn many requests away.
+type Brittle struct {
+	Service ServiceKey
+	// Age is the time since an endpoint last said so.
+	Age time.Duration
+}
+
 // Report is what a host has observed itself.
 type Report struct {
-	Limits []Limit
+	Limits  []Limit
+	Brittle []Brittle
 }
 
-// Apportioner is one host's view of limits, and its shares; set Self before the first call.
+// Apportioner is one host's view of limits and brittle services, and its shares; set Self before the first call.
 type Apportioner struct {
 	Self dotterelpulley.HostID
 
 	// hosts are those that take part, this one included if it does.
-	hosts  []dotterelpulley.HostID
-	limits map[Key]observedLimit
-	turn   int
+	hosts   []dotterelpulley.HostID
+	limits  map[Key]observedLimit
+	brittle map[ServiceKey]observation
+	turn    int
 }
 
 // observation is when something was last observed, and when this host last observed it itself.
@@ -74,6 +92,7 @@
 func (a *Apportioner) init() {
 	if a.limits == nil {
 		a.limits = map[Key]observedLimit{}
+		a.brittle = map[ServiceKey]observation{}
 	}
 }
 
@@ -107,6 +126,14 @@
 	return !ok || known.perSecond != perSecond || known.lifted != lifted
 }
 
+// ObserveBrittle records that an endpoint of the service said to this host that it is brittle, and reports whether that is news.
+func (a *Apportioner) ObserveBrittle(now time.Time, service ServiceKey) bool {
+	a.init()
+	news := !a.IsBrittle(now, service)
+	a.brittle[service] = observation{at: now, ownAt: now}
+	return news
+}
+
 // Receive applies another host's report and reports whether it changes any share.
 func (a *Apportioner) Receive(now time.Time, r Report) bool {
 	a.init()
@@ -121,6 +148,16 @@
 		known.at, known.perSecond, known.lifted = at, l.PerSecond, l.Lifted
 		a.limits[l.Key] = known
 	}
+	for _, b := range r.Brittle {
+		at := now.Add(-b.Age)
+		known := a.brittle[b.Service]
+		if !at.After(known.at) {
+			continue
+		}
+		changed = changed || !a.IsBrittle(now, b.Service)
+		known.at = at
+		a.brittle[b.Service] = known
+	}
 	return changed
 }
 
@@ -137,6 +174,11 @@
 		a.turn += maxReported
 		r.Limits = append(r.Limits[first:], r.Limits[:first]...)[:maxReported]
 	}
+	for _, service := range slices.Sorted(maps.Keys(a.brittle)) {
+		if ownAt := a.brittle[service].ownAt; !ownAt.IsZero() && now.Sub(ownAt) <= brittleMemory {
+			r.Brittle = append(r.Brittle, Brittle{Service: service, Age: now.Sub(ownAt)})
+		}
+	}
 	return r
 }
 
@@ -152,12 +194,17 @@
 		changed = changed || expired && !l.lifted
 		return expired
 	})
+	maps.DeleteFunc(a.brittle, func(_ ServiceKey, o observation) bool {
+		expired := now.Sub(o.at) > brittleMemory
+		changed = changed || expired
+		return expired
+	})
 	return changed
 }
 
-// Divides reports whether anything is limited.
+// Divides reports whether anything is limited or brittle.
 func (a *Apportioner) Divides() bool {
-	return len(a.limits) > 0
+	return len(a.limits) > 0 || len(a.brittle) > 0
 }
 
 // Limit returns the limit of the endpoint; false if it has none.
@@ -166,6 +213,12 @@
 	return l.perSecond, ok && !l.lifted
 }
 
+// IsBrittle reports whether the endpoints of the service are brittle.
+func (a *Apportioner) IsBrittle(now time.Time, service ServiceKey) bool {
+	o, ok := a.brittle[service]
+	return ok && now.Sub(o.at) <= brittleMemory
+}
+
 // Share returns this host's share of the endpoint's limit; false if the endpoint has none.
 //
 // Few hosts share a low limit: each may have saved up one request, and the endpoint may get them all at once.
@@ -182,6 +235,20 @@
 	return limit / Rate(sharers), true
 }
 
+// Places returns how many of the endpoint's places this host may fill at a time.
+func (a *Apportioner) Places(key Key, places int) int {
+	rank, ok := a.rank(key)
+	if !ok {
+		return 0
+	}
+	divided := max(places-int(math.Ceil(placeReserve*float64(places))), 1)
+	own := divided / len(a.hosts)
+	if rank < divided%len(a.hosts) {
+		own++
+	}
+	return own
+}
+
 // rank returns this host's position in the order of the hosts for the key; false if it takes no part. It is the rendezvous
 // order, in which a host that comes or goes moves the fewest shares.
 func (a *Apportioner) rank(key Key) (int, bool) {
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -58,6 +58,21 @@
 	})
 }
 
+// The hosts' places add up to the endpoint's, less those that are left free.
+func TestPlacesAddUpToThoseOfTheEndpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := hostIDs(rapid.IntRange(1, 60).Draw(t, "hosts"))
+		places := rapid.IntRange(1, 40).Draw(t, "places")
+		sum := 0
+		for i := range hosts {
+			sum += view(hosts, i).Places(endpoint, places)
+		}
+		if sum > max(places-1, 1) || sum < places*8/10 {
+			t.Fatalf("%d of %d places are divided", sum, places)
+		}
+	})
+}
+
 func TestAHostThatTakesNoPartHasNoShare(t *testing.T) {
 	c := qt.New(t)
 	a := Apportioner{Self: "other"}
@@ -66,6 +81,8 @@
 	share, limited := a.Share(endpoint)
 	c.Assert(limited, qt.IsTrue)
 	c.Assert(share, qt.Equals, Rate(0))
+	c.Assert(a.Places(endpoint, 10), qt.Equals, 0)
+	c.Assert((&Apportioner{}).Places(endpoint, 10), qt.Equals, 0)
 }
 
 // A limit of nothing still lets requests through now and then, whose answers tell when it ends.
@@ -103,6 +120,17 @@
 	c.Assert(a.Report(now).Limits, qt.HasLen, 0, qt.Commentf("a host reported what another has observed otherwise since"))
 }
 
+func TestBrittlenessOutlivesASilenceOfAllEndpoints(t *testing.T) {
+	c := qt.New(t)
+	a := view(hostIDs(1), 0)
+	c.Assert(a.ObserveBrittle(start, 3), qt.IsTrue)
+	c.Assert(a.ObserveBrittle(start, 3), qt.IsFalse)
+	c.Assert(a.Prune(start.Add(brittleMemory)), qt.IsFalse)
+	c.Assert(a.IsBrittle(start.Add(brittleMemory), 3), qt.IsTrue)
+	c.Assert(a.Prune(start.Add(brittleMemory+1)), qt.IsTrue)
+	c.Assert(a.Divides(), qt.IsFalse)
+}
+
 // A host that comes or goes changes the ranks of others by one at most.
 func TestAHostThatGoesLeavesTheOthersOrder(t *testing.T) {
 	c := qt.New(t)
--- a/emulator/limited.go
+++ b/emulator/limited.go
@@ -17,13 +17,13 @@
 
 // The ways to divide what an endpoint takes.
 const (
-	// ShareAmongFew is the apportioner's way: few hosts share a low limit.
+	// ShareAmongFew is the apportioner's way: few hosts share a low limit, and the places of a brittle endpoint are divided.
 	ShareAmongFew SharePolicy = iota
 	// ShareEqually gives each host the same share of a limit.
 	ShareEqually
 	// ShareByReports lets all hosts use the limit until their reports show that it is used up, as caps of organisations work.
 	ShareByReports
-	// ShareNothing ignores limits.
+	// ShareNothing ignores limits and brittleness.
 	ShareNothing
 )
 
@@ -36,6 +36,14 @@
 	Lifted    bool
 }
 
+// BrittlePeriod is a time in which all endpoints are brittle.
+type BrittlePeriod struct {
+	Start    time.Duration
+	Duration time.Duration
+	// Tolerance is the number of requests that an endpoint can turn away in a second without failing.
+	Tolerance int
+}
+
 // FaultKind is a kind of fault of a host.
 type FaultKind int
 
@@ -64,7 +72,7 @@
 	Duration time.Duration
 }
 
-// LimitedFleet configures an experiment with hosts that share endpoints which name limits.
+// LimitedFleet configures an experiment with hosts that share endpoints which name limits or are brittle.
 type LimitedFleet struct {
 	Seed  uint64
 	Hosts int
@@ -79,6 +87,7 @@
 	Objective time.Duration
 	Duration  time.Duration
 	Limits    []LimitChange
+	Brittle   []BrittlePeriod
 	Faults    []HostFault
 	Silences  []EndpointSilence
 	Share     SharePolicy
@@ -93,6 +102,8 @@
 	WorstExcess float64
 	// LimitUse is the smallest ratio of the requests that an endpoint with a constant limit got in all to its limit.
 	LimitUse float64
+	// Falls is the largest number of times that endpoints failed in one brittle period.
+	Falls int
 	// TurnedAway is the number of requests that endpoints turned away.
 	TurnedAway int
 }
@@ -107,6 +118,8 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// endpointRestart is the time that an endpoint which has failed is away.
+	endpointRestart = 3 * time.Second
 	// networkDelay is the time that a message takes.
 	networkDelay = time.Millisecond
 	// limitedDecideInterval is the time between two decisions of a host while requests wait.
@@ -136,10 +149,14 @@
 	changes []LimitChange
 	running int
 	waiting []*limitedRequest
+	// instance counts the endpoint's starts; down means that it has failed.
+	instance int
+	down     bool
 	// silent is until when it is silent; held are the requests that reached it meanwhile.
-	silent   time.Duration
-	held     []*limitedRequest
-	arrivals []limitedArrival
+	silent     time.Duration
+	held       []*limitedRequest
+	turnedAway []time.Duration
+	arrivals   []limitedArrival
 }
 
 // limitedRun is the state of a running experiment.
@@ -152,6 +169,7 @@
 	endpoints []*limitedEndpoint
 	byID      map[dotterelpulley.EndpointID]*limitedEndpoint
 	lastID    scheduler.ID
+	falls     []time.Duration
 	result    LimitedResult
 }
 
@@ -216,6 +234,8 @@
 
 func (r *limitedRun) admit(q *limitedRequest, e *limitedEndpoint) {
 	switch {
+	case e.down:
+		q.answer(e, scheduler.ResultDead)
 	case r.clock.elapsed < e.silent:
 		e.held = append(e.held, q)
 	case e.running < e.Slots:
@@ -238,8 +258,13 @@
 
 func (r *limitedRun) run(q *limitedRequest, e *limitedEndpoint) {
 	e.running++
+	instance := e.instance
 	var finish func()
 	finish = func() {
+		if e.instance != instance {
+			q.answer(e, scheduler.ResultDead)
+			return
+		}
 		if wait := e.silent - r.clock.elapsed; wait > 0 {
 			r.clock.schedule(wait, finish)
 			return
@@ -255,10 +280,37 @@
 	r.clock.schedule(r.ProcessingTime, finish)
 }
 
-// turnAway refuses a request for want of room.
+// turnAway refuses a request for want of room; a brittle endpoint that does so too often fails.
 func (r *limitedRun) turnAway(q *limitedRequest, e *limitedEndpoint) {
 	r.result.TurnedAway++
+	now := r.clock.elapsed
+	e.turnedAway = slices.DeleteFunc(append(e.turnedAway, now), func(at time.Duration) bool { return now-at > time.Second })
 	q.answer(e, scheduler.ResultRefused)
+	for _, b := range r.Brittle {
+		if now < b.Start+stabilityWindow || now > b.Start+b.Duration || len(e.turnedAway) <= b.Tolerance {
+			continue
+		}
+		r.falls = append(r.falls, now)
+		e.down, e.running, e.waiting, e.turnedAway = true, 0, nil, nil
+		e.instance++
+		r.clock.schedule(endpointRestart, func() { r.restart(e) })
+		return
+	}
+}
+
+// restart starts an endpoint again, under another start that all hosts learn of.
+func (r *limitedRun) restart(e *limitedEndpoint) {
+	e.down, e.StartedAt = false, r.clock.now()
+	for _, h := range r.hosts {
+		h.setEndpoints()
+	}
+}
+
+// brittle reports whether the endpoints say that they are brittle.
+func (r *limitedRun) brittle() bool {
+	return slices.ContainsFunc(r.Brittle, func(b BrittlePeriod) bool {
+		return r.clock.elapsed >= b.Start && r.clock.elapsed <= b.Start+b.Duration
+	})
 }
 
 // judge computes the result from the requests that reached the endpoints.
@@ -280,6 +332,15 @@
 			r.result.LimitUse = min(r.result.LimitUse, float64(used)/(c.PerSecond*(r.Duration-settled).Seconds()))
 		}
 	}
+	for _, b := range r.Brittle {
+		falls := 0
+		for _, at := range r.falls {
+			if at >= b.Start && at <= b.Start+b.Duration {
+				falls++
+			}
+		}
+		r.result.Falls = max(r.result.Falls, falls)
+	}
 }
 
 // worstExcess returns the largest ratio of the requests that count to those allowed, over windows that end once the rule holds.
--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -139,10 +139,16 @@
 		State: announcer.Serving, Updates: h.announcer.NextUpdates(),
 	}
 	d.Brief = h.announcer.Brief(d.Sequence)
+	for _, l := range h.scheduler.Loads() {
+		d.Loads = append(d.Loads, announcer.Load{Key: l.Key, Running: l.Running})
+	}
 	report := h.apportioner.Report(now)
 	for _, l := range report.Limits {
 		d.Limits = append(d.Limits, announcer.EndpointLimit{Instance: uint32(l.Key), PerSecond: float64(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
 	}
+	for _, b := range report.Brittle {
+		d.BrittleServices = append(d.BrittleServices, announcer.BrittleService{Service: uint32(b.Service), Age: b.Age})
+	}
 	if h.run.Share == ShareByReports {
 		d.Usage = map[dotterelpulley.OrganisationID]announcer.Usage{}
 		for id, usage := range h.rationer.LocalUsage(now) {
@@ -188,6 +194,13 @@
 	if h.announcer.ReceiveUpdates(now, d.Updates, h.identity) {
 		h.identity.Refute()
 	}
+	if len(h.run.Brittle) > 0 {
+		var loads scheduler.HostReport
+		for _, l := range d.Loads {
+			loads.Loads = append(loads.Loads, scheduler.Load{Key: l.Key, Running: l.Running})
+		}
+		h.scheduler.SetHostReport(now, d.ID, loads)
+	}
 	if h.run.Share == ShareByReports {
 		usage := map[dotterelpulley.OrganisationID]rationer.Usage{}
 		for id, u := range d.Usage {
@@ -199,6 +212,9 @@
 	for _, l := range d.Limits {
 		report.Limits = append(report.Limits, apportioner.Limit{Key: apportioner.Key(l.Instance), PerSecond: apportioner.Rate(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
 	}
+	for _, b := range d.BrittleServices {
+		report.Brittle = append(report.Brittle, apportioner.Brittle{Service: apportioner.ServiceKey(b.Service), Age: b.Age})
+	}
 	if h.apportioner.Receive(now, report) {
 		h.refreshHosts()
 		h.setAllowances()
@@ -248,6 +264,9 @@
 	case ShareAmongFew:
 		share, ok := h.apportioner.Share(e.key)
 		a.RateLimited, a.PerSecond = ok, float64(share)
+		if h.apportioner.IsBrittle(now, apportioner.ServiceKey(scheduler.ServiceKey(limitedService))) {
+			a.PlacesLimited, a.Places = true, h.apportioner.Places(e.key, e.Slots)
+		}
 	case ShareEqually:
 		a.RateLimited, a.PerSecond = limited, float64(limit)/float64(h.run.Hosts)
 	case ShareByReports:
@@ -289,7 +308,7 @@
 // answer delivers the answer of an endpoint to the request's host, with what the endpoint says of itself.
 func (q *limitedRequest) answer(e *limitedEndpoint, result scheduler.Result) {
 	h := q.host
-	limit := e.limit
+	limit, brittle := e.limit, h.run.brittle()
 	h.run.clock.schedule(networkDelay, func() {
 		h.whenAwake(q.start, func() {
 			now := h.run.clock.now()
@@ -301,14 +320,16 @@
 			default:
 				h.run.result.Refused++
 			}
-			h.heed(now, e, limit)
+			if result != scheduler.ResultDead {
+				h.heed(now, e, limit, brittle)
+			}
 			h.decide()
 		})
 	})
 }
 
 // heed records what an answer says of its endpoint, and tells the other hosts at once if that is news.
-func (h *limitedHost) heed(now time.Time, e *limitedEndpoint, limit LimitChange) {
+func (h *limitedHost) heed(now time.Time, e *limitedEndpoint, limit LimitChange, brittle bool) {
 	news := false
 	if limit.Lifted {
 		news = h.apportioner.ObserveNoLimit(now, e.key)
@@ -318,6 +339,9 @@
 			h.toldAt[e.key] = h.run.clock.elapsed
 		}
 	}
+	if brittle {
+		news = h.apportioner.ObserveBrittle(now, apportioner.ServiceKey(scheduler.ServiceKey(limitedService))) || news
+	}
 	if news {
 		h.refreshHosts()
 		h.setAllowances()
--- a/emulator/limited_test.go
+++ b/emulator/limited_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// limitedSizes are the fleets for which limits are divided: hosts with about the endpoints and requests of the
+// limitedSizes are the fleets for which limits and places are divided: hosts with about the endpoints and requests of the
 // deployments.
 var limitedSizes = []LimitedFleet{
 	{Hosts: 8, Endpoints: 9, Slots: 11, RequestsPerSecond: 80},
@@ -20,8 +20,8 @@
 const smallFleet = 16
 
 // limitedFleet completes the fleet of a size with what is common to all.
-func limitedFleet(size LimitedFleet, seed uint64) LimitedFleet {
-	size.Seed, size.Queue = seed, 4
+func limitedFleet(size LimitedFleet) LimitedFleet {
+	size.Seed, size.Queue = 1, 4
 	size.ProcessingTime, size.Objective, size.Duration = 250*time.Millisecond, 400*time.Millisecond, 24*time.Second
 	return size
 }
@@ -56,7 +56,7 @@
 // Endpoints that name low limits got several times as many requests from the hosts together.
 func TestHostsKeepLimitsTogether(t *testing.T) {
 	runSizes(t, limitedSizes, func(c *qt.C, size LimitedFleet) {
-		f := limitedFleet(size, 1)
+		f := limitedFleet(size)
 		f.Faults = hostFaults(f.Hosts)
 		f.Limits = []LimitChange{
 			{At: 4 * time.Second, Endpoint: 0, PerSecond: 1.3},
@@ -78,7 +78,7 @@
 // A limit that is raised, lowered or lifted is followed.
 func TestHostsFollowChangesOfLimits(t *testing.T) {
 	runSizes(t, limitedSizes[:2], func(c *qt.C, size LimitedFleet) {
-		f := limitedFleet(size, 1)
+		f := limitedFleet(size)
 		f.Limits = []LimitChange{
 			{At: 4 * time.Second, Endpoint: 0, PerSecond: 8},
 			{At: 10 * time.Second, Endpoint: 0, PerSecond: 1.3},
@@ -97,7 +97,7 @@
 func TestFewHostsKeepALowLimit(t *testing.T) {
 	runSizes(t, limitedSizes[:2], func(c *qt.C, size LimitedFleet) {
 		for _, policy := range []SharePolicy{ShareAmongFew, ShareEqually, ShareByReports} {
-			f := limitedFleet(size, 1)
+			f := limitedFleet(size)
 			f.Share = policy
 			f.Limits = []LimitChange{{At: 4 * time.Second, Endpoint: 0, PerSecond: 1.3}, {At: 4 * time.Second, Endpoint: 1, PerSecond: 6}}
 			r := f.Run()
@@ -108,3 +108,28 @@
 		}
 	})
 }
+
+// Brittle endpoints failed by what the hosts together sent them beyond their places.
+func TestBrittleEndpointsAreNotOverfilled(t *testing.T) {
+	runSizes(t, limitedSizes, func(c *qt.C, size LimitedFleet) {
+		f := limitedFleet(size)
+		// A load that fills nearly all places, with a silence in the middle.
+		f.RequestsPerSecond = float64(f.Endpoints*f.Slots) / f.ProcessingTime.Seconds() * 0.9
+		f.Queue = 0
+		f.Brittle = []BrittlePeriod{{Start: 4 * time.Second, Duration: 10 * time.Second, Tolerance: 3}}
+		f.Duration = 14 * time.Second
+		f.Faults = hostFaults(f.Hosts)
+		for i := range f.Endpoints / 3 {
+			f.Silences = append(f.Silences, EndpointSilence{Endpoint: i, Start: 9 * time.Second, Duration: time.Second})
+		}
+		divided := f.Run()
+		c.Logf("%d falls, %d turned away, %d of %d served", divided.Falls, divided.TurnedAway, divided.Served, divided.Requests)
+		allowed := 2 + f.Endpoints/10
+		if size.Hosts <= smallFleet {
+			f.Share = ShareNothing
+			ignored := f.Run()
+			c.Check(ignored.Falls > allowed, qt.IsTrue, qt.Commentf("the load overfills no endpoint by itself"))
+		}
+		c.Check(divided.Falls <= allowed, qt.IsTrue, qt.Commentf("%d falls, %d allowed", divided.Falls, allowed))
+	})
+}
--- a/gateway/allowances.go
+++ b/gateway/allowances.go
@@ -13,7 +13,7 @@
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
-// heedLimits acts on the limit that the endpoint of an answer names. An answer that isn't the endpoint's own
+// heedLimits acts on the limit and the brittleness that the endpoint of an answer names. An answer that isn't the endpoint's own
 // doesn't show that a limit has ended.
 func (p *proxiedRequest) heedLimits(now time.Time, id dotterelpulley.EndpointID, metadata platform.ResponseMetadata) {
 	g := p.gateway
@@ -24,7 +24,7 @@
 		return
 	}
 	key := apportioner.Key(instance)
-	limitChanged := false
+	limitChanged, brittle := false, false
 	g.mutex.Lock()
 	switch {
 	case metadata.HasLimit:
@@ -32,17 +32,28 @@
 	case metadata.Signed || metadata.NotExecuted:
 		limitChanged = g.apportioner.ObserveNoLimit(now, key)
 	}
+	if metadata.Brittle {
+		brittle = g.apportioner.ObserveBrittle(now, serviceKey(p.service))
+	}
 	g.mutex.Unlock()
 	if limitChanged {
 		g.metrics.Inc("endpoint-limits")
 		g.event(log.InfoLevel, "endpoint-limit").Str("endpoint", string(id)).Bool("limited", metadata.HasLimit).Float64("per-second", metadata.RequestsPerSecond).Msg("")
 	}
-	if limitChanged {
+	if brittle {
+		g.metrics.Inc("services-brittle")
+		g.event(log.InfoLevel, "service-brittle").Str("service", string(p.service)).Str("endpoint", string(id)).Msg("")
+	}
+	if limitChanged || brittle {
 		g.updateAllowances(now)
 		g.peers.sendNow()
 	}
 }
 
+func serviceKey(id dotterelpulley.ServiceID) apportioner.ServiceKey {
+	return apportioner.ServiceKey(scheduler.ServiceKey(id))
+}
+
 // refreshAllowances updates this host's shares if the hosts that take part, or what is known of the endpoints, have changed.
 func (g *Gateway) refreshAllowances(now time.Time) {
 	g.mutex.Lock()
@@ -86,7 +97,7 @@
 	g.updateSharingHosts(now)
 	g.allowanceUpdates.Lock()
 	defer g.allowanceUpdates.Unlock()
-	allowances := g.allowances()
+	allowances := g.allowances(now)
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { setAllowances(now, s, allowances) })
 }
 
@@ -98,8 +109,8 @@
 
 type allowancesByService map[dotterelpulley.ServiceID]map[dotterelpulley.EndpointID]scheduler.Allowance
 
-// allowances returns this host's shares of the endpoints that have a limit.
-func (g *Gateway) allowances() allowancesByService {
+// allowances returns this host's shares of the endpoints that have a limit or are brittle.
+func (g *Gateway) allowances(now time.Time) allowancesByService {
 	g.registry.mutex.Lock()
 	registrations := g.registry.Registrations()
 	g.registry.mutex.Unlock()
@@ -112,6 +123,9 @@
 		if share, ok := g.apportioner.Share(key); ok {
 			a.RateLimited, a.PerSecond = true, float64(share)
 		}
+		if g.apportioner.IsBrittle(now, serviceKey(e.Service)) {
+			a.PlacesLimited, a.Places = true, g.apportioner.Places(key, e.Slots)
+		}
 		if a == (scheduler.Allowance{}) {
 			continue
 		}
@@ -131,17 +145,23 @@
 	for _, l := range report.Limits {
 		d.Limits = append(d.Limits, announcer.EndpointLimit{Instance: uint32(l.Key), PerSecond: float64(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
 	}
+	for _, b := range report.Brittle {
+		d.BrittleServices = append(d.BrittleServices, announcer.BrittleService{Service: uint32(b.Service), Age: b.Age})
+	}
 }
 
 // learnLimits applies what endpoints told another host of their limits.
 func (g *Gateway) learnLimits(now time.Time, d announcer.Digest) {
-	if len(d.Limits) == 0 {
+	if len(d.Limits) == 0 && len(d.BrittleServices) == 0 {
 		return
 	}
 	var report apportioner.Report
 	for _, l := range d.Limits {
 		report.Limits = append(report.Limits, apportioner.Limit{Key: apportioner.Key(l.Instance), PerSecond: apportioner.Rate(l.PerSecond), Lifted: l.Lifted, Age: l.Age})
 	}
+	for _, b := range d.BrittleServices {
+		report.Brittle = append(report.Brittle, apportioner.Brittle{Service: apportioner.ServiceKey(b.Service), Age: b.Age})
+	}
 	g.mutex.Lock()
 	changed := g.apportioner.Receive(now, report)
 	g.mutex.Unlock()
--- a/gateway/endpoint_limit_test.go
+++ b/gateway/endpoint_limit_test.go
@@ -81,7 +81,7 @@
 
 // allowance returns the host's share of the endpoint; false if it has none.
 func allowance(g *Gateway, id dotterelpulley.EndpointID) (scheduler.Allowance, bool) {
-	for _, byEndpoint := range g.allowances() {
+	for _, byEndpoint := range g.allowances(time.Now()) {
 		if a, ok := byEndpoint[id]; ok {
 			return a, true
 		}
@@ -140,3 +140,31 @@
 	a, _ := allowance(g, "i-1")
 	s.Assert(a.PerSecond, qt.Equals, 5.0)
 }
+
+func TestHostsDivideThePlacesOfABrittleService(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+		w.Header().Set("Server-Brittle", "3")
+		answerHello(w, r, n)
+	})
+	hosts := startHosts(s, 2)
+	s.waitForAllowance(hosts[0], 5)
+	s.Assert(s.get(hosts[0], "/lookup/").status, qt.Equals, http.StatusOK)
+	// An endpoint that hasn't said so yet belongs to the brittle service as well.
+	s.endpoint("i-2", "plain", answerHello)
+	for _, id := range []dotterelpulley.EndpointID{"i-1", "i-2"} {
+		s.waitFor("the hosts have parted the places", func() bool {
+			sum := 0
+			for _, g := range hosts {
+				a, ok := allowance(g, id)
+				if !ok || !a.PlacesLimited {
+					return false
+				}
+				sum += a.Places
+			}
+			// One of the four places stays free.
+			return sum == 3
+		})
+	}
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -129,7 +129,7 @@
 		})
 	}
 	g.registry.mutex.Unlock()
-	allowances := g.allowances()
+	allowances := g.allowances(time.Now())
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) {
 		for _, id := range s.Services() {
 			if _, ok := byService[id]; !ok {
--- a/scheduler/allowance.go
+++ b/scheduler/allowance.go
@@ -11,11 +11,17 @@
 	// RateLimited means that at most PerSecond requests a second may be placed on the endpoint.
 	RateLimited bool
 	PerSecond   float64
+	// PlacesLimited means that at most Places requests may run on the endpoint at a time.
+	PlacesLimited bool
+	Places        int
 }
 
 const (
 	// savingTime is the time for which unused rate is saved up, if that is more than one request.
 	savingTime = 250 * time.Millisecond
+	// placesDelay is the time after which places that this host gains count, as the host that had them learns of it later and
+	// its requests go on.
+	placesDelay = time.Second
 )
 
 // allowanceState is the allowance of an endpoint with its use.
@@ -24,6 +30,9 @@
 	// permits is the number of requests that may be placed at once, as of permitsAt.
 	permits   float64
 	permitsAt time.Time
+	// placesBefore applies until placesAt.
+	placesBefore int
+	placesAt     time.Time
 }
 
 // SetAllowances replaces the allowances of the service's endpoints; those that aren't named have none.
@@ -41,6 +50,9 @@
 	if !a.RateLimited {
 		a.permits = 0
 	}
+	if next.PlacesLimited && a.PlacesLimited {
+		a.placesBefore, a.placesAt = min(a.places(now), next.Places), now.Add(placesDelay)
+	}
 	a.Allowance = next
 	a.permits = min(a.permits, a.savable())
 }
@@ -59,8 +71,18 @@
 	a.permits = min(a.permits+passed*a.PerSecond, a.savable())
 }
 
-// admits reports whether the host may place one more request.
-func (a *allowanceState) admits(now time.Time) bool {
+func (a *allowanceState) places(now time.Time) int {
+	if now.Before(a.placesAt) {
+		return a.placesBefore
+	}
+	return a.Places
+}
+
+// admits reports whether the host may place one more request beside those that it runs.
+func (a *allowanceState) admits(now time.Time, running int) bool {
+	if a.PlacesLimited && running >= a.places(now) {
+		return false
+	}
 	if !a.RateLimited {
 		return true
 	}
--- a/scheduler/allowance_test.go
+++ b/scheduler/allowance_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+func TestPlacementsKeepThePlacesOfTheAllowance(t *testing.T) {
+	c := qt.New(t)
+	s, place := allowanceScheduler()
+	now := time.Unix(1_700_000_000, 0)
+	allow(s, now, Allowance{PlacesLimited: true, Places: 2})
+	c.Assert([]bool{place(now), place(now), place(now)}, qt.DeepEquals, []bool{true, true, false})
+	// Gained places count later than lost ones.
+	allow(s, now, Allowance{PlacesLimited: true, Places: 3})
+	c.Assert(place(now), qt.IsFalse)
+	now = now.Add(placesDelay)
+	c.Assert([]bool{place(now), place(now)}, qt.DeepEquals, []bool{true, false})
+	allow(s, now, Allowance{PlacesLimited: true, Places: 1})
+	s.Ended(now, 1, ResultCompleted)
+	c.Assert(place(now), qt.IsFalse)
+}
+
 // A new start of an endpoint has no allowance until it gets one.
 func TestAnAllowanceEndsWithItsInstance(t *testing.T) {
 	c := qt.New(t)
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -41,6 +41,8 @@
 	failurePenalty = 20
 	// refusalPause blocks an endpoint after it reported that it is full, for about the time in which a few runs end.
 	refusalPause = 60 * time.Millisecond
+	// brittleRefusalPause blocks an endpoint that was full although this host kept to its places, as many refusals make it fail.
+	brittleRefusalPause = time.Second
 	// minUnreachablePause and maxUnreachablePause bound the exponential delay before an unreachable endpoint is tried again.
 	minUnreachablePause = 400 * time.Millisecond
 	maxUnreachablePause = 3 * time.Second
@@ -100,6 +102,11 @@
 	return hashKey(string(id))
 }
 
+// ServiceKey returns the hash that identifies a service in host reports.
+func ServiceKey(id dotterelpulley.ServiceID) uint32 {
+	return hashKey(string(id))
+}
+
 // hashKey returns the hash that identifies a service or an endpoint in host reports.
 func hashKey(id string) uint32 {
 	return uint32(xxhash.Sum64String(id))
@@ -122,7 +129,7 @@
 
 // accepts reports whether this host may place one more request on the endpoint now.
 func (e *endpoint) accepts(now time.Time) bool {
-	return e.usable(now) && e.allowance.admits(now)
+	return e.usable(now) && e.allowance.admits(now, e.running)
 }
 
 // silent reports whether no event has come from the endpoint for too long although it runs requests of this host.
@@ -176,7 +183,11 @@
 		e.unreachableCount, e.deadUntil = 0, time.Time{}
 		e.failureRate -= failureWeight * e.failureRate
 	case ResultRefused:
-		e.block(now.Add(refusalPause))
+		pause := refusalPause
+		if e.allowance.PlacesLimited {
+			pause = brittleRefusalPause
+		}
+		e.block(now.Add(pause))
 	case ResultFailed:
 		e.failureRate += failureWeight * (1 - e.failureRate)
 	case ResultWrongInstance:
