Tests of hosts that are cut off from all endpoints, which fail

A host whose links to the endpoints are cut serves nobody, makes sound hosts block endpoints, and gets sound requests isolated on all hosts. The connector can be given another way to open connections, by which the tests cut single hosts off.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -47,6 +47,8 @@
 	DialTimeout time.Duration
 	// OnOpen, if set, is called for each new connection.
 	OnOpen func()
+	// Dial, if set, opens connections in place of net.Dialer; the context limits its time.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// maxIdleConnections limits the idle connections to one endpoint; the default applies if zero.
 	maxIdleConnections atomic.Int64
@@ -113,7 +115,13 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", string(address))
+	dial := dialer.DialContext
+	if p.Dial != nil {
+		dial = p.Dial
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, dialError(address, err)
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -37,6 +37,8 @@
 	store         *standin.Store
 	gateways      []*Gateway
 	usedAddresses map[dotterelpulley.Address]bool
+	// links are the hosts' links to endpoints, in the order of gateways.
+	links []*endpointLinks
 }
 
 func newSite(t *testing.T) *site {
@@ -90,6 +92,9 @@
 	settings.FirstPeerPort = freePair(s, ip)
 	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	g := New(settings, logger)
+	links := &endpointLinks{}
+	g.connector.Dial = links.dial
+	s.links = append(s.links, links)
 	s.Assert(g.Start(), qt.IsNil)
 	s.gateways = append(s.gateways, g)
 	s.TB.(*testing.T).Cleanup(func() { s.Check(g.Close(), qt.IsNil) })
