Tell lost links from failed endpoints

Cause: a host takes its own path for the endpoint. What refuses its connections it reports as dead every 75 ms, the others block that for half a second each time, and a connection that is reset while new ones are refused counts as a crash of the endpoint, so that sound requests are isolated on all hosts. The class is a verdict on a peer from evidence that the own link can produce as well.

Change: before a failure to connect is held against an endpoint, connections to up to three others of the service are tried; if none is made the links are lost. A host also probes when no endpoint has sent a byte for 600 ms while requests run (hanging connections show nothing else). While links are lost nothing is reported as dead, no crash is recorded if no service is reached, the host has no part in limits and places, and a probe every 200 ms finds the end, which unblocks the endpoints and drops idle connections from before.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -28,10 +28,11 @@
 		Crashes:       []Crash{{Fingerprint: 9, Attempt: 10, Endpoint: 11}},
 		Waiting:       []Waiting{{Service: 12, Priority: 1, Rank: 2, Count: 13}, {Service: 14, Count: 1}},
 		DeadEndpoints: []uint32{15, 1 << 31}, LeavingInstances: []uint32{17, 1 << 30},
-		Updates:         []Update{{Host: "x", Incarnation: 19, Suspected: true}, {Host: "y", Incarnation: 20}},
-		Paces:           []Pace{{Key: 18, EventInterval: 30 * time.Millisecond, PrefillPerToken: 17 * time.Microsecond}},
-		Limits:          []EndpointLimit{{Instance: 22, PerSecond: 1.3, Age: 23 * time.Millisecond}, {Instance: 1 << 31, Lifted: true}},
-		BrittleServices: []BrittleService{{Service: 24, Age: 25 * time.Second}, {Service: 1 << 30}},
+		Updates:             []Update{{Host: "x", Incarnation: 19, Suspected: true}, {Host: "y", Incarnation: 20}},
+		Paces:               []Pace{{Key: 18, EventInterval: 30 * time.Millisecond, PrefillPerToken: 17 * time.Microsecond}},
+		Limits:              []EndpointLimit{{Instance: 22, PerSecond: 1.3, Age: 23 * time.Millisecond}, {Instance: 1 << 31, Lifted: true}},
+		UnreachableServices: []uint32{26, 1 << 31},
+		BrittleServices:     []BrittleService{{Service: 24, Age: 25 * time.Second}, {Service: 1 << 30}},
 	}
 	got, err := Decode(d.Encode())
 	c.Assert(err, qt.IsNil)
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -83,6 +83,8 @@
 	Rollouts []Rollout
 	// Limits are the limits that endpoints named to the host lately.
 	Limits []EndpointLimit
+	// UnreachableServices are the hashes of the services whose endpoints the host can't reach.
+	UnreachableServices []uint32
 	// BrittleServices are the services whose endpoints told the host that they are brittle.
 	BrittleServices []BrittleService
 }
@@ -177,6 +179,7 @@
 	fieldRollout
 	fieldEndpointLimit
 	fieldBrittleService
+	fieldUnreachableServices
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -213,6 +216,9 @@
 	for _, key := range d.DeadEndpoints {
 		b = fields.AppendNumber(b, fieldDeadEndpoints, uint64(key))
 	}
+	for _, key := range d.UnreachableServices {
+		b = fields.AppendNumber(b, fieldUnreachableServices, uint64(key))
+	}
 	for _, key := range d.LeavingInstances {
 		b = fields.AppendNumber(b, fieldLeavingInstances, uint64(key))
 	}
@@ -281,6 +287,8 @@
 		d.DeadEndpoints = append(d.DeadEndpoints, uint32(value))
 	case fieldLeavingInstances:
 		d.LeavingInstances = append(d.LeavingInstances, uint32(value))
+	case fieldUnreachableServices:
+		d.UnreachableServices = append(d.UnreachableServices, uint32(value))
 	case fieldStart:
 		d.Start = value
 	case fieldBrief:
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -33,6 +33,8 @@
 	writer  *bufio.Writer
 	// usableUntil is when the idle connection expires.
 	usableUntil time.Time
+	// heard, if set, is called when bytes have arrived.
+	heard func()
 	// onReadTimeout, if set, decides whether a read goes on after its time limit.
 	onReadTimeout func() bool
 }
@@ -51,6 +53,9 @@
 func (c *connection) Read(p []byte) (int, error) {
 	for {
 		n, err := c.headLimiter.Read(p)
+		if n > 0 && c.heard != nil {
+			c.heard()
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onReadTimeout == nil || !c.onReadTimeout() {
 			return n, err
 		}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -53,6 +53,8 @@
 	// maxIdleConnections limits the idle connections to one endpoint; the default applies if zero.
 	maxIdleConnections atomic.Int64
 
+	activity activity
+
 	mutex  sync.Mutex
 	idle   map[dotterelpulley.Address][]*connection
 	closed bool
@@ -128,7 +130,9 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return newConnection(address, conn), nil
+	c := newConnection(address, conn)
+	c.heard = p.activity.heard
+	return c, nil
 }
 
 // CloseIdle closes the idle connections to the address, for example after one of them became unresponsive.
@@ -177,6 +181,21 @@
 	}
 }
 
+// Reaches reports whether a connection to the address is accepted within the context's time.
+func (p *Connector) Reaches(ctx context.Context, address dotterelpulley.Address) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.putIdle(c, defaultIdleTimeout)
+	return true
+}
+
+// Silence returns how long no endpoint has sent anything although requests are in progress; zero if there are none.
+func (p *Connector) Silence(now time.Time) time.Duration {
+	return p.activity.silence(now)
+}
+
 // RefusesConnections reports whether nothing listens at the address, as after a crash.
 func (p *Connector) RefusesConnections(ctx context.Context, address dotterelpulley.Address) bool {
 	c, err := p.dial(ctx, address)
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -61,6 +61,7 @@
 		}
 	}
 	x := &Exchange{connector: p, conn: c, stopWatching: context.AfterFunc(ctx, func() { c.Close() })}
+	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
 		x.closeConnection()
 		return nil, &ExchangeError{MaybeSent: true, Cause: fmt.Errorf("send to %s: %w", address, err)}
@@ -73,6 +74,7 @@
 }
 
 func (x *Exchange) closeConnection() {
+	x.connector.activity.end()
 	x.stopWatching()
 	x.conn.Close()
 }
@@ -150,6 +152,7 @@
 // The body must have been read to its end.
 func (x *Exchange) Release() {
 	x.once.Do(func() {
+		x.connector.activity.end()
 		x.conn.onReadTimeout = nil
 		if !x.stopWatching() || !x.reusable() || x.SetReadTimeout(0) != nil {
 			x.conn.Close()
--- a/gateway/allowances.go
+++ b/gateway/allowances.go
@@ -76,15 +76,15 @@
 	return g.apportioner.SetHosts(hosts)
 }
 
-// sharingHosts returns the hosts that serve requests, sorted. A draining host does so until it has left.
+// sharingHosts returns the hosts that serve requests and reach the endpoints, sorted. A draining host does so until it has left.
 func (g *Gateway) sharingHosts(now time.Time) []dotterelpulley.HostID {
 	serves := func(s announcer.State) bool { return s == announcer.Serving || s == announcer.Draining }
 	var hosts []dotterelpulley.HostID
-	if serves(g.hostState()) {
+	if serves(g.hostState()) && len(g.paths.lostServices()) == 0 {
 		hosts = append(hosts, g.settings.Host)
 	}
 	for _, m := range g.peers.liveHosts(now) {
-		if serves(m.State) {
+		if serves(m.State) && len(m.UnreachableServices) == 0 {
 			hosts = append(hosts, m.ID)
 		}
 	}
--- a/gateway/cut_off_test.go
+++ b/gateway/cut_off_test.go
@@ -189,6 +189,7 @@
 	}
 	for range isolateAfter {
 		s.links[0].cut(linksUp, false)
+		s.waitFor("the host reaches the endpoints", func() bool { return !s.gateways[0].paths.lost("plain") })
 		got := make(chan answer, 1)
 		r := s.request(context.Background(), s.gateways[0], http.MethodPost, "/call/", "book")
 		go func() { got <- s.send(r) }()
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -40,9 +40,14 @@
 	d.LeavingInstances = g.leaving.reported(now)
 	d.Rollouts = g.promotions.report(now)
 	g.addLimits(now, &d)
+	d.UnreachableServices = g.unreachableServices()
 	g.queue.access(func(now time.Time, s *scheduler.Scheduler) {
 		addReport(&d, s.HostReport(now))
 	})
+	if len(d.UnreachableServices) > 0 {
+		// An endpoint that this host can't reach may well be sound.
+		d.DeadEndpoints = nil
+	}
 	g.peers.mutex.Lock()
 	defer g.peers.mutex.Unlock()
 	g.peers.identity.Sequence++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	parts       isolator.PartGuard
 	partKeeper  partKeeper
 
+	paths       endpointPaths
 	peers       peers
 	storeAccess storeAccess
 	readers     readerSelection
@@ -119,6 +120,7 @@
 	g.requests, g.endRequests = context.WithCancel(ctx)
 	g.bounds.Store(&settings.Bounds)
 	seed := rand.Uint64()
+	g.paths.Seed = seed
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
 	g.queue.waiters = map[scheduler.ID]chan scheduler.Decision{}
 	g.isolator.Settings = isolator.Settings{Limit: isolateAfter, Lifetime: crashMemory}
@@ -165,6 +167,7 @@
 	g.supervise("probe-members", func() { repeater.Every(g.ctx, announcer.ProbeInterval, g.probeMembers) })
 	g.supervise("promote-versions", g.promoteVersions)
 	g.supervise("write-rollout-status", g.writeRolloutStatus)
+	g.supervise("check-links", func() { repeater.Every(g.ctx, linkCheckInterval, g.checkLinks) })
 	g.supervise("housekeeping", func() { repeater.Every(g.ctx, housekeepingInterval, g.runHousekeeping) })
 	return nil
 }
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -238,6 +238,10 @@
 		return false
 	}
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
+	if p.gateway.linksLost(p.service, a.Endpoint.Address) {
+		p.endUnreached(a, err)
+		return true
+	}
 	result := scheduler.ResultUnreachable
 	if failure.ConnectionRefused {
 		result = scheduler.ResultDead
@@ -275,11 +279,21 @@
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 		return
 	}
+	if p.gateway.linksLost(p.service, a.Endpoint.Address) && p.gateway.allLinksLost() {
+		p.endUnreached(a, err)
+		return
+	}
 	p.gateway.endpointCrashed(time.Now(), a.Endpoint.ID)
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
 	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 }
 
+// endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
+// endpoint.
+func (p *proxiedRequest) endUnreached(a attempt, err error) {
+	p.finishAttempt(a, scheduler.ResultCancelled, fmt.Errorf("links lost: %w", err))
+}
+
 // canRunAgain reports whether the route and the deadline allow a run on one more endpoint.
 func (p *proxiedRequest) canRunAgain() bool {
 	return p.runs < p.route.MaxAttempts && time.Until(p.deadline) > 0
