Forward requests through hosts that reach the endpoints

Cause: a host that reaches no endpoint could only wait or refuse, and its callers keep its address and their connections for seconds. The class is a host that is taken for useless because one of its links is.

Change: while the links to a service are lost, its requests go to another host over that host's peer listener, one chosen at random of two with fewer of this host's requests, out of all that say they reach the service. The host with the caller has charged the caps and keeps repeats, attempts and the caller; the other one admits, queues and sends, runs the request at most once, and never forwards it again. Its own answers name their error kind, so that a refusal stays a refusal and an unknown outcome unknown. Requests that wait when the links are lost are forwarded as well. Readiness asks for a host that helps in place of endpoints that aren't blocked at the moment.

Not done: requests in flight on connections that hang when the links are lost wait for their deadline.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -44,6 +44,7 @@
 	version      int64
 	arrived      time.Time
 	deadline     time.Time
+	origin       origin
 	fingerprint  isolator.Fingerprint
 	// parts are those of the prompt that may be isolated.
 	parts []isolator.Part
@@ -71,6 +72,11 @@
 
 // serveCaller handles one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.serve(w, r, origin{})
+}
+
+// serve handles one request of a caller or another host.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, from origin) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	arrived := time.Now()
@@ -78,6 +84,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := g.admit(arrived, r)
+	q.origin, q.arrived = from, arrived.Add(-from.waited)
+	if refused == nil && from.forwarded && g.paths.lost(q.service) {
+		refused = newRefusal(dotterelpulley.ErrorNoEndpoint, "no link to the endpoints either")
+	}
 	g.limitAnswerTime(w, arrived, q)
 	body := buffer{budget: &g.bodies}
 	defer body.release()
@@ -249,7 +259,7 @@
 	if refused := g.checkParts(now, q); refused != nil {
 		return refused
 	}
-	if q.organisation == "" {
+	if q.organisation == "" || q.origin.forwarded {
 		return nil
 	}
 	if shortfall, ok := g.rationer.Admit(now, q.organisation, q.usage); !ok {
@@ -263,6 +273,9 @@
 
 // refundUsage returns the request's usage to its organisation's cap, as the request has not run.
 func (g *Gateway) refundUsage(q *request) {
+	if q.origin.forwarded {
+		return
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.rationer.Refund(q.organisation, q.usage)
@@ -273,6 +286,9 @@
 	g.metrics.Inc("refused-" + refused.kind.String())
 	g.requestEvent(log.InfoLevel, "refused", q).Str("kind", refused.kind.String()).Int("status", refused.status).
 		Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
+	if q.origin.forwarded {
+		w.Header().Set(headerRefusal, refused.kind.String())
+	}
 	platform.SetRefusalHeaders(w.Header(), q.AttemptID, refused.retryAfter)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(refused.status)
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -103,6 +103,9 @@
 			usable = usable || s.Usable(now, service.ID)
 		}
 	})
+	for _, id := range g.paths.lostServices() {
+		usable = usable || len(g.helpers(now, id)) > 0
+	}
 	return usable
 }
 
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/connector"
+	"github.com/dotterelpulley/dotterelpulley/isolator"
+	"github.com/dotterelpulley/dotterelpulley/pathfinder"
+	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
+)
+
+const (
+	// headerForwarded marks a request from another host; its value is the time that the request has spent there, in milliseconds.
+	headerForwarded = "Dotterel-Forwarded"
+	// headerRefusal is the error kind of a host's own answer to a forwarded request.
+	headerRefusal = "Dotterel-Refusal"
+	// maxForwards limits the hosts that one request is forwarded to.
+	maxForwards = 3
+	// forwardedRuns is how many endpoints may run a request at the host that it is forwarded to: the host that has its caller
+	// decides on repeats.
+	forwardedRuns = 1
+)
+
+// origin says where a request comes from; the zero value is a caller.
+type origin struct {
+	// forwarded means that it comes from another host, which has admitted it.
+	forwarded bool
+	// waited is the time that the request has spent there.
+	waited time.Duration
+}
+
+// serveForwarded handles a request that another host can't send to an endpoint itself.
+func (g *Gateway) serveForwarded(w http.ResponseWriter, r *http.Request) {
+	waited, err := strconv.ParseInt(r.Header.Get(headerForwarded), 10, 32)
+	if err != nil || waited < 0 {
+		http.Error(w, "invalid "+headerForwarded, http.StatusBadRequest)
+		return
+	}
+	r.Header.Del(headerForwarded)
+	// The time limit of the listener is for small calls.
+	g.limitBodyTime(w, time.Time{})
+	g.metrics.Inc("forwarded-in")
+	g.serve(w, r, origin{forwarded: true, waited: time.Duration(waited) * time.Millisecond})
+}
+
+// mustForward reports whether only another host can reach the endpoints of the request's service.
+func (p *proxiedRequest) mustForward() bool {
+	return !p.origin.forwarded && p.gateway.paths.lost(p.service)
+}
+
+// forward sends the request through another host, unless there is none that reaches its endpoints.
+func (p *proxiedRequest) forward(ctx context.Context) outcome {
+	g := p.gateway
+	now := time.Now()
+	helpers := g.helpers(now, p.service)
+	g.paths.mutex.Lock()
+	helper, ok := g.paths.Choose(helpers, p.excludedHelpers)
+	g.paths.mutex.Unlock()
+	if !ok || len(p.excludedHelpers) >= maxForwards {
+		refused := p.helperRefusal
+		if refused == nil {
+			refused = newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("no link to the endpoints, %d other hosts have one", len(helpers)))
+		}
+		p.refuse(refused)
+		return outcomeDone
+	}
+	defer func() {
+		g.paths.mutex.Lock()
+		defer g.paths.mutex.Unlock()
+		g.paths.Done(helper.ID)
+	}()
+	g.metrics.Inc("forwarded-out")
+	p.logForwarding(helper.ID)
+	a := attempt{
+		Placed: scheduler.Placed{ID: scheduler.ID(g.nextWorkID.Add(1))}, startedAt: now, helper: helper.ID,
+		attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%s/%d", p.AttemptID, helper.ID, len(p.excludedHelpers))),
+	}
+	exchange, err := p.dispatchThrough(ctx, helper)
+	if err != nil {
+		p.excludeHelper(helper.ID)
+		return p.handleExchangeError(ctx, a, err)
+	}
+	if name := exchange.Header.Get(headerRefusal); name != "" {
+		p.excludeHelper(helper.ID)
+		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name))
+	}
+	return p.handleResponse(ctx, a, exchange, platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header))
+}
+
+func (p *proxiedRequest) excludeHelper(id dotterelpulley.HostID) {
+	if p.excludedHelpers == nil {
+		p.excludedHelpers = map[dotterelpulley.HostID]bool{}
+	}
+	p.excludedHelpers[id] = true
+}
+
+// dispatchThrough sends the request to the helper and waits for the response's headers.
+func (p *proxiedRequest) dispatchThrough(ctx context.Context, helper pathfinder.Helper) (*connector.Exchange, error) {
+	header := p.header.Clone()
+	platform.Forward{Key: p.Key, Remaining: time.Until(p.deadline), LastEventID: p.lastEventID}.Apply(header)
+	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
+	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
+		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
+	})
+}
+
+// handleHelperRefusal decides how the request continues after the helper's own answer.
+func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind) outcome {
+	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
+	p.drainBody(exchange)
+	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
+	if exchange.StatusCode != http.StatusServiceUnavailable && kind.Answer().Truth != dotterelpulley.NotRun {
+		p.runs++
+		return p.handleFailedRun(ctx, a, cause)
+	}
+	p.finishAttempt(a, scheduler.ResultRefused, cause)
+	refused := newRefusal(kind, cause.Error())
+	refused.status, refused.retryAfter = http.StatusServiceUnavailable, metadata.Pause
+	switch kind {
+	case dotterelpulley.ErrorDeadlineUnreachable, dotterelpulley.ErrorDeadlinePassed, dotterelpulley.ErrorIsolated:
+		// Another host would decide alike.
+		p.refuse(refused)
+		return outcomeDone
+	default:
+		p.helperRefusal = refused
+		return outcomeNextEndpoint
+	}
+}
+
+// endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
+// endpoint.
+func (p *proxiedRequest) endUnreached(a attempt, err error) {
+	p.finishAttempt(a, scheduler.ResultCancelled, fmt.Errorf("links lost: %w", err))
+}
+
+// logForwarding logs that the request goes through another host.
+func (p *proxiedRequest) logForwarding(helper dotterelpulley.HostID) {
+	p.gateway.requestEvent(log.InfoLevel, "forwarded", p.request).Str("peer", string(helper)).Msg("")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,10 +58,12 @@
 	store    *platform.Store
 	started  time.Time
 
-	table      atomic.Pointer[router.Table]
-	freshness  configurationFreshness
-	copyGuard  copyGuard
-	connector  connector.Connector
+	table     atomic.Pointer[router.Table]
+	freshness configurationFreshness
+	copyGuard copyGuard
+	connector connector.Connector
+	// hosts connects to the other hosts.
+	hosts      connector.Connector
 	metrics    metrics
 	nextWorkID atomic.Uint64
 	inFlight   atomic.Int64
@@ -230,6 +232,7 @@
 func (g *Gateway) runHousekeeping() {
 	now := time.Now()
 	g.connector.Prune(now)
+	g.hosts.Prune(now)
 	g.limitIdleConnections()
 	g.prunePartsAndTell(now)
 	g.mutex.Lock()
@@ -249,6 +252,7 @@
 	errs = append(errs, g.peers.close())
 	g.goroutines.Wait()
 	g.connector.Close()
+	g.hosts.Close()
 	g.store.Close()
 	g.event(log.InfoLevel, "stop").Msg("")
 	return errors.Join(errs...)
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -77,7 +77,7 @@
 
 // noteAnswered records that the endpoint has begun its answer and gone on with it, so that no part of the prompt crashes it.
 func (p *proxiedRequest) noteAnswered(a attempt) {
-	if len(p.parts) == 0 {
+	if len(p.parts) == 0 || a.helper != "" {
 		return
 	}
 	g := p.gateway
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/pathfinder"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
@@ -33,7 +35,10 @@
 	probing sync.Mutex
 	mutex   sync.Mutex
 	pathfinder.Pathfinder
-	silentAt time.Time
+	// lossNoticed is cancelled at the next loss, so that work that waits for an endpoint goes through another host.
+	lossNoticed context.Context
+	noticeLoss  context.CancelFunc
+	silentAt    time.Time
 }
 
 // lost reports whether the links to the service's endpoints are lost.
@@ -49,6 +54,16 @@
 	return p.LostServices()
 }
 
+// nextLoss returns a context that is cancelled when links are lost the next time.
+func (p *endpointPaths) nextLoss() context.Context {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.lossNoticed == nil || p.lossNoticed.Err() != nil {
+		p.lossNoticed, p.noticeLoss = context.WithCancel(context.Background())
+	}
+	return p.lossNoticed
+}
+
 // linksLost finds out, after a failure to reach an endpoint, whether the links to all endpoints of its service are lost.
 func (g *Gateway) linksLost(service dotterelpulley.ServiceID, failed dotterelpulley.Address) bool {
 	g.paths.probing.Lock()
@@ -90,6 +105,9 @@
 	g.paths.mutex.Lock()
 	changed := g.paths.Probed(time.Now(), service, len(addresses), made)
 	lost := g.paths.Lost(service)
+	if changed && lost && g.paths.noticeLoss != nil {
+		g.paths.noticeLoss()
+	}
 	g.paths.mutex.Unlock()
 	if !changed {
 		return
@@ -167,3 +185,14 @@
 	}
 	return keys
 }
+
+// helpers returns the hosts through which requests to the service may go.
+func (g *Gateway) helpers(now time.Time, service dotterelpulley.ServiceID) []pathfinder.Helper {
+	var helpers []pathfinder.Helper
+	for _, m := range g.peers.liveHosts(now) {
+		if m.State == announcer.Serving && !slices.Contains(m.UnreachableServices, scheduler.ServiceKey(service)) {
+			helpers = append(helpers, pathfinder.Helper{ID: m.ID, Address: m.PeerAddress})
+		}
+	}
+	return helpers
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -33,6 +33,9 @@
 	runs     int
 	attempts int
 	excluded map[dotterelpulley.EndpointID]bool
+	// excludedHelpers are the hosts that didn't take the request, helperRefusal is what the last of them answered.
+	excludedHelpers map[dotterelpulley.HostID]bool
+	helperRefusal   *refusal
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
 	// lastError is why the last attempt ended, notContinued why no other endpoint got the request after it.
@@ -47,6 +50,8 @@
 	scheduler.Placed
 	attemptID isolator.AttemptID
 	startedAt time.Time
+	// helper is the host that the request goes through; empty if it goes to an endpoint.
+	helper dotterelpulley.HostID
 }
 
 // outcome says how the request continues after an attempt.
@@ -65,9 +70,11 @@
 func (g *Gateway) proxy(w http.ResponseWriter, r *http.Request, q *request) {
 	p := &proxiedRequest{request: q, gateway: g, response: &responseWriter{writer: w, controller: http.NewResponseController(w)}, excluded: map[dotterelpulley.EndpointID]bool{}}
 	g.metrics.Inc("requests")
-	g.mutex.Lock()
-	g.retryBudget.Deposit(q.arrived, q.service)
-	g.mutex.Unlock()
+	if !q.origin.forwarded {
+		g.mutex.Lock()
+		g.retryBudget.Deposit(q.arrived, q.service)
+		g.mutex.Unlock()
+	}
 	if q.route.Kind == router.Streaming && g.drain.refusesStreams(q.arrived) {
 		refused := newRefusal(dotterelpulley.ErrorDraining, "a new stream may outlast the shutdown")
 		refused.retryAfter = drainingRetryAfter
@@ -83,12 +90,13 @@
 	defer cancel()
 	defer context.AfterFunc(g.requests, cancel)()
 	for {
-		placed, refused := p.acquireEndpoint(ctx, r.Context())
-		if refused != nil {
-			p.refuse(refused)
-			return
+		var next outcome
+		if p.mustForward() {
+			next = p.forward(ctx)
+		} else {
+			next = p.sendToEndpoint(ctx, r.Context())
 		}
-		switch p.send(ctx, placed) {
+		switch next {
 		case outcomeDone:
 			return
 		case outcomeNextEndpoint:
@@ -100,11 +108,31 @@
 	}
 }
 
+// sendToEndpoint waits for an endpoint and sends the request to it; callerGone is done when the caller leaves.
+func (p *proxiedRequest) sendToEndpoint(ctx, callerGone context.Context) outcome {
+	placed, refused := p.acquireEndpoint(ctx, callerGone)
+	if p.mustForward() && refused != nil && ctx.Err() == nil && callerGone.Err() == nil {
+		return outcomeNextEndpoint
+	}
+	if refused != nil {
+		p.refuse(refused)
+		return outcomeDone
+	}
+	return p.send(ctx, placed)
+}
+
 // acquireEndpoint waits for an endpoint; callerGone is done when the caller leaves.
 func (p *proxiedRequest) acquireEndpoint(ctx, callerGone context.Context) (scheduler.Placed, *refusal) {
 	waitCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(callerGone, stop)()
+	if !p.origin.forwarded {
+		defer context.AfterFunc(p.gateway.paths.nextLoss(), func() {
+			if p.mustForward() {
+				stop()
+			}
+		})()
+	}
 	decision, err := p.gateway.queue.acquire(waitCtx, p.work())
 	if err != nil {
 		if callerGone.Err() != nil {
@@ -237,6 +265,10 @@
 	if !errors.As(err, &failure) || failure.MaybeSent {
 		return false
 	}
+	if a.helper != "" {
+		p.finishAttempt(a, scheduler.ResultUnreachable, err)
+		return true
+	}
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
 	if p.gateway.linksLost(p.service, a.Endpoint.Address) {
 		p.endUnreached(a, err)
@@ -275,7 +307,7 @@
 
 // finishFailedRun finishes an attempt that the endpoint ran and did not complete, and finds out whether it crashed.
 func (p *proxiedRequest) finishFailedRun(ctx context.Context, a attempt, err error) {
-	if !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
+	if a.helper != "" || !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 		return
 	}
@@ -288,15 +320,13 @@
 	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 }
 
-// endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
-// endpoint.
-func (p *proxiedRequest) endUnreached(a attempt, err error) {
-	p.finishAttempt(a, scheduler.ResultCancelled, fmt.Errorf("links lost: %w", err))
-}
-
 // canRunAgain reports whether the route and the deadline allow a run on one more endpoint.
 func (p *proxiedRequest) canRunAgain() bool {
-	return p.runs < p.route.MaxAttempts && time.Until(p.deadline) > 0
+	limit := p.route.MaxAttempts
+	if p.origin.forwarded {
+		limit = min(limit, forwardedRuns)
+	}
+	return p.runs < limit && time.Until(p.deadline) > 0
 }
 
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
@@ -322,16 +352,23 @@
 	return p.tryNextEndpoint()
 }
 
+// endRun records that an endpoint no longer runs the request.
+func (g *Gateway) endRun(now time.Time, a attempt, fingerprint isolator.Fingerprint, result scheduler.Result) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.isolator.Ended(a.Endpoint.ID, a.attemptID)
+	g.parts.Ended(a.Endpoint.ID, a.attemptID)
+	if result == scheduler.ResultCompleted {
+		g.isolator.Completed(now, fingerprint)
+	}
+}
+
 // finishAttempt releases the endpoint's slot and logs an attempt that did not complete.
 func (p *proxiedRequest) finishAttempt(a attempt, result scheduler.Result, err error) {
 	now := time.Now()
-	p.gateway.mutex.Lock()
-	p.gateway.isolator.Ended(a.Endpoint.ID, a.attemptID)
-	p.gateway.parts.Ended(a.Endpoint.ID, a.attemptID)
-	if result == scheduler.ResultCompleted {
-		p.gateway.isolator.Completed(now, p.fingerprint)
+	if a.helper == "" {
+		p.gateway.endRun(now, a, p.fingerprint, result)
 	}
-	p.gateway.mutex.Unlock()
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
 	if result != scheduler.ResultCompleted {
 		p.excluded[a.Endpoint.ID] = true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -169,7 +169,14 @@
 			return connect.NewResponse(g.answerFollower(ctx, *request.Msg)), nil
 		}, connect.WithCodec(relayCodec{})))
 	mux.Handle(evidenceProcedure, g.evidenceHandler())
-	return http.MaxBytesHandler(mux, maxRelayQueryBytes)
+	calls := http.MaxBytesHandler(mux, maxRelayQueryBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerForwarded) != "" {
+			g.serveForwarded(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
 }
 
 // answerFollower answers a query, after a wait if nothing has changed.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -102,6 +102,9 @@
 // acquireSuccessor takes a retry from the budget and a slot at another endpoint, or neither.
 func (w *silenceWatch) acquireSuccessor() (scheduler.Placed, bool) {
 	g := w.gateway
+	if g.paths.lost(w.service) {
+		return scheduler.Placed{}, false
+	}
 	g.mutex.Lock()
 	allowed := g.retryBudget.Allows(time.Now(), w.service)
 	g.mutex.Unlock()
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -24,6 +24,8 @@
 	random *rand.Rand
 	lost   map[dotterelpulley.ServiceID]bool
 	seenUp map[dotterelpulley.ServiceID]time.Time
+	// passedOn counts the requests in progress at each host.
+	passedOn map[dotterelpulley.HostID]int
 }
 
 func (p *Pathfinder) init() {
@@ -31,6 +33,7 @@
 		p.random = rand.New(rand.NewPCG(p.Seed, 4))
 		p.lost = map[dotterelpulley.ServiceID]bool{}
 		p.seenUp = map[dotterelpulley.ServiceID]time.Time{}
+		p.passedOn = map[dotterelpulley.HostID]int{}
 	}
 }
 
@@ -75,3 +78,34 @@
 	p.seenUp[id] = now
 	return changed
 }
+
+// Helper is a host that requests may go through.
+type Helper struct {
+	ID      dotterelpulley.HostID
+	Address dotterelpulley.Address
+}
+
+// Choose returns the one of two random helpers through which fewer of this host's requests go, and counts one more there; Done
+// must be called when the request has ended. It returns false if there is no helper.
+//
+// The choice is random over all helpers: if the hosts that are cut off preferred the nearest ones, those would be overloaded.
+func (p *Pathfinder) Choose(helpers []Helper, excluded map[dotterelpulley.HostID]bool) (Helper, bool) {
+	p.init()
+	able := slices.DeleteFunc(slices.Clone(helpers), func(h Helper) bool { return excluded[h.ID] })
+	if len(able) == 0 {
+		return Helper{}, false
+	}
+	chosen := able[p.random.IntN(len(able))]
+	if other := able[p.random.IntN(len(able))]; p.passedOn[other.ID] < p.passedOn[chosen.ID] {
+		chosen = other
+	}
+	p.passedOn[chosen.ID]++
+	return chosen, true
+}
+
+// Done records that a request that went through the helper has ended.
+func (p *Pathfinder) Done(id dotterelpulley.HostID) {
+	if p.passedOn[id]--; p.passedOn[id] <= 0 {
+		delete(p.passedOn, id)
+	}
+}
