--- a/gateway/links.go
+++ b/gateway/links.go
@@ -66,6 +66,9 @@
 
 // linksLost finds out, after a failure to reach an endpoint, whether the links to all endpoints of its service are lost.
 func (g *Gateway) linksLost(service dotterelpulley.ServiceID, failed dotterelpulley.Address) bool {
+	if g.paths.lost(service) {
+		return true
+	}
 	g.paths.probing.Lock()
 	defer g.paths.probing.Unlock()
 	g.paths.mutex.Lock()
@@ -112,22 +115,26 @@
 	if !changed {
 		return
 	}
-	name := "endpoints-reached"
 	if lost {
-		name = "endpoints-unreachable"
-	}
-	g.metrics.Inc(name)
-	g.event(log.WarnLevel, name).Str("service", string(service)).Int("tried", len(addresses)).Int("made", made).Msg("")
-	if !lost {
-		for _, address := range byService[service] {
-			// Connections from before the loss may hang.
-			g.connector.CloseIdle(address)
-		}
-		g.queue.updateAndDecide(func(_ time.Time, s *scheduler.Scheduler) { s.Unblock(service) })
+		g.metrics.Inc("endpoints-unreachable")
+		g.event(log.WarnLevel, "endpoints-unreachable").Str("service", string(service)).Int("tried", len(addresses)).Msg("")
+	} else {
+		g.metrics.Inc("endpoints-reached")
+		g.event(log.InfoLevel, "endpoints-reached").Str("service", string(service)).Int("made", made).Msg("")
+		g.useLinksAgain(service, byService[service])
 	}
 	g.peers.sendNow()
 }
 
+// useLinksAgain makes the endpoints of the service usable after their links were lost.
+func (g *Gateway) useLinksAgain(service dotterelpulley.ServiceID, addresses []dotterelpulley.Address) {
+	for _, address := range addresses {
+		// Connections from before the loss may hang.
+		g.connector.CloseIdle(address)
+	}
+	g.queue.updateAndDecide(func(_ time.Time, s *scheduler.Scheduler) { s.Unblock(service) })
+}
+
 // countReachable returns how many of the addresses accept a connection.
 func (g *Gateway) countReachable(addresses []dotterelpulley.Address) int {
 	ctx, cancel := context.WithTimeout(g.ctx, linkProbeTimeout)
