--- a/emulator/limited.go
+++ b/emulator/limited.go
@@ -55,6 +55,8 @@
 	Freeze
 	// CutFromHosts loses all messages between the host and the others.
 	CutFromHosts
+	// CutFromEndpoints refuses all connections between the host and the endpoints.
+	CutFromEndpoints
 )
 
 // HostFault is a fault of one host for a period.
@@ -104,10 +106,25 @@
 	LimitUse float64
 	// Falls is the largest number of times that endpoints failed in one brittle period.
 	Falls int
+	// CutOff and Connected count the requests that came to hosts cut off from the endpoints, and to the others meanwhile, from the
+	// time on at which the users' rules hold.
+	CutOff    ServedRequests
+	Connected ServedRequests
 	// TurnedAway is the number of requests that endpoints turned away.
 	TurnedAway int
 }
 
+// ServedRequests counts requests and those that were served.
+type ServedRequests struct {
+	Requests int
+	Served   int
+}
+
+// Fraction returns the fraction of the requests that were served.
+func (s ServedRequests) Fraction() float64 {
+	return float64(s.Served) / float64(max(s.Requests, 1))
+}
+
 const (
 	limitedService dotterelpulley.ServiceID = "limited"
 	// stabilityWindow is the time after a change from which on the users' rules hold.
@@ -124,6 +141,8 @@
 	networkDelay = time.Millisecond
 	// limitedDecideInterval is the time between two decisions of a host while requests wait.
 	limitedDecideInterval = 50 * time.Millisecond
+	// limitedLinkInterval is the time between two probes of lost links.
+	limitedLinkInterval = 200 * time.Millisecond
 )
 
 // limitedRequest is one request of the experiment.
@@ -132,6 +151,11 @@
 	host *limitedHost
 	// start is the host's start that got the request.
 	start int
+	// counted is where the request counts beside the totals; nil if nowhere.
+	counted *ServedRequests
+	// from is the host that has the caller and forwarded the request, fromStart its start; nil if it is host itself.
+	from      *limitedHost
+	fromStart int
 }
 
 // limitedArrival is a request that reached an endpoint.
@@ -217,16 +241,36 @@
 		r.result.Requests++
 		r.lastID++
 		q := &limitedRequest{id: r.lastID, host: h, start: h.starts}
-		h.requests[q.id] = q
-		now := r.clock.now()
-		h.scheduler.Offer(scheduler.Work{ID: q.id, Service: limitedService, Arrived: now, Objective: r.Objective, Deadline: now.Add(4 * r.Objective)})
-		h.decide()
+		if q.counted = r.countedAt(h); q.counted != nil {
+			q.counted.Requests++
+		}
+		h.take(q)
 	}
 	r.clock.schedule(time.Duration(r.random.ExpFloat64()/r.RequestsPerSecond*float64(time.Second)), r.arrive)
 }
 
+// countedAt returns where a request to the host counts: while hosts are cut off from the endpoints, once the users' rules hold.
+func (r *limitedRun) countedAt(h *limitedHost) *ServedRequests {
+	if h.unreachable {
+		if r.clock.elapsed-h.unreachableSince >= stabilityWindow {
+			return &r.result.CutOff
+		}
+		return nil
+	}
+	if !h.disturbed && slices.ContainsFunc(r.hosts, func(other *limitedHost) bool {
+		return other.unreachable && r.clock.elapsed-other.unreachableSince >= stabilityWindow
+	}) {
+		return &r.result.Connected
+	}
+	return nil
+}
+
 // receive handles a request that reaches an endpoint.
 func (r *limitedRun) receive(q *limitedRequest, e *limitedEndpoint) {
+	if q.host.unreachable {
+		q.unreached(e)
+		return
+	}
 	told := q.host.toldAt[e.key]
 	e.arrivals = append(e.arrivals, limitedArrival{at: r.clock.elapsed, told: told > 0 && r.clock.elapsed-told >= toldAfter && !q.host.disturbed})
 	r.admit(q, e)
--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/apportioner"
+	"github.com/dotterelpulley/dotterelpulley/pathfinder"
 	"github.com/dotterelpulley/dotterelpulley/rationer"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
@@ -21,6 +22,7 @@
 	scheduler   scheduler.Scheduler
 	apportioner apportioner.Apportioner
 	rationer    rationer.Rationer
+	pathfinder  pathfinder.Pathfinder
 	requests    map[scheduler.ID]*limitedRequest
 	toldAt      map[apportioner.Key]time.Duration
 	// starts counts the host's starts; up and frozen are its state, cut means that it reaches no other host.
@@ -28,6 +30,9 @@
 	up     bool
 	frozen bool
 	cut    bool
+	// unreachable means that the host reaches no endpoint, since unreachableSince.
+	unreachable      bool
+	unreachableSince time.Duration
 	// disturbed means that a fault excuses the host.
 	disturbed bool
 	// deferred is what happens once the host is no longer frozen.
@@ -53,6 +58,7 @@
 	h.identity = announcer.Identity{Start: seed, Incarnation: uint64(h.starts)}
 	h.scheduler = scheduler.Scheduler{Seed: seed, Zone: h.host.Zone}
 	h.apportioner = apportioner.Apportioner{Self: h.host.ID}
+	h.pathfinder = pathfinder.Pathfinder{Seed: seed}
 	h.rationer = rationer.Rationer{Window: limitWindow, HostCount: r.Hosts}
 	h.requests, h.toldAt = map[scheduler.ID]*limitedRequest{}, map[apportioner.Key]time.Duration{}
 	h.up = true
@@ -66,6 +72,7 @@
 	h.every(start, time.Duration(r.random.Int64N(int64(100*time.Millisecond))), h.announcer.Interval, h.announce)
 	h.every(start, 0, func() time.Duration { return announcer.ProbeInterval }, h.probe)
 	h.every(start, 0, func() time.Duration { return limitedDecideInterval }, h.decide)
+	h.every(start, 0, func() time.Duration { return limitedLinkInterval }, h.checkLinks)
 }
 
 // every calls the function again and again until the host's start ends.
@@ -111,6 +118,9 @@
 	case CutFromHosts:
 		h.cut = true
 		end = func() { h.cut = false }
+	case CutFromEndpoints:
+		h.unreachable, h.unreachableSince = true, r.clock.elapsed
+		end = func() { h.unreachable = false }
 	}
 	r.clock.schedule(f.Duration, end)
 	r.clock.schedule(f.Duration+stabilityWindow, func() { h.disturbed = false })
@@ -139,6 +149,9 @@
 		State: announcer.Serving, Updates: h.announcer.NextUpdates(),
 	}
 	d.Brief = h.announcer.Brief(d.Sequence)
+	for _, id := range h.pathfinder.LostServices() {
+		d.UnreachableServices = append(d.UnreachableServices, scheduler.ServiceKey(id))
+	}
 	for _, l := range h.scheduler.Loads() {
 		d.Loads = append(d.Loads, announcer.Load{Key: l.Key, Running: l.Running})
 	}
@@ -225,9 +238,14 @@
 // refreshHosts updates the hosts that take part in the division.
 func (h *limitedHost) refreshHosts() {
 	now := h.run.clock.now()
-	hosts := []dotterelpulley.HostID{h.host.ID}
+	var hosts []dotterelpulley.HostID
+	if !h.pathfinder.Lost(limitedService) {
+		hosts = append(hosts, h.host.ID)
+	}
 	for _, m := range h.announcer.ActiveMembers(now) {
-		hosts = append(hosts, m.ID)
+		if len(m.UnreachableServices) == 0 {
+			hosts = append(hosts, m.ID)
+		}
 	}
 	slices.Sort(hosts)
 	changed := h.apportioner.SetHosts(hosts)
@@ -281,6 +299,94 @@
 	return a
 }
 
+// take queues a request of a caller, or forwards it while the links to the endpoints are lost.
+func (h *limitedHost) take(q *limitedRequest) {
+	if h.pathfinder.Lost(limitedService) && q.from == nil {
+		h.forward(q)
+		return
+	}
+	now := h.run.clock.now()
+	h.requests[q.id] = q
+	h.scheduler.Offer(scheduler.Work{ID: q.id, Service: limitedService, Arrived: now, Objective: h.run.Objective, Deadline: now.Add(4 * h.run.Objective)})
+	h.decide()
+}
+
+// forward sends a request through a host that reaches the endpoints.
+func (h *limitedHost) forward(q *limitedRequest) {
+	var helpers []pathfinder.Helper
+	for _, m := range h.announcer.ActiveMembers(h.run.clock.now()) {
+		if len(m.UnreachableServices) == 0 {
+			helpers = append(helpers, pathfinder.Helper{ID: m.ID, Address: m.PeerAddress})
+		}
+	}
+	helper, ok := h.pathfinder.Choose(helpers, nil)
+	if !ok {
+		q.end(false)
+		return
+	}
+	q.from, q.fromStart = h, h.starts
+	q.host = h.run.byAddress[helper.Address]
+	q.start = q.host.starts
+	if h.cut || q.host.cut || !q.host.up {
+		q.end(false)
+		return
+	}
+	h.run.clock.schedule(networkDelay, func() { q.host.whenAwake(q.start, func() { q.host.take(q) }) })
+}
+
+// end counts the request's end.
+func (q *limitedRequest) end(served bool) {
+	result := &q.host.run.result
+	if q.from != nil && q.from.starts == q.fromStart {
+		q.from.pathfinder.Done(q.host.host.ID)
+	}
+	if !served {
+		result.Refused++
+		return
+	}
+	result.Served++
+	if q.counted != nil {
+		q.counted.Served++
+	}
+}
+
+// unreached handles a request whose connection is refused: others are tried, and show whether the links are lost.
+func (q *limitedRequest) unreached(e *limitedEndpoint) {
+	h := q.host
+	now := h.run.clock.now()
+	h.scheduler.Ended(now, q.id, scheduler.ResultCancelled)
+	delete(h.requests, q.id)
+	var addresses []dotterelpulley.Address
+	for _, other := range h.run.endpoints {
+		addresses = append(addresses, other.Address)
+	}
+	h.probed(h.pathfinder.Candidates(addresses, e.Address))
+	if q.from != nil {
+		q.end(false)
+		return
+	}
+	h.take(q)
+}
+
+// probed records that connections to the addresses were tried.
+func (h *limitedHost) probed(addresses []dotterelpulley.Address) {
+	made := len(addresses)
+	if h.unreachable {
+		made = 0
+	}
+	if h.pathfinder.Probed(h.run.clock.now(), limitedService, len(addresses), made) {
+		h.scheduler.Unblock(limitedService)
+		h.announce()
+	}
+}
+
+// checkLinks probes links that are lost.
+func (h *limitedHost) checkLinks() {
+	if h.pathfinder.Lost(limitedService) {
+		h.probed([]dotterelpulley.Address{h.run.endpoints[0].Address})
+	}
+}
+
 // decide places the requests that wait on the host.
 func (h *limitedHost) decide() {
 	if !h.up || h.frozen {
@@ -299,8 +405,9 @@
 			}
 			h.run.clock.schedule(networkDelay, func() { h.run.receive(q, e) })
 		case scheduler.Refused:
+			q := h.requests[d.ID]
 			delete(h.requests, d.ID)
-			h.run.result.Refused++
+			q.end(false)
 		}
 	}
 }
@@ -314,12 +421,7 @@
 			now := h.run.clock.now()
 			h.scheduler.Ended(now, q.id, result)
 			delete(h.requests, q.id)
-			switch result {
-			case scheduler.ResultCompleted:
-				h.run.result.Served++
-			default:
-				h.run.result.Refused++
-			}
+			q.end(result == scheduler.ResultCompleted)
 			if result != scheduler.ResultDead {
 				h.heed(now, e, limit, brittle)
 			}
--- a/emulator/limited_test.go
+++ b/emulator/limited_test.go
@@ -133,3 +133,25 @@
 		c.Check(divided.Falls <= allowed, qt.IsTrue, qt.Commentf("%d falls, %d allowed", divided.Falls, allowed))
 	})
 }
+
+// Hosts that are cut off from all endpoints served none of their requests. Limits and places hold while others serve them.
+func TestCutOffHostsServeAsOftenAsOthers(t *testing.T) {
+	runSizes(t, limitedSizes, func(c *qt.C, size LimitedFleet) {
+		f := limitedFleet(size)
+		f.Duration = 20 * time.Second
+		f.Limits = []LimitChange{{At: 4 * time.Second, Endpoint: 0, PerSecond: 1.3}, {At: 4 * time.Second, Endpoint: 1, PerSecond: 6}}
+		for i := range f.Hosts * 5 / 8 {
+			f.Faults = append(f.Faults, HostFault{Kind: CutFromEndpoints, Host: i, Start: 6 * time.Second, Duration: 8 * time.Second})
+		}
+		// One of the hosts that help is killed meanwhile, another one is frozen.
+		f.Faults = append(f.Faults,
+			HostFault{Kind: Kill, Host: f.Hosts - 1, Start: 10 * time.Second, Duration: 2 * time.Second},
+			HostFault{Kind: Freeze, Host: f.Hosts - 2, Start: 11 * time.Second, Duration: 2 * time.Second})
+		r := f.Run()
+		c.Logf("%d of %d served at hosts cut off, %d of %d at the others, %.2f of the allowed requests", r.CutOff.Served, r.CutOff.Requests, r.Connected.Served, r.Connected.Requests, r.WorstExcess)
+		c.Check(r.CutOff.Requests > 50, qt.IsTrue)
+		// The users' bound.
+		c.Check(r.CutOff.Fraction() >= r.Connected.Fraction()*2/3, qt.IsTrue)
+		c.Check(r.WorstExcess <= 1, qt.IsTrue, qt.Commentf("%.2f", r.WorstExcess))
+	})
+}
