Forward requests in flight when connections hang and the links are lost

Requests that were sent before the links were lost hung until their deadline, and waiting work missed a loss when that of another service was noticed first.

Change: losses are noticed by service. A repeatable request whose endpoint is silent stops waiting when the links are found lost, a resumable stream that is silent for its limit ends its read; both go on through another host.

Evidence: TestARepeatableRequestThatHangsIsForwarded (504 after 20 s before) and TestAStreamThatHangsGoesOnThroughAnotherHost (cut after 20 s before) pass.

--- a/emulator/limited.go
+++ b/emulator/limited.go
@@ -143,6 +143,8 @@
 	limitedDecideInterval = 50 * time.Millisecond
 	// limitedLinkInterval is the time between two probes of lost links.
 	limitedLinkInterval = 200 * time.Millisecond
+	// maxForwards is the number of hosts that a request is forwarded to.
+	maxForwards = 3
 )
 
 // limitedRequest is one request of the experiment.
@@ -156,6 +158,8 @@
 	// from is the host that has the caller and forwarded the request, fromStart its start; nil if it is host itself.
 	from      *limitedHost
 	fromStart int
+	// tried are the hosts that it was forwarded to.
+	tried map[dotterelpulley.HostID]bool
 }
 
 // limitedArrival is a request that reached an endpoint.
--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -301,7 +301,11 @@
 
 // take queues a request of a caller, or forwards it while the links to the endpoints are lost.
 func (h *limitedHost) take(q *limitedRequest) {
-	if h.pathfinder.Lost(limitedService) && q.from == nil {
+	if h.pathfinder.Lost(limitedService) {
+		if q.from != nil {
+			q.sendBack()
+			return
+		}
 		h.forward(q)
 		return
 	}
@@ -319,21 +323,37 @@
 			helpers = append(helpers, pathfinder.Helper{ID: m.ID, Address: m.PeerAddress})
 		}
 	}
-	helper, ok := h.pathfinder.Choose(helpers, nil)
-	if !ok {
+	helper, ok := h.pathfinder.Choose(helpers, q.tried)
+	if !ok || len(q.tried) >= maxForwards {
 		q.end(false)
 		return
 	}
+	if q.tried == nil {
+		q.tried = map[dotterelpulley.HostID]bool{}
+	}
+	q.tried[helper.ID] = true
 	q.from, q.fromStart = h, h.starts
 	q.host = h.run.byAddress[helper.Address]
 	q.start = q.host.starts
 	if h.cut || q.host.cut || !q.host.up {
-		q.end(false)
+		q.sendBack()
 		return
 	}
 	h.run.clock.schedule(networkDelay, func() { q.host.whenAwake(q.start, func() { q.host.take(q) }) })
 }
 
+// sendBack returns a request that hasn't run to the host that has its caller, which forwards it to another one.
+func (q *limitedRequest) sendBack() {
+	from := q.from
+	if from.starts != q.fromStart {
+		q.end(false)
+		return
+	}
+	from.pathfinder.Done(q.host.host.ID)
+	q.host, q.start, q.from = from, from.starts, nil
+	from.run.clock.schedule(networkDelay, func() { from.whenAwake(q.start, func() { from.take(q) }) })
+}
+
 // end counts the request's end.
 func (q *limitedRequest) end(served bool) {
 	result := &q.host.run.result
@@ -361,10 +381,6 @@
 		addresses = append(addresses, other.Address)
 	}
 	h.probed(h.pathfinder.Candidates(addresses, e.Address))
-	if q.from != nil {
-		q.end(false)
-		return
-	}
 	h.take(q)
 }
 
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -204,3 +205,67 @@
 		s.Assert((<-got).status, qt.Equals, http.StatusOK)
 	}
 }
+
+// A repeatable request that was sent before the links were lost hung until its deadline.
+func TestARepeatableRequestThatHangsIsForwarded(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	arrived := make(chan struct{})
+	var requests atomic.Int64
+	s.endpoint("i-1", "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+		if requests.Add(1) == 1 {
+			close(arrived)
+			<-r.Context().Done()
+			return
+		}
+		answerHello(w, r, n)
+	})
+	s.endpoint("i-0", "idle", answerHello)
+	hosts := startHosts(s, 2)
+	for _, g := range hosts {
+		s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 2 })
+		s.waitForAllowance(g, 20)
+	}
+	got := make(chan answer, 1)
+	r := s.request(context.Background(), hosts[0], http.MethodGet, "/lookup/", "")
+	go func() { got <- s.send(r) }()
+	<-arrived
+	s.links[0].cut(linksHang, false)
+	s.Assert((<-got).status, qt.Equals, http.StatusOK)
+}
+
+// A stream on a connection that hangs goes on through another host once the links are lost.
+func TestAStreamThatHangsGoesOnThroughAnotherHost(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	begun := make(chan struct{})
+	var requests atomic.Int64
+	s.endpoint("i-1", "model", func(w http.ResponseWriter, r *http.Request, _ int) {
+		if requests.Add(1) == 1 {
+			standin.WriteEvents(w, 1, 3)
+			close(begun)
+			<-r.Context().Done()
+			return
+		}
+		if r.Header.Get("Last-Event-Id") != "3" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		standin.WriteEvents(w, 4, 5)
+	})
+	s.endpoint("i-0", "idle", answerHello)
+	hosts := startHosts(s, 2)
+	for _, g := range hosts {
+		s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 2 })
+		s.waitForAllowance(g, 20)
+	}
+	got := make(chan answer, 1)
+	r := s.request(context.Background(), hosts[0], http.MethodGet, "/advice/", "")
+	go func() { got <- s.send(r) }()
+	<-begun
+	s.links[0].cut(linksHang, false)
+	a := <-got
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Contains, "piece-5\n")
+	s.Assert(strings.Count(a.body, "piece-"), qt.Equals, 5)
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/pathfinder"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
@@ -35,10 +36,16 @@
 	probing sync.Mutex
 	mutex   sync.Mutex
 	pathfinder.Pathfinder
-	// lossNoticed is cancelled at the next loss, so that work that waits for an endpoint goes through another host.
-	lossNoticed context.Context
-	noticeLoss  context.CancelFunc
-	silentAt    time.Time
+	// losses are cancelled when the links to their service are lost the next time, so that work that waits for an endpoint goes
+	// through another host.
+	losses   map[dotterelpulley.ServiceID]loss
+	silentAt time.Time
+}
+
+// loss is a loss of links that may come.
+type loss struct {
+	context.Context
+	notice context.CancelFunc
 }
 
 // lost reports whether the links to the service's endpoints are lost.
@@ -54,14 +61,27 @@
 	return p.LostServices()
 }
 
-// nextLoss returns a context that is cancelled when links are lost the next time.
-func (p *endpointPaths) nextLoss() context.Context {
+// nextLoss returns a context that is cancelled when the links to the service are lost the next time.
+func (p *endpointPaths) nextLoss(id dotterelpulley.ServiceID) context.Context {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.lossNoticed == nil || p.lossNoticed.Err() != nil {
-		p.lossNoticed, p.noticeLoss = context.WithCancel(context.Background())
+	if next, ok := p.losses[id]; ok {
+		return next
+	}
+	if p.losses == nil {
+		p.losses = map[dotterelpulley.ServiceID]loss{}
+	}
+	ctx, notice := context.WithCancel(context.Background())
+	p.losses[id] = loss{ctx, notice}
+	return ctx
+}
+
+// noticeLoss cancels the context of the loss that has come; the mutex must be held.
+func (p *endpointPaths) noticeLoss(id dotterelpulley.ServiceID) {
+	if next, ok := p.losses[id]; ok {
+		delete(p.losses, id)
+		next.notice()
 	}
-	return p.lossNoticed
 }
 
 // linksLost finds out, after a failure to reach an endpoint, whether the links to all endpoints of its service are lost.
@@ -108,8 +128,8 @@
 	g.paths.mutex.Lock()
 	changed := g.paths.Probed(time.Now(), service, len(addresses), made)
 	lost := g.paths.Lost(service)
-	if changed && lost && g.paths.noticeLoss != nil {
-		g.paths.noticeLoss()
+	if changed && lost {
+		g.paths.noticeLoss(service)
 	}
 	g.paths.mutex.Unlock()
 	if !changed {
@@ -126,6 +146,23 @@
 	g.peers.sendNow()
 }
 
+// dispatchUnlessSilent dispatches the request. If no endpoint sends anything and the links are found to be lost, a request that
+// may run again no longer waits for its response.
+func (p *proxiedRequest) dispatchUnlessSilent(ctx context.Context, a attempt) (*connector.Exchange, error) {
+	if !p.route.Repeatable() || p.origin.forwarded {
+		return p.dispatch(ctx, a)
+	}
+	// The parent ends with the request, and this context with it.
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
+		if p.mustForward() && p.gateway.connector.Silence(time.Now()) >= linkSilence {
+			cancel()
+		}
+	})
+	defer stop()
+	return p.dispatch(ctx, a)
+}
+
 // useLinksAgain makes the endpoints of the service usable after their links were lost.
 func (g *Gateway) useLinksAgain(service dotterelpulley.ServiceID, addresses []dotterelpulley.Address) {
 	for _, address := range addresses {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -127,7 +127,7 @@
 	defer stop()
 	defer context.AfterFunc(callerGone, stop)()
 	if !p.origin.forwarded {
-		defer context.AfterFunc(p.gateway.paths.nextLoss(), func() {
+		defer context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
 			if p.mustForward() {
 				stop()
 			}
@@ -188,7 +188,7 @@
 		p.refuse(refused)
 		return outcomeDone
 	}
-	exchange, err := p.dispatch(ctx, a)
+	exchange, err := p.dispatchUnlessSilent(ctx, a)
 	return p.handleExchange(ctx, a, exchange, err)
 }
 
@@ -307,6 +307,10 @@
 
 // finishFailedRun finishes an attempt that the endpoint ran and did not complete, and finds out whether it crashed.
 func (p *proxiedRequest) finishFailedRun(ctx context.Context, a attempt, err error) {
+	if p.gateway.paths.lost(p.service) && p.gateway.allLinksLost() {
+		p.endUnreached(a, err)
+		return
+	}
 	if a.helper != "" || !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 		return
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -89,6 +89,10 @@
 		w.silent = true
 		w.gateway.metrics.Inc("silences")
 	}
+	if !w.origin.forwarded && w.gateway.paths.lost(w.service) && w.gateway.connector.Silence(time.Now()) >= linkSilence {
+		// Nothing comes through any more; another host can go on.
+		return false
+	}
 	placed, ok := w.acquireSuccessor()
 	if !ok {
 		w.setLimit(successorRetryInterval)
