Reset the connection of an exchange that is given up

Cause: an exchange that is given up closes its connection in order, which still delivers what a partition holds up; the request then runs seconds later, though caller and host have given it up.

Change: an exchange that is given up resets its connection, so that those bytes are lost. TestAnExchangeThatIsGivenUpResetsItsConnection failed before (the endpoint read an orderly end).

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -49,6 +49,16 @@
 	return c
 }
 
+// reset closes the connection at once. What has been sent and not received, as a partition holds it up, is lost, so that a
+// request which is given up doesn't run later.
+func (c *connection) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// A connection that is closed already can't be reset.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Read reads from the connection. It handles time limits itself, because the readers above it would keep the error.
 func (c *connection) Read(p []byte) (int, error) {
 	for {
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -60,7 +60,7 @@
 			return nil, err
 		}
 	}
-	x := &Exchange{connector: p, conn: c, stopWatching: context.AfterFunc(ctx, func() { c.Close() })}
+	x := &Exchange{connector: p, conn: c, stopWatching: context.AfterFunc(ctx, c.reset)}
 	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
 		x.closeConnection()
@@ -76,7 +76,7 @@
 func (x *Exchange) closeConnection() {
 	x.connector.activity.end()
 	x.stopWatching()
-	x.conn.Close()
+	x.conn.reset()
 }
 
 // send writes the headers with a small body; a large body is sent concurrently with the response.
