Don't take a forwarded request that has run for one that hasn't

That kind is 'not run' where a request waits, so the host with the caller refused the call with 503, which promises that it never ran.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -112,12 +112,24 @@
 	})
 }
 
+// mayHaveRun reports whether a request may have run that a helper answered itself. Of a request that has run, the helper answers
+// some kinds under another status, such as a deadline that passed after the send.
+func mayHaveRun(status int, kind dotterelpulley.ErrorKind) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true
+	case http.StatusServiceUnavailable:
+		return kind == dotterelpulley.ErrorOutcomeUnknown
+	}
+	return kind.Answer().Truth != dotterelpulley.NotRun
+}
+
 // handleHelperRefusal decides how the request continues after the helper's own answer.
 func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind) outcome {
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.drainBody(exchange)
 	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
-	if exchange.StatusCode != http.StatusServiceUnavailable && kind.Answer().Truth != dotterelpulley.NotRun {
+	if mayHaveRun(exchange.StatusCode, kind) {
 		p.runs++
 		return p.handleFailedRun(ctx, a, cause)
 	}
@@ -135,6 +147,23 @@
 	}
 }
 
+// dispatchUnlessSilent dispatches the request. If no endpoint sends anything and the links are found to be lost, a request that
+// may run again no longer waits for its response.
+func (p *proxiedRequest) dispatchUnlessSilent(ctx context.Context, a attempt) (*connector.Exchange, error) {
+	if !p.route.Repeatable() || p.origin.forwarded {
+		return p.dispatch(ctx, a)
+	}
+	// The parent ends with the request, and this context with it.
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
+		if p.mustForward() && p.gateway.connector.Silence(time.Now()) >= linkSilence {
+			cancel()
+		}
+	})
+	defer stop()
+	return p.dispatch(ctx, a)
+}
+
 // endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
 // endpoint.
 func (p *proxiedRequest) endUnreached(a attempt, err error) {
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -269,3 +269,26 @@
 	s.Assert(a.body, qt.Contains, "piece-5\n")
 	s.Assert(strings.Count(a.body, "piece-"), qt.Equals, 5)
 }
+
+// A forwarded call that had run was refused as not run, as its deadline had passed at the other host.
+func TestAForwardedCallWhoseDeadlinePassesIsNotRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	for _, kind := range dotterelpulley.ErrorKinds() {
+		for _, status := range []int{http.StatusBadGateway, http.StatusGatewayTimeout} {
+			c.Check(mayHaveRun(status, kind), qt.IsTrue, qt.Commentf("%s under %d", kind, status))
+		}
+	}
+	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ErrorDeadlinePassed), qt.IsFalse)
+	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ErrorIsolated), qt.IsFalse)
+	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ParseErrorKind("unknown")), qt.IsTrue)
+	c.Check(mayHaveRun(http.StatusNotFound, dotterelpulley.ErrorUnknownService), qt.IsFalse)
+	c.Check(mayHaveRun(499, dotterelpulley.ErrorCancelled), qt.IsTrue)
+
+	s, e := forwardingSite(t, "plain", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+	for sent := 1; sent <= 3; sent++ {
+		r := s.request(context.Background(), s.gateways[0], http.MethodPost, "/call/", "book")
+		r.Header.Set("Dotterelpulley-Deadline-Ms", "150")
+		s.Assert(s.send(r).status, qt.Not(qt.Equals), http.StatusServiceUnavailable)
+		s.Assert(e.Received(), qt.HasLen, sent)
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -12,7 +12,6 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
-	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/pathfinder"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
@@ -38,7 +37,8 @@
 	pathfinder.Pathfinder
 	// losses are cancelled when the links to their service are lost the next time, so that work that waits for an endpoint goes
 	// through another host.
-	losses   map[dotterelpulley.ServiceID]loss
+	losses map[dotterelpulley.ServiceID]loss
+	// silentAt is when the links were last probed for silence; probing guards it.
 	silentAt time.Time
 }
 
@@ -146,23 +146,6 @@
 	g.peers.sendNow()
 }
 
-// dispatchUnlessSilent dispatches the request. If no endpoint sends anything and the links are found to be lost, a request that
-// may run again no longer waits for its response.
-func (p *proxiedRequest) dispatchUnlessSilent(ctx context.Context, a attempt) (*connector.Exchange, error) {
-	if !p.route.Repeatable() || p.origin.forwarded {
-		return p.dispatch(ctx, a)
-	}
-	// The parent ends with the request, and this context with it.
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
-		if p.mustForward() && p.gateway.connector.Silence(time.Now()) >= linkSilence {
-			cancel()
-		}
-	})
-	defer stop()
-	return p.dispatch(ctx, a)
-}
-
 // useLinksAgain makes the endpoints of the service usable after their links were lost.
 func (g *Gateway) useLinksAgain(service dotterelpulley.ServiceID, addresses []dotterelpulley.Address) {
 	for _, address := range addresses {
