Tell other hosts of starts and ends of runs when they happen

Cause: hosts place by reports that are 40 ms old on average, while a slot turns over in 100 ms.

Change: a host sends the endpoints whose load changed, what waits and dead endpoints, at once and then at most every 10 ms (less often in larger fleets, not at all from 128 hosts on). Unseen placements of others count for that time instead of 120 ms.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -42,6 +42,8 @@
 	// addedAt is when the host was added, lastTried when it was last sent a digest while silent.
 	addedAt   time.Time
 	lastTried time.Time
+	// lastChange is the number of the last change received from this start of the host.
+	lastChange uint64
 }
 
 // Interval returns the time until the next digest of this host.
@@ -127,6 +129,9 @@
 	if d.Brief {
 		d.Host = m.Host
 	}
+	if d.Start != m.Start {
+		m.lastChange = 0
+	}
 	m.Digest, m.LastHeard = d, now
 	return true, appeared
 }
@@ -154,6 +159,8 @@
 	Incarnation uint64
 	// Sequence counts the digests of the incarnation.
 	Sequence uint64
+	// changes counts the changes of the start.
+	changes uint64
 }
 
 // Accept raises the incarnation above one that another start of the host has used, and reports whether it did.
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -176,6 +176,7 @@
 	fieldUnreachableServices
 	fieldHistoryRequest
 	fieldUsageHistory
+	fieldChange
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -201,10 +202,10 @@
 		}
 	}
 	for _, l := range d.Loads {
-		b = appendNumbers(b, fieldLoad, uint64(l.Key), uint64(l.Running), uint64(l.PromptTokens))
+		b = l.append(b, fieldLoad)
 	}
 	for _, w := range d.Waiting {
-		b = appendNumbers(b, fieldWaiting, uint64(w.Service), uint64(w.Priority), uint64(w.Rank), uint64(w.Count))
+		b = w.append(b, fieldWaiting)
 	}
 	for _, p := range d.Paces {
 		b = appendNumbers(b, fieldPace, uint64(p.Key), uint64(p.EventInterval/time.Microsecond), uint64(p.PrefillPerToken))
@@ -245,6 +246,30 @@
 	return b
 }
 
+func (l Load) append(b []byte, field fields.Number) []byte {
+	return appendNumbers(b, field, uint64(l.Key), uint64(l.Running), uint64(l.PromptTokens))
+}
+
+func decodeLoad(b []byte) (Load, error) {
+	v, err := consumeNumbers(b, 3)
+	if err != nil {
+		return Load{}, err
+	}
+	return Load{Key: uint32(v[0]), Running: int(v[1]), PromptTokens: dotterelpulley.Tokens(v[2])}, nil
+}
+
+func (w Waiting) append(b []byte, field fields.Number) []byte {
+	return appendNumbers(b, field, uint64(w.Service), uint64(w.Priority), uint64(w.Rank), uint64(w.Count))
+}
+
+func decodeWaiting(b []byte) (Waiting, error) {
+	v, err := consumeNumbers(b, 4)
+	if err != nil {
+		return Waiting{}, err
+	}
+	return Waiting{Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3])}, nil
+}
+
 func appendNumbers(b []byte, field fields.Number, values ...uint64) []byte {
 	var encoded []byte
 	for _, v := range values {
@@ -301,11 +326,11 @@
 	case fieldCallerAddress:
 		d.CallerAddress = dotterelpulley.Address(value)
 	case fieldLoad:
-		v, err := consumeNumbers(value, 3)
+		l, err := decodeLoad(value)
 		if err != nil {
 			return err
 		}
-		d.Loads = append(d.Loads, Load{Key: uint32(v[0]), Running: int(v[1]), PromptTokens: dotterelpulley.Tokens(v[2])})
+		d.Loads = append(d.Loads, l)
 	case fieldPace:
 		v, err := consumeNumbers(value, 3)
 		if err != nil {
@@ -315,11 +340,11 @@
 			Key: uint32(v[0]), EventInterval: time.Duration(min(v[1], maxMicroseconds)) * time.Microsecond, PrefillPerToken: time.Duration(min(v[2], math.MaxInt64)),
 		})
 	case fieldWaiting:
-		v, err := consumeNumbers(value, 4)
+		w, err := decodeWaiting(value)
 		if err != nil {
 			return err
 		}
-		d.Waiting = append(d.Waiting, Waiting{Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3])})
+		d.Waiting = append(d.Waiting, w)
 	case fieldUsage:
 		usage, n := protowire.ConsumeFixed64(value)
 		if n < 0 {
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -9,13 +9,14 @@
 	"github.com/dotterelpulley/dotterelpulley/internal/fields"
 )
 
-// Message is a datagram between two hosts: Digest, Correction, Probe, Ack, HistoryRequest or UsageHistory.
+// Message is a datagram between two hosts: Digest, Correction, Change, Probe, Ack, HistoryRequest or UsageHistory.
 type Message interface {
 	Encode() []byte
 	message()
 }
 
 func (Digest) message()         {}
+func (Change) message()         {}
 func (Correction) message()     {}
 func (Probe) message()          {}
 func (Ack) message()            {}
@@ -127,6 +128,7 @@
 
 // decoders holds the decoders of the messages that are one field; all others are digests.
 var decoders = map[fields.Number]func([]byte) (Message, error){
+	fieldChange:         decodeChange,
 	fieldCorrection:     decodeCorrection,
 	fieldProbe:          decodeProbe,
 	fieldAck:            decodeAck,
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -59,6 +59,9 @@
 	Duration  time.Duration
 	// ReportInterval is the interval between the reports of a host to the others.
 	ReportInterval time.Duration
+	// ChangeInterval is the shortest interval between two changes of a host's loads of which the others are told at once; none
+	// are told if zero.
+	ChangeInterval time.Duration
 	// ReportTargets is the number of hosts, drawn at random, that each report goes to; all if zero.
 	ReportTargets int
 	Policy        scheduler.Policy
@@ -131,6 +134,10 @@
 	id        dotterelpulley.HostID
 	scheduler scheduler.Scheduler
 	requests  map[scheduler.ID]*fleetRequest
+	// changing means that a change is about to be told.
+	changing bool
+	// changeToldAt is when the host last told a change, since the start of the run.
+	changeToldAt time.Duration
 }
 
 // fleetRequest is the state of one request.
@@ -185,6 +192,9 @@
 	for i := range f.Hosts {
 		h := &fleetHost{id: dotterelpulley.HostID(fmt.Sprintf("host-%03d", i)), requests: map[scheduler.ID]*fleetRequest{}}
 		h.scheduler = scheduler.Scheduler{Seed: f.Seed + uint64(i), Policy: f.Policy}
+		if f.ChangeInterval > 0 {
+			h.scheduler.ReportDelay = f.ChangeInterval + changeTransit
+		}
 		h.scheduler.SetEndpoints(fleetService, endpoints)
 		r.hosts = append(r.hosts, h)
 		r.clock.schedule(time.Duration(r.random.Int64N(int64(f.ReportInterval))), func() { r.reportPeriodically(h) })
@@ -321,6 +331,7 @@
 			r.handleRefusal(h.requests[d.ID], d.RetryAfter)
 		}
 	}
+	r.scheduleChange(h)
 }
 
 func (r *fleetRun) handleRefusal(req *fleetRequest, retryAfter time.Duration) {
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -156,3 +156,42 @@
 	c.Assert(placed > 0, qt.IsTrue)
 	c.Assert(len(s.Decide(now.Add(300*time.Millisecond))) > 0, qt.IsTrue)
 }
+
+// roomsLoad returns the model requests of the room-status users: digests with a short objective, notes and chats.
+func roomsLoad() []RequestKind {
+	return []RequestKind{
+		{Priority: 0, RequestsPerSecond: 77.6, PromptTokens: 2950, PromptSpread: 0.8, OutputTokens: 51, OutputSpread: 0.8, Objective: 300 * time.Millisecond, MaxEventInterval: 200 * time.Millisecond, Deadline: 6 * time.Second, Worth: 7.3, LateWorth: 2.2},
+		{Priority: 1, RequestsPerSecond: 97.1, PromptTokens: 1860, PromptSpread: 0.8, OutputTokens: 24, OutputSpread: 0.8, Objective: 500 * time.Millisecond, MaxEventInterval: 200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3},
+		{Priority: 2, RequestsPerSecond: 29.1, PromptTokens: 600, PromptSpread: 0.8, OutputTokens: 279, OutputSpread: 0.8, Objective: 600 * time.Millisecond, MaxEventInterval: 200 * time.Millisecond, Deadline: 15 * time.Second, Worth: 0.78, LateWorth: 0.23},
+	}
+}
+
+// roomsFleet returns nine hosts and the engines of the room-status users, whose load doubles twice for some seconds.
+func roomsFleet(seed uint64) Fleet {
+	var engines []ChunkedEngine
+	for i := range 18 {
+		engines = append(engines, ChunkedEngine{
+			Slowness: []float64{0.6, 1.7, 1.7}[i%3], Slots: 8, StepTime: 6080 * time.Microsecond, StepTimePerRequest: 41 * time.Microsecond,
+			PrefillTokensPerMS: 110, MaxChunkTokens: 2048, TokensPerEvent: 3,
+		})
+	}
+	return Fleet{
+		Seed: seed, Hosts: 9, Engines: engines, Kinds: roomsLoad(), Duration: 16 * time.Second, ReportInterval: 75 * time.Millisecond,
+		Surges: []Surge{{Start: 3 * time.Second, Duration: 5 * time.Second, Factor: 2.4}, {Start: 10 * time.Second, Duration: 2500 * time.Millisecond, Factor: 2.1}},
+	}
+}
+
+// In a burst all hosts see the same free slots until the next reports. Hosts that tell each other at once what they place must
+// lose less of the kind with the shortest objective.
+func TestHostsThatTellChangesAtOnceLoseLessInABurst(t *testing.T) {
+	c := qt.New(t)
+	reports, reportKinds := meanWorth(roomsFleet)
+	changes, changeKinds := meanWorth(func(seed uint64) Fleet {
+		f := roomsFleet(seed)
+		f.ChangeInterval = 10 * time.Millisecond
+		return f
+	})
+	c.Logf("reports every 75 ms: %.3f (%.2f), changes at once: %.3f (%.2f)", reports, reportKinds, changes, changeKinds)
+	c.Check(1-changes <= 0.95*(1-reports), qt.IsTrue)
+	c.Check(changeKinds[0] > reportKinds[0], qt.IsTrue)
+}
--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -196,7 +196,7 @@
 			return
 		}
 		h.announcer.ReceiveAck(now, m)
-	case announcer.Correction, announcer.HistoryRequest, announcer.UsageHistory:
+	case announcer.Change, announcer.Correction, announcer.HistoryRequest, announcer.UsageHistory:
 	}
 }
 
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -58,14 +58,7 @@
 
 // addReport adds the scheduler's report to the digest.
 func addReport(d *announcer.Digest, report scheduler.HostReport) {
-	for _, l := range report.Loads {
-		d.Loads = append(d.Loads, announcer.Load{Key: l.Key, Running: l.Running, PromptTokens: l.Prompt})
-	}
-	for _, waiting := range report.Waiting {
-		d.Waiting = append(d.Waiting, announcer.Waiting{
-			Service: waiting.Service, Priority: int(waiting.Priority), Rank: int(waiting.Rank), Count: waiting.Count,
-		})
-	}
+	d.Loads, d.Waiting = announcedLoads(report.Loads), announcedWaiting(report.Waiting)
 	for _, p := range report.Paces {
 		d.Paces = append(d.Paces, announcer.Pace(p))
 	}
@@ -74,20 +67,44 @@
 
 // reportOf returns the scheduler's report in another host's digest.
 func reportOf(d announcer.Digest) scheduler.HostReport {
-	report := scheduler.HostReport{DeadEndpoints: d.DeadEndpoints}
-	for _, l := range d.Loads {
-		report.Loads = append(report.Loads, scheduler.Load{Key: l.Key, Running: l.Running, Prompt: l.PromptTokens})
-	}
+	report := scheduler.HostReport{Loads: reportedLoads(d.Loads), Waiting: reportedWaiting(d.Waiting), DeadEndpoints: d.DeadEndpoints}
 	for _, p := range d.Paces {
 		report.Paces = append(report.Paces, scheduler.Pace(p))
 	}
-	for _, waiting := range d.Waiting {
-		report.Waiting = append(report.Waiting, scheduler.WaitingCount{
+	return report
+}
+
+func announcedLoads(loads []scheduler.Load) (announced []announcer.Load) {
+	for _, l := range loads {
+		announced = append(announced, announcer.Load{Key: l.Key, Running: l.Running, PromptTokens: l.Prompt})
+	}
+	return announced
+}
+
+func reportedLoads(announced []announcer.Load) (loads []scheduler.Load) {
+	for _, l := range announced {
+		loads = append(loads, scheduler.Load{Key: l.Key, Running: l.Running, Prompt: l.PromptTokens})
+	}
+	return loads
+}
+
+func announcedWaiting(counts []scheduler.WaitingCount) (announced []announcer.Waiting) {
+	for _, waiting := range counts {
+		announced = append(announced, announcer.Waiting{
+			Service: waiting.Service, Priority: int(waiting.Priority), Rank: int(waiting.Rank), Count: waiting.Count,
+		})
+	}
+	return announced
+}
+
+func reportedWaiting(announced []announcer.Waiting) (counts []scheduler.WaitingCount) {
+	for _, waiting := range announced {
+		counts = append(counts, scheduler.WaitingCount{
 			Service: waiting.Service, Count: waiting.Count,
 			Urgency: scheduler.Urgency{Priority: scheduler.Priority(waiting.Priority), Rank: scheduler.Priority(waiting.Rank)},
 		})
 	}
-	return report
+	return counts
 }
 
 // addUsageAndCrashes adds the usage of organisations on this host, the crashes that it observed and what it knows of parts.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 	g.paths.Seed = seed
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
 	g.queue.waiters = map[scheduler.ID]chan scheduler.Decision{}
+	g.queue.changed = make(chan struct{}, 1)
 	g.isolator.Settings = isolator.Settings{Limit: isolateAfter, Lifetime: crashMemory}
 	g.apportioner.Self = settings.Host
 	g.bodies.limit = bodyBudget(settings.Memory)
@@ -167,6 +168,7 @@
 	g.supervise("register-host", g.registerHost)
 	g.supervise("keep-parts", g.keepParts)
 	g.supervise("announce-state", g.announceState)
+	g.supervise("announce-changes", g.announceChanges)
 	g.supervise("receive-digests", g.receiveDigests)
 	g.supervise("probe-members", func() { repeater.Every(g.ctx, announcer.ProbeInterval, g.probeMembers) })
 	g.supervise("promote-versions", g.promoteVersions)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -202,6 +202,8 @@
 		switch m := message.(type) {
 		case announcer.Digest:
 			g.handleDigest(time.Now(), dotterelpulley.Address(from.String()), m)
+		case announcer.Change:
+			g.handleChange(time.Now(), m)
 		case announcer.Correction:
 			g.handleCorrection(m)
 		case announcer.Probe:
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -14,6 +14,8 @@
 	scheduler scheduler.Scheduler
 	waiters   map[scheduler.ID]chan scheduler.Decision
 	timer     *time.Timer
+	// changed has an element if the scheduler's loads may have changed since the last change that was told to other hosts.
+	changed chan struct{}
 }
 
 // acquire waits until the work is placed or refused; the error is the context's.
@@ -76,6 +78,7 @@
 		q.waiters[id] <- d
 		delete(q.waiters, id)
 	}
+	q.signalChange()
 	next, ok := q.scheduler.NextExpiry()
 	if !ok {
 		return
@@ -89,6 +92,16 @@
 	q.timer.Reset(delay)
 }
 
+func (q *queue) signalChange() {
+	if !q.scheduler.HasChanged() {
+		return
+	}
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
+}
+
 // maxDecisionInterval is the longest time between two decisions while work waits.
 const maxDecisionInterval = 50 * time.Millisecond
 
--- /dev/null
+++ b/scheduler/change_test.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// Reports and changes in any order leave another host with the same view as a report alone.
+func TestChangesKeepAnotherHostsViewUpToDate(t *testing.T) {
+	ids := []dotterelpulley.EndpointID{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		sender, receiver, reported := newScheduler(4, ids...), newScheduler(4, ids...), newScheduler(4, ids...)
+		receiver.SetHostReport(start, "h", sender.HostReport(start))
+		var running []ID
+		next := ID(0)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(5 * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				next++
+				w := work(next)
+				w.Prompt, w.Arrived = 1000, now
+				if _, placed := offer(sender, now, w).(Placed); placed {
+					running = append(running, next)
+				}
+			case 2:
+				if len(running) > 0 {
+					sender.Ended(now, running[0], ResultCompleted)
+					running = running[1:]
+				}
+			case 3:
+				if len(running) > 0 {
+					sender.ObserveFirstEvent(now, running[len(running)-1])
+				}
+			case 4:
+				receiver.SetHostReport(now, "h", sender.HostReport(now))
+			}
+			if sender.HasChanged() && rapid.Bool().Draw(t, "told") {
+				receiver.ApplyChange(now, "h", sender.TakeChange(now))
+			}
+		}
+		receiver.ApplyChange(now, "h", sender.TakeChange(now))
+		reported.SetHostReport(now, "h", sender.HostReport(now))
+		got, expected := fmt.Sprint(receiver.Views(now)), fmt.Sprint(reported.Views(now))
+		if got != expected {
+			t.Fatalf("got %s\nexpected %s", got, expected)
+		}
+	})
+}
+
+func TestAChangeOfAHostWithoutAReportIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	sender, receiver := newScheduler(4, "a"), newScheduler(4, "a")
+	offer(sender, start, work(1))
+	receiver.ApplyChange(start, "h", sender.TakeChange(start))
+	c.Assert(receiver.Views(start)[0].PeerRunning, qt.Equals, 0)
+	c.Assert(sender.HasChanged(), qt.IsFalse)
+}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -52,8 +52,9 @@
 	wrongInstancePause = 5 * time.Second
 	// silenceTimeout is the time without an event of any run after which an endpoint is blocked, several times the longest step.
 	silenceTimeout = 700 * time.Millisecond
-	// propagationDelay is the time until other hosts know of a placement: their report interval and the network delay.
-	propagationDelay = 120 * time.Millisecond
+	// defaultReportDelay is the time until other hosts know of a placement, if none is set: the interval between reports and the
+	// network delay.
+	defaultReportDelay = 120 * time.Millisecond
 	// peerPlacementFraction is the assumed ratio of each other host's unreported placements to this host's own.
 	peerPlacementFraction = 0.5
 	// defaultSlots applies to an endpoint that does not report its slots.
@@ -144,27 +145,45 @@
 	promptTokens float64
 }
 
+// unseenPeers describes the other hosts, whose latest placements this host doesn't know.
+type unseenPeers struct {
+	count int
+	// delay is the time until a placement is known.
+	delay time.Duration
+}
+
+func (s *Scheduler) unseenPeers() unseenPeers {
+	return unseenPeers{count: len(s.hostReports), delay: s.reportDelay()}
+}
+
+func (s *Scheduler) reportDelay() time.Duration {
+	if s.ReportDelay > 0 {
+		return s.ReportDelay
+	}
+	return defaultReportDelay
+}
+
 // estimateBacklog returns the known backlog plus what the other hosts may have placed since their last reports: each
 // a fraction of this host's own placements.
-func (e *endpoint) estimateBacklog(now time.Time, others int) backlog {
+func (e *endpoint) estimateBacklog(now time.Time, others unseenPeers) backlog {
 	b := backlog{runs: float64(e.load()), promptTokens: float64(e.pendingPrompt + e.peerLoad.Prompt)}
-	if e.recentPlacements == 0 || others == 0 {
+	if e.recentPlacements == 0 || others.count == 0 {
 		return b
 	}
-	unreported := e.placementDecay(now) * float64(others) * peerPlacementFraction
+	unreported := e.placementDecay(now, others.delay) * float64(others.count) * peerPlacementFraction
 	b.runs += e.recentPlacements * unreported
 	b.promptTokens += e.recentPrompt * unreported
 	return b
 }
 
 // placementDecay returns the share of this host's recent placements that still counts as unreported.
-func (e *endpoint) placementDecay(now time.Time) float64 {
-	return math.Exp(-now.Sub(e.recentAt).Seconds() / propagationDelay.Seconds())
+func (e *endpoint) placementDecay(now time.Time, delay time.Duration) float64 {
+	return math.Exp(-now.Sub(e.recentAt).Seconds() / delay.Seconds())
 }
 
 // addPlacement records a placement of this host.
-func (e *endpoint) addPlacement(now time.Time, prompt dotterelpulley.Tokens) {
-	decay := e.placementDecay(now)
+func (e *endpoint) addPlacement(now time.Time, delay time.Duration, prompt dotterelpulley.Tokens) {
+	decay := e.placementDecay(now, delay)
 	e.recentPlacements = e.recentPlacements*decay + 1
 	e.recentPrompt = e.recentPrompt*decay + float64(prompt)
 	e.recentAt = now
--- a/scheduler/host_report.go
+++ b/scheduler/host_report.go
@@ -76,6 +76,7 @@
 
 // HostReport returns this host's report to the other hosts.
 func (s *Scheduler) HostReport(now time.Time) HostReport {
+	clear(s.changed)
 	return HostReport{Loads: s.Loads(), Waiting: s.waitingCounts(now), DeadEndpoints: s.deadEndpoints(now), Paces: s.nextPaces(now)}
 }
 
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -76,7 +76,7 @@
 
 // prepare updates the derived state of all endpoints for a decision. Unmeasured endpoints are assumed to be as fast as
 // the fastest measured one, so that they are tried.
-func (v *service) prepare(now time.Time, others int) {
+func (v *service) prepare(now time.Time, others unseenPeers) {
 	v.eventInterval, v.prefillPerToken = 0, 0
 	v.split.update(now, v.sorted)
 	slots, free := 0.0, 0.0
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -30,7 +30,8 @@
 	e.running++
 	e.allowance.use(now)
 	e.pendingPrompt += unread
-	e.addPlacement(now, unread)
+	e.addPlacement(now, s.reportDelay(), unread)
+	s.changed.add(e)
 	if e.streaming == 0 {
 		e.lastActivity = now
 	}
@@ -47,6 +48,7 @@
 		}
 		r.endpoint.lastActivity = now
 		r.endPrefill()
+		s.changed.add(r.endpoint)
 		r.endpoint.streaming++
 		r.streaming = true
 		r.observe(now)
@@ -80,6 +82,7 @@
 	r.endPrefill()
 	delete(s.runs, id)
 	r.endpoint.running--
+	s.changed.add(r.endpoint)
 	if r.streaming {
 		r.endpoint.streaming--
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,6 +16,8 @@
 	Seed uint64
 	// Zone is the host's own availability zone.
 	Zone dotterelpulley.ZoneID
+	// ReportDelay is the time until other hosts know of a placement; 120 ms if zero.
+	ReportDelay time.Duration
 
 	random      *rand.Rand
 	services    map[dotterelpulley.ServiceID]*service
@@ -25,6 +27,7 @@
 	endpointsByKey map[uint32]*endpoint
 	peerLoads      map[uint32]Load
 	peerWaiting    map[waitingKey]int
+	changed        changedEndpoints
 	pauses         pauses
 	// paceTurn is the number of paces reported so far.
 	paceTurn int
@@ -144,7 +147,7 @@
 	if len(v.queue) == 0 {
 		return decisions
 	}
-	v.prepare(now, len(s.hostReports))
+	v.prepare(now, s.unseenPeers())
 	for _, p := range []pass{passOnTime, passLate} {
 		kept := v.queue[:0]
 		for _, w := range v.queue {
@@ -158,7 +161,7 @@
 			}
 			decisions = append(decisions, Placed{ID: w.ID, Endpoint: e.Endpoint, Load: e.load(), LoadAge: s.loadAge(now)})
 			s.start(now, v, w, e)
-			e.expected = e.estimateBacklog(now, len(s.hostReports))
+			e.expected = e.estimateBacklog(now, s.unseenPeers())
 			e.available = e.available && e.accepts(now)
 		}
 		clear(v.queue[len(kept):])
