Serve equally urgent work of all hosts in order of arrival

Cause: when a slot becomes free, every host with waiting work learns of it within some 12 ms and places its next request there; the engine queues the rest.

Change: hosts tell how long their oldest request of each urgency has waited, and leave free slots to as many requests as have waited longer elsewhere.

Also charges hosts that a young host hasn't heard at the cap's rate, as it counts its own allowance.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -127,6 +127,8 @@
 	// Rank is the priority of the route, which orders requests of one priority.
 	Rank  int
 	Count int
+	// Oldest is the time since the first of them arrived, sent in whole milliseconds.
+	Oldest time.Duration
 }
 
 // Crash reports that an endpoint crashed while it ran an attempt of a request.
@@ -259,15 +261,17 @@
 }
 
 func (w Waiting) append(b []byte, field fields.Number) []byte {
-	return appendNumbers(b, field, uint64(w.Service), uint64(w.Priority), uint64(w.Rank), uint64(w.Count))
+	return appendNumbers(b, field, uint64(w.Service), uint64(w.Priority), uint64(w.Rank), uint64(w.Count), uint64(max(w.Oldest, 0)/time.Millisecond))
 }
 
 func decodeWaiting(b []byte) (Waiting, error) {
-	v, err := consumeNumbers(b, 4)
+	v, err := consumeNumbers(b, 5)
 	if err != nil {
 		return Waiting{}, err
 	}
-	return Waiting{Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3])}, nil
+	return Waiting{
+		Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3]), Oldest: time.Duration(min(v[4], maxMilliseconds)) * time.Millisecond,
+	}, nil
 }
 
 func appendNumbers(b []byte, field fields.Number, values ...uint64) []byte {
--- a/gateway/change.go
+++ b/gateway/change.go
@@ -52,7 +52,7 @@
 }
 
 // handleChange updates what is known of another host's loads.
-func (g *Gateway) handleChange(now time.Time, m announcer.Change) {
+func (g *Gateway) handleChange(m announcer.Change) {
 	g.peers.mutex.Lock()
 	fresh := g.peers.announcer.ReceiveChange(m)
 	g.peers.mutex.Unlock()
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -91,7 +91,7 @@
 func announcedWaiting(counts []scheduler.WaitingCount) (announced []announcer.Waiting) {
 	for _, waiting := range counts {
 		announced = append(announced, announcer.Waiting{
-			Service: waiting.Service, Priority: int(waiting.Priority), Rank: int(waiting.Rank), Count: waiting.Count,
+			Service: waiting.Service, Priority: int(waiting.Priority), Rank: int(waiting.Rank), Count: waiting.Count, Oldest: waiting.Oldest,
 		})
 	}
 	return announced
@@ -100,7 +100,7 @@
 func reportedWaiting(announced []announcer.Waiting) (counts []scheduler.WaitingCount) {
 	for _, waiting := range announced {
 		counts = append(counts, scheduler.WaitingCount{
-			Service: waiting.Service, Count: waiting.Count,
+			Service: waiting.Service, Count: waiting.Count, Oldest: waiting.Oldest,
 			Urgency: scheduler.Urgency{Priority: scheduler.Priority(waiting.Priority), Rank: scheduler.Priority(waiting.Rank)},
 		})
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -203,7 +203,7 @@
 		case announcer.Digest:
 			g.handleDigest(time.Now(), dotterelpulley.Address(from.String()), m)
 		case announcer.Change:
-			g.handleChange(time.Now(), m)
+			g.handleChange(m)
 		case announcer.Correction:
 			g.handleCorrection(m)
 		case announcer.Probe:
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -103,7 +103,7 @@
 		return
 	}
 	for _, a := range r.accounts {
-		a.addSince(since, now, a.evenRate()*Amount(now.Sub(since).Seconds())*Amount(missing)/Amount(r.HostCount))
+		a.addSince(since, now, a.Rate*Amount(now.Sub(since).Seconds())*Amount(missing)/Amount(r.HostCount))
 	}
 }
 
--- a/scheduler/change_test.go
+++ b/scheduler/change_test.go
@@ -63,3 +63,22 @@
 	c.Assert(receiver.Views(start)[0].PeerRunning, qt.Equals, 0)
 	c.Assert(sender.HasChanged(), qt.IsFalse)
 }
+
+// A slot that becomes free goes to the request that has waited longest on any host, not to all hosts' next ones.
+func TestAFreeSlotIsLeftToWorkThatWaitsForLongerOnAnotherHost(t *testing.T) {
+	c := qt.New(t)
+	near, far := newScheduler(1, "a"), newScheduler(1, "a")
+	offer(near, start, work(1))
+	far.SetHostReport(start, "near", near.HostReport(start))
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	earlier, later := work(2), work(3)
+	earlier.Arrived, later.Arrived = at(10), at(30)
+	c.Assert(offer(far, at(10), earlier), qt.IsNil)
+	c.Assert(offer(near, at(30), later), qt.IsNil)
+	near.SetHostReport(at(40), "far", far.HostReport(at(40)))
+	far.SetHostReport(at(40), "near", near.HostReport(at(40)))
+	near.Ended(at(50), 1, ResultCompleted)
+	c.Assert(near.Decide(at(50)), qt.HasLen, 0, qt.Commentf("the host at which the slot becomes free yields it"))
+	far.ApplyChange(at(55), "near", near.TakeChange(at(55)))
+	c.Assert(far.Decide(at(55)), qt.HasLen, 1)
+}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -8,6 +8,8 @@
 	// Service is the hash that identifies the service.
 	Service uint32
 	Count   int
+	// Oldest is the time since the first of them arrived.
+	Oldest time.Duration
 }
 
 // waitingCounts returns the numbers of requests that wait on this host and can still be on time.
@@ -23,7 +25,7 @@
 				counts[n-1].Count++
 				continue
 			}
-			counts = append(counts, WaitingCount{Urgency: w.Urgency, Service: v.key, Count: 1})
+			counts = append(counts, WaitingCount{Urgency: w.Urgency, Service: v.key, Count: 1, Oldest: now.Sub(w.Arrived)})
 		}
 	}
 	return counts
@@ -35,16 +37,38 @@
 	service uint32
 }
 
-// yieldsToPeers reports whether the free slots are needed by more urgent work that waits on other hosts; a short answer
-// holds a slot only briefly and so yields less.
+// yieldsToPeers reports whether the free slots are needed by work that waits on other hosts and is more urgent, or as urgent
+// and waits for longer; a short answer holds a slot only briefly and so yields less. Without this order, all hosts would place
+// their next work on a slot that becomes free.
 func (s *Scheduler) yieldsToPeers(v *service, w Work, p pass) bool {
-	ahead := 0
+	ahead := 0.0
 	for key, count := range s.peerWaiting {
 		if key.service == v.key && (p == passLate || key.Compare(w.Urgency) < 0) {
-			ahead += count
+			ahead += float64(count)
 		}
 	}
-	return ahead > 0 && v.freeSlots() <= float64(ahead)*holdFactor(w)
+	if p == passOnTime {
+		ahead += s.waitingForLonger(v, w)
+	}
+	return ahead > 0 && v.freeSlots() <= ahead*holdFactor(w)
+}
+
+// waitingForLonger returns the estimated number of requests on other hosts that are as urgent as the work and arrived earlier.
+func (s *Scheduler) waitingForLonger(v *service, w Work) float64 {
+	earlier := 0.0
+	for _, h := range s.hostReports {
+		for _, waiting := range h.Waiting {
+			if waiting.Service != v.key || waiting.Urgency != w.Urgency || waiting.Oldest <= 0 {
+				continue
+			}
+			ahead := w.Arrived.Sub(h.receivedAt.Add(-waiting.Oldest))
+			if ahead > 0 {
+				// Those after the first are taken to have arrived evenly.
+				earlier += 1 + float64(waiting.Count-1)*min(float64(ahead)/float64(waiting.Oldest), 1)
+			}
+		}
+	}
+	return earlier
 }
 
 // freeSlots returns the estimated number of free slots on the service's available endpoints.
