Prefer near endpoints for large requests while slots are free

Most of them are bodies of digests (18 kB each): the fastest endpoint of all zones was taken although slower ones in the own zone were free and on time as well. A constant penalty for other zones loses under load what it saves before.

Change: the score of an endpoint in another zone rises with the request's size relative to the mean, as far as more than three in ten slots are free.

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -167,7 +167,7 @@
 		Urgency: scheduler.Urgency{Priority: scheduler.Priority(p.priority), Rank: scheduler.Priority(p.route.Priority)},
 		Service: p.service, Route: p.route.ID, ForTarget: p.gateway.promotions.forTarget(time.Now(), p.service, p.route.ID, p.attempts),
 		Arrived: p.arrived, Objective: p.route.Objective, MaxEventInterval: p.route.MaxEventInterval, Deadline: p.deadline,
-		Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
+		Size: len(p.body), Prompt: p.PromptTokens, Answer: p.expectedTokens(), ExcludedEndpoints: p.excluded,
 		Prefix: scheduler.Prefix{Key: scheduler.PrefixKey(p.SharedPrefix), Tokens: p.SharedTokens},
 	}
 }
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -135,7 +135,7 @@
 		if !v.meetsDeadline(now, e, w) {
 			continue
 		}
-		if score := s.score(v, e, expected, s.savedRuns(v, w, unread)); score < lowest {
+		if score := s.score(v, e, w, expected, s.savedRuns(v, w, unread)); score < lowest {
 			best, lowest = e, score
 		}
 	}
@@ -161,12 +161,12 @@
 }
 
 // score returns the relative time that the endpoint would take, lower is better.
-func (s *Scheduler) score(v *service, e *endpoint, expected backlog, saved float64) float64 {
+func (s *Scheduler) score(v *service, e *endpoint, w Work, expected backlog, saved float64) float64 {
 	interval := v.eventIntervalOf(e)
 	prompt := expected.promptTokens / float64(orDefault(s.PromptTokensPerRun, defaultPromptTokensPerRun))
 	score := interval.Seconds() * loadScore(expected.runs+1+prompt-saved) * (1 + failurePenalty*e.failureRate)
 	if e.Zone != s.Zone {
-		score *= 1 + orDefault(s.ZonePenalty, defaultZonePenalty)
+		score *= 1 + orDefault(s.ZonePenalty, defaultZonePenalty) + v.sizePenalty(w)
 	}
 	return score * (1 + orDefault(s.Spread, defaultSpread)*s.random.Float64())
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,6 +48,8 @@
 	queue           []Work
 	// freeShare is the estimated share of free slots on the available endpoints.
 	freeShare float64
+	// meanSize is the average size of recent work.
+	meanSize  float64
 	placed    placedPrefixes
 	homeRates homeRates
 	split     splitState
@@ -123,6 +125,7 @@
 func (s *Scheduler) Offer(w Work) {
 	v := s.service(w.Service)
 	w.homes = v.homesOf(w.Prefix.Key)
+	v.meanSize += sizeWeight * (float64(w.Size) - v.meanSize)
 	index, _ := slices.BinarySearchFunc(v.queue, w, compareWork)
 	v.queue = slices.Insert(v.queue, index, w)
 }
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -39,6 +39,8 @@
 	MaxEventInterval time.Duration
 	// Deadline is when the caller or the route gives up.
 	Deadline time.Time
+	// Size is the length of the request's body in bytes.
+	Size int
 	// Prompt is the number of tokens to prefill; zero for a plain call.
 	Prompt dotterelpulley.Tokens
 	// Prefix is the beginning of the prompt that other requests share.
