--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -26,23 +26,30 @@
 }
 
 func command() *cobra.Command {
-	return &cobra.Command{
+	var without []string
+	c := &cobra.Command{
 		Use:           "dotterel-gateway",
 		Short:         "Forward requests on the platform that " + platform.SettingsVariable + " tells of",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			return run()
+			return run(without)
 		},
 	}
+	c.Flags().StringSliceVar(&without, "without", nil, "mechanisms to switch off, for experiments")
+	return c
 }
 
 // run serves until a signal starts a drain; SIGINT ends the drain at once, while a repeated SIGTERM changes nothing. SIGHUP
 // reloads the settings.
-func run() error {
+func run(without []string) error {
 	// The handlers come first: until then, each of these signals would kill the process.
 	reload, stop := notify(syscall.SIGHUP), notify(syscall.SIGTERM, syscall.SIGINT)
+	mechanisms, err := gateway.ParseMechanisms(without)
+	if err != nil {
+		return err
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -50,6 +57,7 @@
 	writer := &log.AsyncWriter{ChannelSize: logBufferLines, DiscardOnFull: true, Writer: log.IOWriter{Writer: os.Stdout}}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	g := gateway.New(settings, logger)
+	g.SwitchOff(mechanisms)
 	if err := g.Start(); err != nil {
 		return err
 	}
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -33,7 +33,7 @@
 // surgeFleet returns eight hosts whose load rises twice by the factor for some seconds.
 func surgeFleet(seed uint64, factor float64) Fleet {
 	return Fleet{
-		Seed: seed, Hosts: 8, Engines: heterogeneousEngines(), Kinds: plansLoad(), Duration: 36 * time.Second, ReportInterval: 75 * time.Millisecond,
+		Seed: seed, Hosts: 8, Engines: heterogeneousEngines(), Kinds: plansLoad(), Duration: 36 * time.Second, ReportInterval: 75 * time.Millisecond, ChangeInterval: 10 * time.Millisecond,
 		Surges: []Surge{{Start: 5 * time.Second, Duration: 5 * time.Second, Factor: factor}, {Start: 20 * time.Second, Duration: 3 * time.Second, Factor: factor}},
 	}
 }
--- a/experimenter/table.go
+++ b/experimenter/table.go
@@ -48,17 +48,21 @@
 	Spread      float64 `toml:"spread"`
 	Forward     bool    `toml:"forward"`
 	Reticent    bool    `toml:"reticent"`
+	// Without holds the names of the mechanisms that are switched off.
+	Without []string `toml:"without"`
 }
 
 type wireLoad struct {
-	Name     string      `toml:"name"`
-	Hosts    int         `toml:"hosts"`
-	Engines  []float64   `toml:"engines"`
-	Slots    int         `toml:"slots"`
-	Span     string      `toml:"span"`
-	Interval string      `toml:"interval"`
-	Kinds    []wireKind  `toml:"kind"`
-	Surges   []wireSurge `toml:"surge"`
+	Name     string    `toml:"name"`
+	Hosts    int       `toml:"hosts"`
+	Engines  []float64 `toml:"engines"`
+	Slots    int       `toml:"slots"`
+	Span     string    `toml:"span"`
+	Interval string    `toml:"interval"`
+	// Changes is the shortest interval between two changes that a host tells; none are told if it is empty.
+	Changes string      `toml:"changes"`
+	Kinds   []wireKind  `toml:"kind"`
+	Surges  []wireSurge `toml:"surge"`
 }
 
 type wireKind struct {
@@ -109,10 +113,15 @@
 		decoder.errs = append(decoder.errs, errors.New("there must be a policy and a load"))
 	}
 	for _, p := range w.Policies {
+		without, err := scheduler.ParseMechanisms(p.Without)
+		if err != nil {
+			decoder.errs = append(decoder.errs, fmt.Errorf("policy %q: %w", p.Name, err))
+		}
 		t.Policies = append(t.Policies, Policy{
 			Name: p.Name, ForwardImmediately: p.Forward, OmitWaiting: p.Reticent,
 			Policy: scheduler.Policy{
 				MaxWaitFactor: p.LateWait, Reserve: p.Reserve, LateReserve: p.LateReserve, ZonePenalty: p.ZonePenalty, Spread: p.Spread,
+				Without: without,
 			},
 		})
 	}
@@ -126,6 +135,9 @@
 	l := Load{Name: w.Name, Fleet: emulator.Fleet{
 		Hosts: w.Hosts, Duration: decoder.parseDuration(w.Name+": span", w.Span), ReportInterval: decoder.parseDuration(w.Name+": interval", w.Interval),
 	}}
+	if w.Changes != "" {
+		l.ChangeInterval = decoder.parseDuration(w.Name+": changes", w.Changes)
+	}
 	if w.Hosts < 1 || len(w.Engines) == 0 || len(w.Kinds) == 0 {
 		decoder.errs = append(decoder.errs, fmt.Errorf("load %q: there must be a host, an engine and a kind", w.Name))
 	}
--- a/gateway/change.go
+++ b/gateway/change.go
@@ -19,7 +19,7 @@
 		g.peers.mutex.Lock()
 		interval, delay := g.peers.announcer.ChangeInterval(), g.peers.announcer.ReportDelay()
 		g.peers.mutex.Unlock()
-		if interval > 0 {
+		if interval > 0 && !g.without.Changes {
 			g.sendChange(time.Now(), delay)
 		}
 		repeater.Sleep(g.ctx, max(interval, announcer.MinChangeInterval))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	// hosts connects to the other hosts.
 	hosts      connector.Connector
 	metrics    metrics
+	without    Mechanisms
 	nextWorkID atomic.Uint64
 	inFlight   atomic.Int64
 	answers    bufferBudget
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -330,7 +330,7 @@
 	if p.origin.forwarded {
 		limit = min(limit, forwardedRuns)
 	}
-	return p.runs < limit && time.Until(p.deadline) > 0
+	return p.runs < limit && time.Until(p.deadline) > 0 && !p.gateway.without.Repeats
 }
 
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -53,7 +53,7 @@
 
 // expectEvent sets the time limit of the next event.
 func (w *silenceWatch) expectEvent(first bool) {
-	if !w.route.Resumable || !w.canRunAgain() {
+	if !w.route.Resumable || !w.canRunAgain() || w.gateway.without.Successors {
 		return
 	}
 	w.exchange.OnReadTimeout(w.onSilence)
--- a/gateway/usage_history.go
+++ b/gateway/usage_history.go
@@ -17,7 +17,7 @@
 // callers and this host doesn't know yet.
 func (g *Gateway) requestHistory(now time.Time, from dotterelpulley.Address, d announcer.Digest) {
 	g.mutex.Lock()
-	wanted := d.State == announcer.Serving && g.rationer.LacksHistory(now) && now.Sub(g.historyRequestedAt) >= historyRequestInterval
+	wanted := !g.without.Histories && d.State == announcer.Serving && g.rationer.LacksHistory(now) && now.Sub(g.historyRequestedAt) >= historyRequestInterval
 	if wanted {
 		g.historyRequestedAt = now
 	}
--- a/rationer/account.go
+++ b/rationer/account.go
@@ -61,6 +61,8 @@
 	reach time.Duration
 	// age is the mean age of what the peers have reported.
 	age time.Duration
+	// unpaced means that only the limit of the whole window counts.
+	unpaced bool
 }
 
 // fits reports whether the amount is within the cap and leaves the reserve. One above the limit fits if nothing is used.
@@ -73,6 +75,9 @@
 // hosts that all restart after a surge would grant again what the surge has used just before, and all hosts of a large fleet
 // would use what they see left of the window at the same moment.
 func (a *account) excess(now time.Time, k knowledge, used, amount Amount) Amount {
+	if k.unpaced {
+		return 0
+	}
 	// The oldest reports are about twice as old as the mean.
 	sum, unseen, reportSpan := amount, used-a.sum, float64(max(2*k.age, 1))
 	highest := -a.limit()
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -79,7 +79,7 @@
 			delete(r.peers, id)
 			continue
 		}
-		if silent < r.silenceTimeout() {
+		if silent < r.silenceTimeout() || !r.uses(SilentCharges) {
 			continue
 		}
 		since := p.lastCharged
@@ -99,7 +99,7 @@
 	since := r.unseenChargedAt
 	r.unseenChargedAt = now
 	missing := r.HostCount - 1 - len(r.peers)
-	if missing <= 0 || r.known(now) >= r.window() {
+	if missing <= 0 || !r.uses(UnseenCharges) || r.known(now) >= r.window() {
 		return
 	}
 	for _, a := range r.accounts {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -38,6 +38,9 @@
 	// SilenceTimeout is the time without a report after which a host's usage is estimated; 500 ms if zero.
 	SilenceTimeout time.Duration
 
+	// Without holds the mechanisms that are switched off.
+	Without Mechanisms
+
 	accounts map[dotterelpulley.OrganisationID]*account
 	peers    map[dotterelpulley.HostID]*peer
 	// startedAt is when this host began to count, knownSince from when on it knows what all hosts have used.
@@ -95,7 +98,10 @@
 
 // knowledge returns how much this host knows of what all hosts have used.
 func (r *Rationer) knowledge(now time.Time) knowledge {
-	k := knowledge{reach: r.known(now)}
+	k := knowledge{reach: r.known(now), unpaced: !r.uses(CapRate)}
+	if !r.uses(UnreportedUse) {
+		return k
+	}
 	k.reportedTime = r.reportedTime.decayed(now)
 	for _, p := range r.peers {
 		if age := now.Sub(p.lastReport); age < r.silenceTimeout() {
@@ -133,7 +139,10 @@
 	r.chargeSilentHosts(now)
 	k := r.knowledge(now)
 	a.asked.add(now, rank, amount)
-	reserve := a.asked.reserve(now, rank, amount, a.recentRate(now, k))
+	reserve := Amount(0)
+	if r.uses(UrgentReserve) {
+		reserve = a.asked.reserve(now, rank, amount, a.recentRate(now, k))
+	}
 	if !a.fits(now, k, amount, reserve) {
 		return Refusal{RetryAfter: a.retryAfter(now, k, amount+reserve), Used: a.total(now, k), Allowed: a.allowed(k.reach)}, false
 	}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -153,6 +153,9 @@
 }
 
 func (s *Scheduler) unseenPeers() unseenPeers {
+	if !s.uses(UnseenPlacements) {
+		return unseenPeers{}
+	}
 	return unseenPeers{count: len(s.hostReports), delay: s.reportDelay()}
 }
 
--- a/scheduler/host_report.go
+++ b/scheduler/host_report.go
@@ -40,6 +40,9 @@
 		}
 	}
 	for _, p := range r.Paces {
+		if !s.uses(ToldPaces) {
+			break
+		}
 		if e, ok := s.endpointsByKey[p.Key]; ok {
 			e.observePeerPace(p)
 		}
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -21,6 +21,8 @@
 	ZonePenalty float64
 	// Spread is the random fraction of an endpoint's score, so that hosts with the same view choose differently; 0.2.
 	Spread float64
+	// Without holds the mechanisms that are switched off.
+	Without Mechanisms
 }
 
 // Defaults of the policy, from the trials in docs/design/choice.md.
@@ -126,13 +128,13 @@
 			continue
 		}
 		unread := v.unreadTokens(now, e, w)
-		if p == passOnTime && v.timeToFirstEvent(e, expected, unread) > time.Duration(onTimeFraction*float64(left)) {
+		if p == passOnTime && s.uses(FirstEventCheck) && v.timeToFirstEvent(e, expected, unread) > time.Duration(onTimeFraction*float64(left)) {
 			continue
 		}
-		if p == passOnTime && !v.keepsInterval(e, expected, w, unread) {
+		if p == passOnTime && s.uses(PauseCheck) && !v.keepsInterval(e, expected, w, unread) {
 			continue
 		}
-		if !v.meetsDeadline(now, e, w) {
+		if s.uses(DeadlineCheck) && !v.meetsDeadline(now, e, w) {
 			continue
 		}
 		if score := s.score(v, e, w, expected, s.savedRuns(v, w, unread)); score < lowest {
@@ -145,8 +147,11 @@
 // hasRoom reports whether the endpoint has a slot for work of this rank in this pass.
 func (s *Scheduler) hasRoom(e *endpoint, expected backlog, w Work, p pass) bool {
 	slots := float64(e.slots())
-	reserve := slots * orDefault(s.Reserve, defaultReserve) * float64(w.Rank) * holdFactor(w)
-	if p == passLate {
+	reserve := 0.0
+	if s.uses(RankReserve) {
+		reserve = slots * orDefault(s.Reserve, defaultReserve) * float64(w.Rank) * holdFactor(w)
+	}
+	if p == passLate && s.uses(LateReserve) {
 		reserve = max(reserve, slots*orDefault(s.LateReserve, defaultLateReserve))
 	}
 	return expected.runs < max(slots-math.Floor(reserve), 1)
@@ -164,9 +169,16 @@
 func (s *Scheduler) score(v *service, e *endpoint, w Work, expected backlog, saved float64) float64 {
 	interval := v.eventIntervalOf(e)
 	prompt := expected.promptTokens / float64(orDefault(s.PromptTokensPerRun, defaultPromptTokensPerRun))
-	score := interval.Seconds() * loadScore(expected.runs+1+prompt-saved) * (1 + failurePenalty*e.failureRate)
+	score := interval.Seconds() * loadScore(expected.runs+1+prompt-saved)
+	if s.uses(FailureAvoidance) {
+		score *= 1 + failurePenalty*e.failureRate
+	}
 	if e.Zone != s.Zone {
-		score *= 1 + orDefault(s.ZonePenalty, defaultZonePenalty) + v.sizePenalty(w)
+		penalty := orDefault(s.ZonePenalty, defaultZonePenalty)
+		if s.uses(SizePreference) {
+			penalty += v.sizePenalty(w)
+		}
+		score *= 1 + penalty
 	}
 	return score * (1 + orDefault(s.Spread, defaultSpread)*s.random.Float64())
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,7 +124,11 @@
 // Offer queues the work; Decide must be called afterwards.
 func (s *Scheduler) Offer(w Work) {
 	v := s.service(w.Service)
-	w.homes = v.homesOf(w.Prefix.Key)
+	if s.uses(PrefixHomes) {
+		w.homes = v.homesOf(w.Prefix.Key)
+	} else {
+		w.Prefix = Prefix{}
+	}
 	v.meanSize += sizeWeight * (float64(w.Size) - v.meanSize)
 	index, _ := slices.BinarySearchFunc(v.queue, w, compareWork)
 	v.queue = slices.Insert(v.queue, index, w)
@@ -151,7 +155,11 @@
 		return decisions
 	}
 	v.prepare(now, s.unseenPeers())
-	for _, p := range []pass{passOnTime, passLate} {
+	passes := []pass{passOnTime, passLate}
+	if !s.uses(LateWork) {
+		passes = passes[:1]
+	}
+	for _, p := range passes {
 		kept := v.queue[:0]
 		for _, w := range v.queue {
 			var e *endpoint
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -43,11 +43,11 @@
 func (s *Scheduler) yieldsToPeers(v *service, w Work, p pass) bool {
 	ahead := 0.0
 	for key, count := range s.peerWaiting {
-		if key.service == v.key && (p == passLate || key.Compare(w.Urgency) < 0) {
+		if key.service == v.key && s.uses(UrgencyOrder) && (p == passLate || key.Compare(w.Urgency) < 0) {
 			ahead += float64(count)
 		}
 	}
-	if p == passOnTime {
+	if p == passOnTime && s.uses(ArrivalOrder) {
 		ahead += s.waitingForLonger(v, w)
 	}
 	return ahead > 0 && v.freeSlots() <= ahead*holdFactor(w)
