--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -68,6 +68,8 @@
 	detector
 	random  *rand.Rand
 	members map[dotterelpulley.HostID]*Member
+	// zones holds the zones of the members by peer address.
+	zones map[dotterelpulley.Address]dotterelpulley.ZoneID
 	// seeds holds addresses whose host is unknown, with the time of the last attempt.
 	seeds map[dotterelpulley.Address]time.Time
 }
@@ -76,6 +78,7 @@
 	if a.members == nil {
 		a.random = rand.New(rand.NewPCG(a.Seed, a.Seed))
 		a.members = map[dotterelpulley.HostID]*Member{}
+		a.zones = map[dotterelpulley.Address]dotterelpulley.ZoneID{}
 		a.seeds = map[dotterelpulley.Address]time.Time{}
 		a.detector.init(a.Seed)
 	}
@@ -133,6 +136,7 @@
 		m.lastChange = 0
 	}
 	m.Digest, m.LastHeard = d, now
+	a.zones[d.PeerAddress] = d.Zone
 	return true, appeared
 }
 
@@ -210,6 +214,7 @@
 		case now.Sub(last) > forgetAfter:
 			delete(a.members, id)
 			delete(a.suspected, id)
+			delete(a.zones, m.PeerAddress)
 		case m.State == Left && now.Sub(last) < retryInterval:
 		case !a.active(now, m):
 			if now.Sub(m.lastTried) >= retryInterval {
@@ -257,6 +262,11 @@
 	})
 }
 
+// Zone returns the zone of the member with the peer address; empty if none is known there.
+func (a *Announcer) Zone(address dotterelpulley.Address) dotterelpulley.ZoneID {
+	return a.zones[address]
+}
+
 // Member returns what is known of a peer.
 func (a *Announcer) Member(id dotterelpulley.HostID) (Member, bool) {
 	m, ok := a.members[id]
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,11 +34,16 @@
 	headersSent bool
 	// writeFailed is true if the caller took no more of its answer.
 	writeFailed bool
+	// onWrite gets the number of bytes of each part of the body; nil if nobody counts them.
+	onWrite func(n int)
 }
 
 // Write writes a part of the body.
 func (w *responseWriter) Write(b []byte) (int, error) {
 	n, err := w.writer.Write(b)
+	if w.onWrite != nil {
+		w.onWrite(n)
+	}
 	w.writeFailed = w.writeFailed || err != nil
 	return n, err
 }
@@ -54,6 +59,7 @@
 
 // handleResponse relays a valid response to the caller, or decides how the request continues without it.
 func (p *proxiedRequest) handleResponse(ctx context.Context, a attempt, exchange *connector.Exchange, metadata platform.ResponseMetadata) outcome {
+	p.response.onWrite = func(n int) { p.gateway.countZoneBytes("answers", a.Endpoint.Zone, n) }
 	success := isSuccess(exchange.StatusCode)
 	switch {
 	case metadata.NotExecuted:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,6 +38,11 @@
 	m.counts.Inc(name)
 }
 
+// Add adds a number to the counter with the name.
+func (m *metrics) Add(name string, n int) {
+	m.counts.Add(name, int64(n))
+}
+
 func (m *metrics) recordLatency(name string, d time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -169,6 +169,7 @@
 // sendTo sends a message to peers.
 func (g *Gateway) sendTo(targets []dotterelpulley.Address, m announcer.Message) {
 	data := m.Encode()
+	g.countMessageBytes(targets, m, len(data))
 	for _, target := range targets {
 		at, err := netip.ParseAddrPort(string(target))
 		if err != nil {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -210,6 +210,7 @@
 		Endpoint: a.Endpoint.ID, Organisation: p.organisation,
 		Remaining: time.Until(p.deadline), LastEventID: p.lastEventID,
 	}.Apply(header)
+	p.gateway.countZoneBytes("requests", a.Endpoint.Zone, len(p.body))
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 		MatchesResponse: func(status int, h http.Header) bool {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -288,5 +288,6 @@
 	if err != nil {
 		return nil, err
 	}
+	g.countZoneBytes("relayed", reader.Zone, len(response.Msg.Marshal()))
 	return response.Msg, nil
 }
--- a/rationer/history.go
+++ b/rationer/history.go
@@ -44,7 +44,7 @@
 	r.init(now)
 	known := r.known(now)
 	slot := r.window() / (slotCount - 1)
-	if h.Known < known+slot || h.Slot.Truncate(time.Microsecond) != slot.Truncate(time.Microsecond) {
+	if h.Known < known+slot || h.Slot/time.Microsecond != slot/time.Microsecond {
 		return false
 	}
 	for id, slots := range h.Usage {
