Let unseen placements of others end with the time that runs take

Cause: on a host of the grown site each own call at one of four board endpoints stood for 29 unseen ones of 58 hosts for a quarter of a second, although a call takes 15 ms: calls waited and were refused at idle endpoints. Change: unseen placements decay with the run time as well.

--- a/emulator/fleet_change.go
+++ b/emulator/fleet_change.go
@@ -15,6 +15,9 @@
 	r.clock.schedule(wait, func() {
 		h.changing, h.changeToldAt = false, r.clock.elapsed
 		change := h.scheduler.TakeChange(r.clock.now())
+		if r.OmitWaiting {
+			change.Waiting = nil
+		}
 		r.clock.schedule(changeTransit, func() {
 			for _, other := range r.hosts {
 				if other != h {
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -230,9 +230,13 @@
 	e.runTime += time.Duration(intervalWeight * float64(elapsed-e.runTime))
 }
 
-// placementDecay returns the share of this host's recent placements that still counts as unreported.
+// placementDecay returns the share of this host's recent placements that still counts as unreported and running.
 func (e *endpoint) placementDecay(now time.Time, delay time.Duration) float64 {
-	return math.Exp(-now.Sub(e.recentAt).Seconds() / delay.Seconds())
+	rate := 1 / delay.Seconds()
+	if e.runTime > 0 {
+		rate += 1 / e.runTime.Seconds()
+	}
+	return math.Exp(-now.Sub(e.recentAt).Seconds() * rate)
 }
 
 // addPlacement records a placement of this host.
