--- a/rationer/account.go
+++ b/rationer/account.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// paceSlack is the time in seconds for which unused rate is saved up, which is long enough for requests of different sizes.
-const paceSlack = 0.5
+// savingTime is the time for which unused rate is saved up, which is long enough for requests of different sizes.
+const savingTime = 500 * time.Millisecond
 
 // account is what all hosts have used of an organisation's cap.
 type account struct {
@@ -61,8 +61,8 @@
 	reach time.Duration
 	// age is the mean age of what the peers have reported.
 	age time.Duration
-	// unpaced means that only the limit of the whole window counts.
-	unpaced bool
+	// wholeWindow means that only the limit of the whole window counts.
+	wholeWindow bool
 }
 
 // fits reports whether the amount is within the cap and leaves the reserve. One above the limit fits if nothing is used.
@@ -75,7 +75,7 @@
 // hosts that all restart after a surge would grant again what the surge has used just before, and all hosts of a large fleet
 // would use what they see left of the window at the same moment.
 func (a *account) excess(now time.Time, k knowledge, used, amount Amount) Amount {
-	if k.unpaced {
+	if k.wholeWindow {
 		return 0
 	}
 	// The oldest reports are about twice as old as the mean.
@@ -85,7 +85,7 @@
 		sum += *a.slot(a.newest - n)
 		passed := now.Sub(a.startOf(a.newest - n))
 		unseenPart := unseen * Amount(min(1, float64(passed)/reportSpan))
-		highest = max(highest, sum+unseenPart-a.Burst-a.Rate*(paceSlack+Amount(passed.Seconds())))
+		highest = max(highest, sum+unseenPart-a.Burst-a.Rate*Amount((savingTime+passed).Seconds()))
 	}
 	return highest
 }
@@ -96,8 +96,8 @@
 		return a.span
 	}
 	used := a.total(now, k)
-	behindPace := time.Duration(float64(a.excess(now, k, used, amount)/a.Rate) * float64(time.Second))
-	return min(max(a.untilWindowHas(k, used, amount), behindPace), a.span)
+	untilRateHas := time.Duration(float64(a.excess(now, k, used, amount)/a.Rate) * float64(time.Second))
+	return min(max(a.untilWindowHas(k, used, amount), untilRateHas), a.span)
 }
 
 // untilWindowHas returns the time until enough of the usage has left the window, or enough of the window is known.
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -98,7 +98,7 @@
 
 // knowledge returns how much this host knows of what all hosts have used.
 func (r *Rationer) knowledge(now time.Time) knowledge {
-	k := knowledge{reach: r.known(now), unpaced: !r.uses(CapRate)}
+	k := knowledge{reach: r.known(now), wholeWindow: !r.uses(CapRate)}
 	if !r.uses(UnreportedUse) {
 		return k
 	}
