--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -207,6 +207,24 @@
 	c.Assert(remaining, qt.Equals, Amount(1000-200), qt.Commentf("the assumed usage is refunded when the host reports none"))
 }
 
+// What a silent host may have used counts against the rate too, until it reports.
+func TestARequestIsRefusedForTheShareOfASilentHost(t *testing.T) {
+	c := qt.New(t)
+	var r Rationer
+	r.SetCap(start, organisation, Cap{Rate: 100, Burst: 200})
+	// Times are counted from the start of a slot.
+	now := start.Add(500 * (defaultWindow / (slotCount - 1)))
+	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	_, ok := r.Admit(now, organisation, 200, 0)
+	c.Assert(ok, qt.IsTrue)
+	now = now.Add(2 * time.Second)
+	_, ok = r.Admit(now, organisation, 245, 0)
+	c.Assert(ok, qt.IsFalse)
+	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	_, ok = r.Admit(now, organisation, 245, 0)
+	c.Assert(ok, qt.IsTrue)
+}
+
 // Hosts that receive each other's reports late exceed the cap at most by what they can admit within that delay.
 func TestHostsEnforceTheCapTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/scheduler/change_test.go
+++ b/scheduler/change_test.go
@@ -116,3 +116,21 @@
 	_, placed := offer(s, later.Arrived, later).(Placed)
 	c.Assert(placed, qt.IsTrue)
 }
+
+// One call of this host among 58 others stands for many that it hasn't heard of, but they end as soon as its own.
+func TestUnseenPlacementsEndWithTheTimeThatRunsTake(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(6, "a")
+	for i := range 58 {
+		s.SetHostReport(start, dotterelpulley.HostID(fmt.Sprint(i)), HostReport{})
+	}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	offer(s, at(0), work(1))
+	s.Ended(at(15), 1, ResultCompleted)
+	offer(s, at(1000), work(2))
+	s.Ended(at(1015), 2, ResultCompleted)
+	later := work(3)
+	later.Arrived = at(1060)
+	_, placed := offer(s, at(1060), later).(Placed)
+	c.Assert(placed, qt.IsTrue)
+}
