Say what kept refused requests from endpoints

The scheduler counts obstacles while work waits; the refused line lists them, and unplaced-OBSTACLE counts the main one. The line of a cut stream says how many events had come.

Order is one check a decision, the others one an endpoint.

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -153,7 +153,8 @@
 		if decision.Reason == scheduler.ReasonNoEndpoint {
 			kind = dotterelpulley.ErrorNoEndpoint
 		}
-		refused := newRefusal(kind, fmt.Sprintf("%s, %d waiting", decision.Reason, decision.Waiting))
+		p.gateway.metrics.Inc("unplaced-" + decision.Obstacles.Main().String())
+		refused := newRefusal(kind, fmt.Sprintf("%s, %d waiting, obstacles: %s", decision.Reason, decision.Waiting, decision.Obstacles))
 		refused.retryAfter = decision.RetryAfter
 		return scheduler.Placed{}, refused
 	}
@@ -421,7 +422,7 @@
 	switch {
 	case p.response.headersSent:
 		p.gateway.metrics.Inc("answers-cut")
-		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).
+		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).Int("events", p.events).
 			Str("not-continued", p.notContinued).Err(p.lastError).Msg("")
 		panic(http.ErrAbortHandler)
 	case p.runs == 0:
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -119,43 +119,57 @@
 func (s *Scheduler) chooseAmong(now time.Time, v *service, w Work, p pass, matches func(*endpoint) bool) *endpoint {
 	var best *endpoint
 	lowest := math.Inf(1)
-	left := w.Arrived.Add(w.Objective).Sub(now)
 	for _, e := range v.sorted {
 		if !e.available || w.ExcludedEndpoints[e.ID] || !matches(e) {
-			continue
-		}
-		expected := e.expected
-		if !s.hasRoom(e, expected, w, p) {
+			w.recordObstacle(now, p, ObstacleUnavailable)
 			continue
 		}
 		unread := v.unreadTokens(now, e, w)
-		if p == passOnTime && s.uses(FirstEventCheck) && v.timeToFirstEvent(e, expected, unread) > time.Duration(onTimeFraction*float64(left)) {
-			continue
-		}
-		if p == passOnTime && s.uses(PauseCheck) && !v.keepsInterval(e, expected, w, unread) {
-			continue
-		}
-		if s.uses(DeadlineCheck) && !v.meetsDeadline(now, e, w) {
+		if obstacle, met := s.obstacle(now, v, e, w, p, unread); met {
+			w.recordObstacle(now, p, obstacle)
 			continue
 		}
-		if score := s.score(v, e, w, expected, s.savedRuns(v, w, unread)); score < lowest {
+		if score := s.score(v, e, w, e.expected, s.savedRuns(v, w, unread)); score < lowest {
 			best, lowest = e, score
 		}
 	}
 	return best
 }
 
-// hasRoom reports whether the endpoint has a slot for work of this rank in this pass.
-func (s *Scheduler) hasRoom(e *endpoint, expected backlog, w Work, p pass) bool {
+// obstacle returns what keeps the work from an available endpoint in this pass, if anything does.
+func (s *Scheduler) obstacle(now time.Time, v *service, e *endpoint, w Work, p pass, unread float64) (Obstacle, bool) {
+	if obstacle, met := s.slotObstacle(e, w, p); met {
+		return obstacle, true
+	}
+	left := w.Arrived.Add(w.Objective).Sub(now)
+	switch {
+	case p == passOnTime && s.uses(FirstEventCheck) && v.timeToFirstEvent(e, e.expected, unread) > time.Duration(onTimeFraction*float64(left)):
+		return ObstacleFirstEvent, true
+	case p == passOnTime && s.uses(PauseCheck) && !v.keepsInterval(e, e.expected, w, unread):
+		return ObstaclePause, true
+	case s.uses(DeadlineCheck) && !v.meetsDeadline(now, e, w):
+		return ObstacleDeadline, true
+	}
+	return 0, false
+}
+
+// slotObstacle returns why the endpoint has no slot for work of this rank in this pass, if it has none.
+func (s *Scheduler) slotObstacle(e *endpoint, w Work, p pass) (Obstacle, bool) {
 	slots := float64(e.slots())
-	reserve := 0.0
+	obstacle, reserve := ObstacleReserve, 0.0
 	if s.uses(RankReserve) {
 		reserve = slots * orDefault(s.Reserve, defaultReserve) * float64(w.Rank) * holdFactor(w)
 	}
-	if p == passLate && s.uses(LateReserve) {
-		reserve = max(reserve, slots*orDefault(s.LateReserve, defaultLateReserve))
+	if late := slots * orDefault(s.LateReserve, defaultLateReserve); p == passLate && s.uses(LateReserve) && late > reserve {
+		obstacle, reserve = ObstacleLateReserve, late
+	}
+	switch runs := e.expected.runs; {
+	case runs < max(slots-math.Floor(reserve), 1):
+		return 0, false
+	case runs < slots:
+		return obstacle, true
 	}
-	return expected.runs < max(slots-math.Floor(reserve), 1)
+	return ObstacleFull, true
 }
 
 // holdFactor returns how long the work holds its slot relative to a full answer: at most 1, less for a short answer.
@@ -206,7 +220,7 @@
 	if !v.anyUsable(now) {
 		reason = ReasonNoEndpoint
 	}
-	return Refused{ID: w.ID, Reason: reason, RetryAfter: s.retryAfter(now, v, w), Waiting: len(v.queue)}
+	return Refused{ID: w.ID, Reason: reason, RetryAfter: s.retryAfter(now, v, w), Waiting: len(v.queue), Obstacles: *w.obstacles}
 }
 
 // retryAfter returns the delay before the caller may retry: the time to serve the queue at the rate of starts of the last
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,6 +131,7 @@
 	} else {
 		w.Prefix = Prefix{}
 	}
+	w.obstacles = &Obstacles{}
 	v.meanSize += sizeWeight * (float64(w.Size) - v.meanSize)
 	index, _ := slices.BinarySearchFunc(v.queue, w, compareWork)
 	v.queue = slices.Insert(v.queue, index, w)
@@ -165,7 +166,9 @@
 		kept := v.queue[:0]
 		for _, w := range v.queue {
 			var e *endpoint
-			if !s.yieldsToPeers(v, w, p) {
+			if s.yieldsToPeers(v, w, p) {
+				w.recordObstacle(now, p, ObstacleOrder)
+			} else {
 				e = s.choose(now, v, w, p)
 			}
 			if e == nil {
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -54,6 +54,8 @@
 
 	// homes are those of Prefix when the work was offered.
 	homes homes
+	// obstacles counts what has kept the work from endpoints.
+	obstacles *Obstacles
 }
 
 // Reason is why work was refused.
@@ -96,6 +98,8 @@
 	RetryAfter time.Duration
 	// Waiting is the number of requests of the service that wait on this host.
 	Waiting int
+	// Obstacles counts what kept the work from the endpoints while it waited.
+	Obstacles Obstacles
 }
 
 func (Placed) decision()  {}
