--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -38,6 +39,8 @@
 	Start    time.Duration
 	Duration time.Duration
 	Factor   float64
+	// Kinds are the indexes of the kinds whose rate rises; all if empty.
+	Kinds []int
 }
 
 // Slowdown makes one engine slower for a period.
@@ -88,6 +91,7 @@
 	Cancelled int
 	// Largest counts the requests with the longest tenth of the answers.
 	Largest SizeResult
+	sizes   sizedOutcomes
 	// LateByInterval counts the answers that were late only because of an event interval.
 	LateByInterval int
 	Worth          float64
@@ -150,7 +154,9 @@
 	worth  float64
 	prefix scheduler.Prefix
 	// largest reports whether the answer is among the longest tenth of its kind.
-	largest          bool
+	largest bool
+	// outcome is the index among the outcomes of its kind by size.
+	outcome          int
 	firstEventAt     time.Time
 	lastEventAt      time.Time
 	arrived          time.Time
@@ -215,7 +221,7 @@
 func (r *fleetRun) rate(kind int) float64 {
 	rate := r.Kinds[kind].RequestsPerSecond
 	for _, s := range r.Surges {
-		if at := r.clock.elapsed; at >= s.Start && at < s.Start+s.Duration {
+		if at := r.clock.elapsed; at >= s.Start && at < s.Start+s.Duration && (len(s.Kinds) == 0 || slices.Contains(s.Kinds, kind)) {
 			rate *= s.Factor
 		}
 	}
@@ -237,12 +243,16 @@
 		req.prefix = r.drawPrefix(req.kind)
 		req.prompt = max(int(float64(req.prompt)*(1-k.PrefixShare)), 1) + int(req.prefix.Tokens)
 	}
-	relativeSize := float64(req.prompt+10*req.output) / (k.PromptTokens + 10*k.OutputTokens)
+	relativeSize := float64(req.prompt+answerTokenSize*req.output) / (k.PromptTokens + answerTokenSize*k.OutputTokens)
 	req.worth = min(0.3+0.7*relativeSize, 4)
 	req.largest = req.output > k.largestTenthOutput()
 	if req.largest {
 		r.result.Kinds[kind].Largest.Requests++
 	}
+	req.outcome = r.result.Kinds[kind].sizes.add(req.prompt + answerTokenSize*req.output)
+	if k.Deadline > 0 {
+		r.clock.schedule(k.Deadline, func() { r.cancel(req) })
+	}
 	r.result.Kinds[kind].Requests++
 	r.result.Kinds[kind].MaxWorth += k.Worth * req.worth
 	r.offer(req)
@@ -405,7 +415,12 @@
 	}
 	req.ended = true
 	*count++
-	if result := &r.result.Kinds[req.kind]; req.largest && (count == &result.OnTime || count == &result.Late) {
+	result := &r.result.Kinds[req.kind]
+	if count != &result.OnTime && count != &result.Late {
+		return
+	}
+	result.sizes[req.outcome].answered = true
+	if req.largest {
 		result.Largest.Answered++
 	}
 }
--- /dev/null
+++ b/emulator/largest_requests_test.go
@@ -0,0 +1,54 @@
+package emulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// surgesOfOneKind returns surges of all kinds and, beside them, stronger ones of one kind.
+func surgesOfOneKind(kind int) []Surge {
+	return []Surge{
+		{Start: 2 * time.Second, Duration: 12 * time.Second, Factor: 1.9},
+		{Start: 3 * time.Second, Duration: 8 * time.Second, Factor: 2.5, Kinds: []int{kind}},
+		{Start: 13 * time.Second, Duration: 6 * time.Second, Factor: 3, Kinds: []int{kind}},
+	}
+}
+
+// Guards against slots that become free one by one and all go to the smallest requests of a kind.
+func TestSurgesOfOneKindDoNotStarveItsLargestRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a long simulation without goroutines for the race detector; the whole run has it")
+	}
+	const seeds = 2
+	for name, fleet := range map[string]func(seed uint64) Fleet{
+		"rooms": roomsFleet,
+		"plans": func(seed uint64) Fleet { return surgeFleet(seed, 0) },
+	} {
+		for surging := 1; surging < len(fleet(0).Kinds); surging++ {
+			t.Run(fmt.Sprintf("%s, surges of kind %d", name, surging), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				var all, largest, fifthBelow [3]float64
+				for seed := range uint64(seeds) {
+					f := fleet(seed)
+					f.ChangeInterval = 10 * time.Millisecond
+					f.Duration, f.Surges = 24*time.Second, surgesOfOneKind(surging)
+					for i, k := range f.Run().Kinds {
+						all[i] += k.AnsweredFraction() / seeds
+						largest[i] += k.AnsweredBySize(0.9, 1) / seeds
+						fifthBelow[i] += k.AnsweredBySize(0.7, 0.9) / seeds
+					}
+				}
+				c.Logf("of all %.2f, of the largest tenth %.2f, of the fifth below %.2f", all, largest, fifthBelow)
+				for i := range all {
+					// The users' acceptance test requires half.
+					c.Check(largest[i] >= 0.5*all[i], qt.IsTrue, qt.Commentf("kind %d", i))
+					c.Check(fifthBelow[i] >= 0.5*all[i], qt.IsTrue, qt.Commentf("kind %d", i))
+				}
+			})
+		}
+	}
+}
