Let all sizes of a kind have the same claim to the last slots

Cause: the reserve by rank and the order of work over hosts went by the request's own expected answer. A chat below 125 tokens might take the last slot of an endpoint and left one hardly ever to work on other hosts, a longer one always gave way, however long it had waited. While slots become free one by one, only the smallest found any. The class: a preference by a property of the request, without a bound on what the others still get.

The refused ones met the order of work over hosts most.

Now the mean answer of the kind decides, so that waiting time alone orders the requests of a kind. Between kinds nothing changes.

Test: TestTheLastSlotsAreTheSameToAllSizesOfAKind and TestAllSizesOfAKindYieldAlikeToOtherHosts fail on the code before.

--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -158,7 +158,7 @@
 	slots := float64(e.slots())
 	obstacle, reserve := ObstacleReserve, 0.0
 	if s.uses(RankReserve) {
-		reserve = slots * orDefault(s.Reserve, defaultReserve) * float64(w.Rank) * holdFactor(w)
+		reserve = slots * orDefault(s.Reserve, defaultReserve) * float64(w.Rank) * w.kind.holdFactor()
 	}
 	if late := slots * orDefault(s.LateReserve, defaultLateReserve); p == passLate && s.uses(LateReserve) && late > reserve {
 		obstacle, reserve = ObstacleLateReserve, late
@@ -172,14 +172,6 @@
 	return ObstacleFull, true
 }
 
-// holdFactor returns how long the work holds its slot relative to a full answer: at most 1, less for a short answer.
-func holdFactor(w Work) float64 {
-	if w.Answer == 0 {
-		return 1
-	}
-	return min(float64(w.Answer)/fullAnswerTokens, 1)
-}
-
 // score returns the relative time that the endpoint would take, lower is better.
 func (s *Scheduler) score(v *service, e *endpoint, w Work, expected backlog, saved float64) float64 {
 	interval := v.eventIntervalOf(e)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,6 +51,7 @@
 	freeShare float64
 	// meanSize is the average size of recent work.
 	meanSize  float64
+	kinds     kinds
 	placed    placedPrefixes
 	homeRates homeRates
 	split     splitState
@@ -131,7 +132,8 @@
 	} else {
 		w.Prefix = Prefix{}
 	}
-	w.obstacles = &Obstacles{}
+	w.obstacles, w.kind = &Obstacles{}, v.kinds.of(w.Route)
+	w.kind.offered(w)
 	v.meanSize += sizeWeight * (float64(w.Size) - v.meanSize)
 	index, _ := slices.BinarySearchFunc(v.queue, w, compareWork)
 	v.queue = slices.Insert(v.queue, index, w)
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -38,7 +38,7 @@
 }
 
 // yieldsToPeers reports whether the free slots are needed by work that waits on other hosts and is more urgent, or as urgent
-// and waits for longer; a short answer holds a slot only briefly and so yields less. Without this order, all hosts would place
+// and waits for longer; a kind with short answers holds slots only briefly and so yields less. Without this order, all hosts would place
 // their next work on a slot that becomes free.
 func (s *Scheduler) yieldsToPeers(v *service, w Work, p pass) bool {
 	ahead := 0.0
@@ -50,7 +50,7 @@
 	if p == passOnTime && s.hearsAllChanges() && s.uses(ArrivalOrder) {
 		ahead += s.waitingForLonger(v, w)
 	}
-	return ahead > 0 && v.freeSlots() <= ahead*holdFactor(w)
+	return ahead > 0 && v.freeSlots() <= ahead*w.kind.holdFactor()
 }
 
 // hearsAllChanges reports whether all hosts tell this one of their changes at once. In a larger fleet much of what is said to
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -54,6 +54,8 @@
 
 	// homes are those of Prefix when the work was offered.
 	homes homes
+	// kind is that of the route.
+	kind *kind
 	// obstacles counts what has kept the work from endpoints.
 	obstacles *Obstacles
 }
