Order the requests of a kind so that no size is refused much more often

Cause, the same class: the checks of the first event and of pauses let a short prompt be placed later than a long one, and in order of arrival all wait until only short ones can still be on time.

A kind's turn now comes earlier for the sizes that are refused more often: each decision moves it by how far the refusals depend on the rank by size, whatever the reason. On the wire the field of the oldest request stays a duration; an older build takes it for a wait of up to one objective more.

--- a/scheduler/kind_test.go
+++ b/scheduler/kind_test.go
@@ -50,3 +50,36 @@
 	_, ok := d.(Placed)
 	return ok
 }
+
+func TestTheSizeThatIsRefusedMoreOftenComesEarlier(t *testing.T) {
+	c := qt.New(t)
+	decideAll := func(k *kind, isRefused func(rank float64) bool) {
+		for i := range 400 {
+			w := Work{sizeRank: float64(i%10) / 9}
+			k.decided(w, isRefused(w.sizeRank))
+		}
+	}
+	var k kind
+	decideAll(&k, func(float64) bool { return false })
+	c.Check(k.advance, qt.Equals, 0.0)
+	decideAll(&k, func(rank float64) bool { return rank > 0.5 })
+	c.Check(k.advance > 0.5*maxAdvance, qt.IsTrue, qt.Commentf("advance %.2f", k.advance))
+
+	large := Work{Arrived: start, Objective: time.Second, sizeRank: 1}
+	small := Work{Arrived: start, Objective: time.Second}
+	c.Check(k.turn(large).Before(k.turn(small)), qt.IsTrue)
+
+	decideAll(&k, func(rank float64) bool { return rank < 0.5 })
+	c.Check(k.turn(small).Before(k.turn(large)), qt.IsTrue)
+}
+
+func TestSizeRanksFollowRecentWork(t *testing.T) {
+	c := qt.New(t)
+	var k kind
+	for i := range 2 * kindSamples {
+		k.offered(Work{Prompt: dotterelpulley.Tokens(1 + i%10)})
+	}
+	c.Check(k.offered(Work{Prompt: 100}), qt.Equals, 1.0)
+	c.Check(k.offered(Work{}), qt.Equals, 0.0)
+	c.Check(k.offered(Work{Answer: 1000}), qt.Equals, 1.0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -133,15 +133,16 @@
 		w.Prefix = Prefix{}
 	}
 	w.obstacles, w.kind = &Obstacles{}, v.kinds.of(w.Route)
-	w.kind.offered(w)
+	w.sizeRank = w.kind.offered(w)
+	w.turn = w.kind.turn(w)
 	v.meanSize += sizeWeight * (float64(w.Size) - v.meanSize)
 	index, _ := slices.BinarySearchFunc(v.queue, w, compareWork)
 	v.queue = slices.Insert(v.queue, index, w)
 }
 
-// compareWork orders queued work by urgency, then by arrival.
+// compareWork orders queued work by urgency, then by its turn.
 func compareWork(a, b Work) int {
-	return cmp.Or(a.Compare(b.Urgency), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(a.Compare(b.Urgency), a.turn.Compare(b.turn), cmp.Compare(a.ID, b.ID))
 }
 
 // Decide places queued work on endpoints with room and refuses work that has waited too long.
@@ -177,6 +178,7 @@
 				kept = append(kept, w)
 				continue
 			}
+			w.kind.decided(w, false)
 			decisions = append(decisions, Placed{ID: w.ID, Endpoint: e.Endpoint, Load: e.load(), LoadAge: s.loadAge(now)})
 			s.start(now, v, w, e)
 			e.expected = e.estimateBacklog(now, s.unseenPeers(now))
@@ -196,6 +198,7 @@
 			kept = append(kept, w)
 			continue
 		}
+		w.kind.decided(w, true)
 		decisions = append(decisions, s.refuse(now, v, w))
 	}
 	clear(v.queue[len(kept):])
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -8,7 +8,7 @@
 	// Service is the hash that identifies the service.
 	Service uint32
 	Count   int
-	// Oldest is the time since the first of them arrived.
+	// Oldest is the time since the first of them arrived, or longer if its kind's large or small work comes earlier.
 	Oldest time.Duration
 }
 
@@ -25,7 +25,7 @@
 				counts[n-1].Count++
 				continue
 			}
-			counts = append(counts, WaitingCount{Urgency: w.Urgency, Service: v.key, Count: 1, Oldest: now.Sub(w.Arrived)})
+			counts = append(counts, WaitingCount{Urgency: w.Urgency, Service: v.key, Count: 1, Oldest: now.Sub(w.turn)})
 		}
 	}
 	return counts
@@ -67,7 +67,7 @@
 			if waiting.Service != v.key || waiting.Urgency != w.Urgency || waiting.Oldest <= 0 {
 				continue
 			}
-			ahead := w.Arrived.Sub(h.receivedAt.Add(-waiting.Oldest))
+			ahead := w.turn.Sub(h.receivedAt.Add(-waiting.Oldest))
 			if ahead > 0 {
 				// Those after the first are taken to have arrived evenly.
 				earlier += 1 + float64(waiting.Count-1)*min(float64(ahead)/float64(waiting.Oldest), 1)
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -54,8 +54,11 @@
 
 	// homes are those of Prefix when the work was offered.
 	homes homes
-	// kind is that of the route.
-	kind *kind
+	// kind is that of the route, sizeRank the work's rank in it by size: 0 the smallest, 1 the largest.
+	kind     *kind
+	sizeRank float64
+	// turn is the time by which work of the same urgency is ordered.
+	turn time.Time
 	// obstacles counts what has kept the work from endpoints.
 	obstacles *Obstacles
 }
