Tell callers to come back by the rate at which their kind starts

Callers of chats were refused again and again in a surge: all kinds were told a delay by all starts of the service, a third of a second while only more urgent kinds started.

The delay now is the time in which what waits of the kind is served at the rate of the kind's own starts, within the same bounds.

Test: TestAKindThatStartsSeldomIsToldToComeBackLater; before, both kinds got 0.7 s.

--- a/scheduler/kind.go
+++ b/scheduler/kind.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -34,6 +35,8 @@
 	// sizes are those of recent work, of which next is overwritten next.
 	sizes [kindSamples]float64
 	next  int
+	// starts counts recent starts, from which retry delays are computed.
+	starts decayingCount
 	// refused is the fraction of recent work that was refused.
 	refused float64
 	// advance is the part of its objective by which the largest work comes before the smallest that arrived at the same time;
@@ -105,3 +108,20 @@
 	expected := k.refused + sizeSlope*size*k.refused*(1-k.refused)
 	k.advance = min(max(k.advance+advanceGain*size*(outcome-expected), -maxAdvance), maxAdvance)
 }
+
+// decayingCount counts events of about the last startRateWindow; the zero value is empty.
+type decayingCount struct {
+	count float64
+	at    time.Time
+}
+
+func (c *decayingCount) add(now time.Time) {
+	c.count, c.at = c.decayed(now)+1, now
+}
+
+func (c *decayingCount) decayed(now time.Time) float64 {
+	if c.count == 0 {
+		return 0
+	}
+	return c.count * math.Exp(-max(now.Sub(c.at).Seconds(), 0)/startRateWindow.Seconds())
+}
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -45,6 +45,8 @@
 	retrySpread = 0.3
 	// startRateWindow is the time constant over which the rate of starts is measured.
 	startRateWindow = time.Second
+	// minStarts is the number of recent starts that a kind is taken to have at least.
+	minStarts = 0.1
 	// fullAnswerTokens is the answer length from which work counts as holding its slot for the full time.
 	fullAnswerTokens = 200
 )
@@ -199,14 +201,6 @@
 	return 1 / (2 - runs)
 }
 
-// decayStarts decays the count of recent starts to the present.
-func (v *service) decayStarts(now time.Time) {
-	if elapsed := now.Sub(v.recentStartsAt); elapsed > 0 {
-		v.recentStarts *= math.Exp(-elapsed.Seconds() / startRateWindow.Seconds())
-		v.recentStartsAt = now
-	}
-}
-
 func (s *Scheduler) refuse(now time.Time, v *service, w Work) Refused {
 	reason := ReasonLoad
 	if !v.anyUsable(now) {
@@ -215,11 +209,17 @@
 	return Refused{ID: w.ID, Reason: reason, RetryAfter: s.retryAfter(now, v, w), Waiting: len(v.queue), Obstacles: *w.obstacles}
 }
 
-// retryAfter returns the delay before the caller may retry: the time to serve the queue at the rate of starts of the last
-// second, but soon enough before the deadline for the request to be served, and with a random spread.
+// retryAfter returns the delay before the caller may retry: the time to serve what waits of its kind at the rate of the kind's
+// starts, but soon enough before the deadline for the request to be served, and with a random spread. A kind that starts seldom,
+// as more urgent ones take what becomes free, would only be refused again soon.
 func (s *Scheduler) retryAfter(now time.Time, v *service, w Work) time.Duration {
-	v.decayStarts(now)
-	after := time.Duration(float64(len(v.queue)) / max(v.recentStarts, 1) * float64(startRateWindow))
+	waiting := 0
+	for _, other := range v.queue {
+		if other.kind == w.kind {
+			waiting++
+		}
+	}
+	after := time.Duration(float64(max(waiting, 1)) / max(w.kind.starts.decayed(now), minStarts) * float64(startRateWindow))
 	latest := maxRetryAfter
 	if !w.Deadline.IsZero() {
 		latest = min(latest, time.Duration(retryFraction*float64(w.Deadline.Sub(now))))
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -36,8 +36,7 @@
 		e.lastActivity = now
 	}
 	s.runs[w.ID] = &run{Work: w, endpoint: e, placedAt: now, unread: unread, tokensAhead: e.pendingPrompt + e.peerLoad.Prompt}
-	v.decayStarts(now)
-	v.recentStarts++
+	v.kinds.of(w.Route).starts.add(now)
 }
 
 // ObserveFirstEvent records the first event of a run, which shows that its prompt has been prefilled.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,9 +55,6 @@
 	placed    placedPrefixes
 	homeRates homeRates
 	split     splitState
-	// recentStarts is the decayed number of recent starts, from which retry delays are computed.
-	recentStarts   float64
-	recentStartsAt time.Time
 }
 
 func (s *Scheduler) init() {
