Measure how many tokens an event holds

A constant that holds for one deployment only.

The scheduler now averages the expected tokens and the events of whole answers, for each service; five until the first one. The check of pauses goes by it as well.

Test: TestTheTokensInAnEventAreMeasured, with 1, 3 and 8 tokens; with 1 and 3 long answers began, and with 8 short ones were held back, before.

--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -1,12 +1,18 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
 
 const (
 	// chunkTokens is the number of prompt tokens that an engine prefills between two decode steps, a common default.
 	chunkTokens = 1024
-	// stepsPerEvent is the number of decode steps, and so of tokens, in an event.
-	stepsPerEvent = 5
+	// defaultTokensPerEvent is the number of tokens, and so of decode steps, in an event while none has been measured.
+	defaultTokensPerEvent = 5
+	// tokensPerEventSamples is the number of whole answers over which the tokens in an event are averaged.
+	tokensPerEventSamples = 100
 	// defaultPrefillPerToken is the time per prompt token while no engine has been measured.
 	defaultPrefillPerToken = 25 * time.Microsecond
 	// onTimeFraction is the fraction of the remaining objective that the expected time to the first event may take.
@@ -31,7 +37,7 @@
 	}
 	chunk := v.prefillPerTokenOf(e) * chunkTokens
 	chunks := int(w.MaxEventInterval / max(chunk, 1))
-	if chunks >= stepsPerEvent {
+	if float64(chunks) >= v.tokensPerEvent() {
 		return true
 	}
 	return expected.promptTokens+unread <= float64(chunks*chunkTokens)
@@ -43,10 +49,28 @@
 	if w.Answer == 0 || w.Prompt == 0 || w.Deadline.IsZero() {
 		return true
 	}
-	events := float64(w.Answer) / stepsPerEvent
-	left := time.Duration(finishFraction * float64(w.Deadline.Sub(now)))
-	answerTime := func(interval time.Duration) time.Duration { return time.Duration(events * float64(interval)) }
-	return answerTime(v.eventIntervalOf(e)) <= left || answerTime(v.eventInterval) > left
+	events := float64(w.Answer) / v.tokensPerEvent()
+	left := finishFraction * float64(w.Deadline.Sub(now))
+	interval := float64(v.eventIntervalOf(e))
+	return events*interval <= left || events*float64(v.eventInterval) > left
+}
+
+// observeAnswer updates the number of tokens in an event with a whole answer of the expected length.
+func (v *service) observeAnswer(tokens dotterelpulley.Tokens, events int) {
+	if tokens <= 0 || events <= 0 {
+		return
+	}
+	const kept = 1 - 1.0/tokensPerEventSamples
+	v.answerTokens = v.answerTokens*kept + float64(tokens)
+	v.answerEvents = v.answerEvents*kept + float64(events)
+}
+
+// tokensPerEvent returns the average number of tokens in an event.
+func (v *service) tokensPerEvent() float64 {
+	if v.answerEvents == 0 {
+		return defaultTokensPerEvent
+	}
+	return max(v.answerTokens/v.answerEvents, 1)
 }
 
 func (v *service) eventIntervalOf(e *endpoint) time.Duration {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -81,6 +81,9 @@
 	r.endPrefill()
 	if result == ResultCompleted {
 		r.endpoint.observeRun(now.Sub(r.placedAt))
+		if r.streaming {
+			s.service(r.Service).observeAnswer(r.Answer, r.events)
+		}
 	}
 	delete(s.runs, id)
 	r.endpoint.running--
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,7 +46,10 @@
 	// eventInterval and prefillPerToken are assumed for endpoints without a measurement.
 	eventInterval   time.Duration
 	prefillPerToken time.Duration
-	queue           []Work
+	// answerTokens and answerEvents are decayed sums over whole answers, from which the number of tokens in an event follows.
+	answerTokens float64
+	answerEvents float64
+	queue        []Work
 	// freeShare is the estimated share of free slots on the available endpoints.
 	freeShare float64
 	// meanSize is the average size of recent work.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -214,21 +214,52 @@
 	}
 	long := work(id + 1)
 	// 200 events take 2 s on the fast endpoint and 20 s on the slow one; the deadline is 10 s.
-	long.Prompt, long.Answer = 100, 200*stepsPerEvent
+	long.Prompt, long.Answer = 100, 200*defaultTokensPerEvent
 	c.Assert(offer(s, start, long).(Placed).Endpoint.ID, qt.Equals, dotterelpulley.EndpointID("quick"))
 	next := long
 	next.ID++
 	c.Assert(offer(s, start, next), qt.IsNil)
 	short := long
-	short.ID, short.Answer = id+3, 50*stepsPerEvent
+	short.ID, short.Answer = id+3, 50*defaultTokensPerEvent
 	c.Assert(offer(s, start, short).(Placed).Endpoint.ID, qt.Equals, dotterelpulley.EndpointID("slow"))
 	// Work that no endpoint can complete in time is placed wherever there is room.
 	endless := long
-	endless.ID, endless.Answer = id+4, 10_000*stepsPerEvent
+	endless.ID, endless.Answer = id+4, 10_000*defaultTokensPerEvent
 	s.Ended(start, short.ID, ResultCompleted)
 	c.Assert(offer(s, start, endless), qt.IsNotNil)
 }
 
+// Guards against long answers that are begun where they can't end, as events hold fewer tokens than elsewhere.
+func TestTheTokensInAnEventAreMeasured(t *testing.T) {
+	c := qt.New(t)
+	for _, perEvent := range []int{1, 3, 8} {
+		s := newScheduler(1, "quick", "slow")
+		id := ID(0)
+		for range 20 {
+			for endpoint, gap := range map[dotterelpulley.EndpointID]time.Duration{"quick": 10 * time.Millisecond, "slow": 100 * time.Millisecond} {
+				id++
+				w := work(id)
+				w.Prompt, w.Answer = 10, 60
+				s.RecordPlacement(start, w, endpoint)
+				s.ObserveFirstEvent(start, id)
+				for range 60/perEvent - 1 {
+					s.ObserveInterval(start, id, gap)
+				}
+				s.Ended(start, id, ResultCompleted)
+			}
+		}
+		blocker := work(id + 1)
+		c.Assert(offer(s, start, blocker).(Placed).Endpoint.ID, qt.Equals, dotterelpulley.EndpointID("quick"))
+		// The slow endpoint completes 90 events of 100 ms within nine tenths of the deadline of 10 s.
+		long, short := work(id+2), work(id+3)
+		long.Prompt, long.Answer = 10, dotterelpulley.Tokens(100*perEvent)
+		short.Prompt, short.Answer = 10, dotterelpulley.Tokens(80*perEvent)
+		comment := qt.Commentf("%d tokens in an event", perEvent)
+		c.Check(offer(s, start, long), qt.IsNil, comment)
+		c.Check(offer(s, start, short), qt.Satisfies, isPlaced, comment)
+	}
+}
+
 // The sums of running and waiting work are updated incrementally with each host report.
 func TestPeerSumsMatchTheLastHostReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
