Read what earlier builds write, and lose no digest for one part of it

A part that can't be read now costs only itself; it is counted and logged once for each host and field. The time of waiting work may be missing. Usage is read in both shapes: they are told apart by whether the amount and the name can be ones, so that nothing that can't be read makes an organisation.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -88,6 +88,8 @@
 	UnreachableServices []uint32
 	// BrittleServices are the services whose endpoints told the host that they are brittle.
 	BrittleServices []BrittleService
+	// Unreadable holds the parts that couldn't be read; it isn't sent.
+	Unreadable []UnreadablePart
 }
 
 // Rollout is how far the roll-out of an order has come.
@@ -265,13 +267,17 @@
 }
 
 func decodeWaiting(b []byte) (Waiting, error) {
-	v, err := consumeNumbers(b, 5)
+	const required = 4
+	v, err := consumeNumbers(b, required)
 	if err != nil {
 		return Waiting{}, err
 	}
-	return Waiting{
-		Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3]), Oldest: time.Duration(min(v[4], maxMilliseconds)) * time.Millisecond,
-	}, nil
+	w := Waiting{Service: uint32(v[0]), Priority: int(v[1]), Rank: int(v[2]), Count: int(v[3])}
+	// Builds before 9dca8b7 don't tell the time; without it, the work counts as the latest of its urgency.
+	if v, err := consumeNumbers(b, required+1); err == nil {
+		w.Oldest = time.Duration(min(v[required], maxMilliseconds)) * time.Millisecond
+	}
+	return w, nil
 }
 
 func appendNumbers(b []byte, field fields.Number, values ...uint64) []byte {
@@ -285,7 +291,7 @@
 // decodeDigest parses an encoded digest.
 func decodeDigest(b []byte) (Digest, error) {
 	d := Digest{Usage: map[dotterelpulley.OrganisationID]float64{}}
-	if err := fields.Each(b, d.setNumber, d.setBytes); err != nil {
+	if err := fields.Each(b, d.setNumber, d.setPart); err != nil {
 		return Digest{}, fmt.Errorf("decode digest: %w", err)
 	}
 	if d.ID == "" {
@@ -319,6 +325,14 @@
 	}
 }
 
+// setPart sets a part of the digest; one that can't be read costs none of the others.
+func (d *Digest) setPart(number fields.Number, value []byte) error {
+	if err := d.setBytes(number, value); err != nil {
+		d.Unreadable = append(d.Unreadable, UnreadablePart{Field: number, Err: err})
+	}
+	return nil
+}
+
 func (d *Digest) setBytes(number fields.Number, value []byte) error {
 	switch number {
 	case fieldHost:
@@ -350,11 +364,11 @@
 		}
 		d.Waiting = append(d.Waiting, w)
 	case fieldUsage:
-		usage, n := protowire.ConsumeFixed64(value)
-		if n < 0 {
-			return protowire.ParseError(n)
+		id, used, err := decodeUsage(value)
+		if err != nil {
+			return err
 		}
-		d.Usage[dotterelpulley.OrganisationID(value[n:])] = math.Float64frombits(usage)
+		d.Usage[id] = used
 	case fieldUpdate:
 		incarnation, n := protowire.ConsumeVarint(value)
 		if n < 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -38,6 +38,8 @@
 	identity  announcer.Identity
 	conn      *net.UDPConn
 	wake      chan struct{}
+	// unreadable holds the parts that have been logged as unreadable; only the receiving goroutine uses it.
+	unreadable map[unreadableKey]bool
 }
 
 // observedCrash is a crash that this host observed itself or was told of first by another one.
@@ -202,6 +204,7 @@
 		}
 		switch m := message.(type) {
 		case announcer.Digest:
+			g.reportUnreadable(m)
 			g.handleDigest(time.Now(), dotterelpulley.Address(from.String()), m)
 		case announcer.Change:
 			g.handleChange(m)
