Keep the check of pauses to decode steps; find known kinds before the bound is looked at

Where callers only state the most tokens that they take, it is more than an event holds, and the check of pauses would be too strict; it takes five decode steps for an event, as before. The map of kinds was emptied at its bound also for a kind that it held. Comments say turn where turns decide.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -129,7 +129,8 @@
 	// Rank is the priority of the route, which orders requests of one priority.
 	Rank  int
 	Count int
-	// Oldest is the time since the first of them arrived, sent in whole milliseconds.
+	// Oldest is the time since the turn of the first of them, which is its arrival or up to one objective earlier, sent in whole
+	// milliseconds.
 	Oldest time.Duration
 }
 
--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -9,9 +9,11 @@
 const (
 	// chunkTokens is the number of prompt tokens that an engine prefills between two decode steps, a common default.
 	chunkTokens = 1024
-	// defaultTokensPerEvent is the number of tokens, and so of decode steps, in an event while none has been measured.
-	defaultTokensPerEvent = 5
-	// tokensPerEventSamples is the number of whole answers over which the tokens in an event are averaged.
+	// stepsPerEvent is the number of decode steps in an event.
+	stepsPerEvent = 5
+	// defaultTokensPerEvent is the number of expected tokens for each event of an answer while none has been measured.
+	defaultTokensPerEvent = stepsPerEvent
+	// tokensPerEventSamples is the number of whole answers over which the expected tokens for each event are averaged.
 	tokensPerEventSamples = 100
 	// nearFastest is how many times the interval of the fastest endpoint counts as equally fast, as measurements vary.
 	nearFastest = 1.25
@@ -39,7 +41,7 @@
 	}
 	chunk := v.prefillPerTokenOf(e) * chunkTokens
 	chunks := int(w.MaxEventInterval / max(chunk, 1))
-	if float64(chunks) >= v.tokensPerEvent() {
+	if chunks >= stepsPerEvent {
 		return true
 	}
 	return expected.promptTokens+unread <= float64(chunks*chunkTokens)
@@ -57,7 +59,7 @@
 	return events*interval <= left || interval <= nearFastest*float64(v.eventInterval)
 }
 
-// observeAnswer updates the number of tokens in an event with a whole answer of the expected length.
+// observeAnswer updates the number of expected tokens for each event with a whole answer.
 func (v *service) observeAnswer(tokens dotterelpulley.Tokens, events int) {
 	if tokens <= 0 || events <= 0 {
 		return
@@ -67,7 +69,8 @@
 	v.answerEvents = v.answerEvents*kept + float64(events)
 }
 
-// tokensPerEvent returns the average number of tokens in an event.
+// tokensPerEvent returns how many tokens an answer is expected to have for each of its events. Where callers only state the most
+// that they take, that is more than an event holds.
 func (v *service) tokensPerEvent() float64 {
 	if v.answerEvents == 0 {
 		return defaultTokensPerEvent
--- a/scheduler/kind.go
+++ b/scheduler/kind.go
@@ -45,14 +45,14 @@
 }
 
 func (k *kinds) of(route dotterelpulley.RouteID) *kind {
+	if known, ok := (*k)[route]; ok {
+		return known
+	}
 	if *k == nil || len(*k) >= maxKinds {
 		*k = kinds{}
 	}
-	known, ok := (*k)[route]
-	if !ok {
-		known = &kind{}
-		(*k)[route] = known
-	}
+	known := &kind{}
+	(*k)[route] = known
 	return known
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,7 +46,7 @@
 	// eventInterval and prefillPerToken are assumed for endpoints without a measurement.
 	eventInterval   time.Duration
 	prefillPerToken time.Duration
-	// answerTokens and answerEvents are decayed sums over whole answers, from which the number of tokens in an event follows.
+	// answerTokens and answerEvents are decayed sums of the expected tokens and the events of whole answers.
 	answerTokens float64
 	answerEvents float64
 	queue        []Work
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -8,7 +8,7 @@
 	// Service is the hash that identifies the service.
 	Service uint32
 	Count   int
-	// Oldest is the time since the first of them arrived, or longer if its kind's large or small work comes earlier.
+	// Oldest is the time since the turn of the first of them, which is its arrival or up to one objective earlier.
 	Oldest time.Duration
 }
 
@@ -38,8 +38,8 @@
 }
 
 // yieldsToPeers reports whether the free slots are needed by work that waits on other hosts and is more urgent, or as urgent
-// and waits for longer; a kind with short answers holds slots only briefly and so yields less. Without this order, all hosts would place
-// their next work on a slot that becomes free.
+// and waits for longer; a kind with short answers holds slots only briefly and so yields less. Without this order, all hosts
+// would place their next work on a slot that becomes free.
 func (s *Scheduler) yieldsToPeers(v *service, w Work, p pass) bool {
 	ahead := 0.0
 	for key, count := range s.peerWaiting {
@@ -59,7 +59,8 @@
 	return s.ReportDelay > 0
 }
 
-// waitingForLonger returns the estimated number of requests on other hosts that are as urgent as the work and arrived earlier.
+// waitingForLonger returns the estimated number of requests on other hosts that are as urgent as the work and whose turn is
+// earlier.
 func (s *Scheduler) waitingForLonger(v *service, w Work) float64 {
 	earlier := 0.0
 	for _, h := range s.hostReports {
