--- a/rationer/account.go
+++ b/rationer/account.go
@@ -65,10 +65,14 @@
 	wholeWindow bool
 }
 
+// roundingError is the part of a limit by which sums of usage may be off; machines round products that are added differently.
+const roundingError = 1e-9
+
 // fits reports whether the amount is within the cap and leaves the reserve. One above the limit fits if nothing is used.
 func (a *account) fits(now time.Time, k knowledge, amount, reserve Amount) bool {
 	used := a.total(now, k)
-	return used+amount+reserve <= a.allowed(k.reach) && a.excess(now, k, used, amount+reserve) <= 0 || used <= 0
+	tolerance := roundingError * a.limit()
+	return used+amount+reserve <= a.allowed(k.reach)+tolerance && a.excess(now, k, used, amount+reserve) <= tolerance || used <= 0
 }
 
 // excess returns by how much the usage in any latest part of the window would exceed the burst and the rate. Without this bound,
