Count arrivals at endpoints, and show the retry budgets

A log line tells the burst and the number of hosts that divide it, /state and dotterelctl host what is left.

No decision reads any of this.

--- a/cmd/dotterelctl/host.go
+++ b/cmd/dotterelctl/host.go
@@ -90,5 +90,9 @@
 	for _, c := range h.Caps {
 		fmt.Fprintf(out, "%s\t%.0f\t%.0f\t%.0f\n", c.Organisation, c.Level, c.Used, c.Allowed)
 	}
+	fmt.Fprintln(out, "SERVICE\tREPEATS LEFT\tMOST SAVED")
+	for _, b := range h.RetryBudgets {
+		fmt.Fprintf(out, "%s\t%.1f\t%.1f\n", b.Service, b.Available, b.Burst)
+	}
 	return out.Flush()
 }
--- a/describer/describer_test.go
+++ b/describer/describer_test.go
@@ -16,7 +16,8 @@
 			ID: "e", Service: "s", Address: "127.0.0.1:1", State: "live", Slots: 11, Running: 2, PeerRunning: 3, PendingPrompt: 4000,
 			EventInterval: 24 * time.Millisecond, PrefillPerToken: 20 * time.Microsecond, BlockedFor: 300 * time.Millisecond,
 		}},
-		Caps: []Cap{{Organisation: "o", Level: 1.5, Used: 10, Allowed: 20}},
+		Caps:         []Cap{{Organisation: "o", Level: 1.5, Used: 10, Allowed: 20}},
+		RetryBudgets: []RetryBudget{{Service: "s", Available: 2.5, Burst: 4.5}},
 	}
 	data, err := Encode(h)
 	c.Assert(err, qt.IsNil)
--- a/describer/state.go
+++ b/describer/state.go
@@ -20,6 +20,8 @@
 	Members    []Member
 	Endpoints  []Endpoint
 	Caps       []Cap
+	// RetryBudgets are the host's parts of the services' retry budgets.
+	RetryBudgets []RetryBudget
 }
 
 // Member is another host.
@@ -51,6 +53,13 @@
 	BlockedFor time.Duration
 }
 
+// RetryBudget is the number of repeats that a host may send to a service's endpoints at once, and the most that it saves up.
+type RetryBudget struct {
+	Service   dotterelpulley.ServiceID
+	Available float64
+	Burst     float64
+}
+
 // Cap is an organisation's rate cap, in the cap's unit.
 type Cap struct {
 	Organisation dotterelpulley.OrganisationID
--- a/describer/wire.go
+++ b/describer/wire.go
@@ -19,6 +19,7 @@
 	Members        []wireMember   `json:"members"`
 	Endpoints      []wireEndpoint `json:"endpoints"`
 	Caps           []wireCap      `json:"caps"`
+	RetryBudgets   []wireRetries  `json:"retry-budgets"`
 }
 
 type wireMember struct {
@@ -50,11 +51,17 @@
 	Allowed      float64 `json:"allowed"`
 }
 
+type wireRetries struct {
+	Service   string  `json:"service"`
+	Available float64 `json:"available"`
+	Burst     float64 `json:"burst"`
+}
+
 // Encode returns the state as JSON.
 func Encode(h Host) ([]byte, error) {
 	w := wireHost{
 		ID: string(h.ID), Zone: string(h.Zone), State: h.State, Configuration: h.Configuration, SinceConfirmed: h.SinceConfirmed.String(),
-		ReadsStore: h.ReadsStore, StoreLost: h.StoreLost, Members: []wireMember{}, Endpoints: []wireEndpoint{}, Caps: []wireCap{},
+		ReadsStore: h.ReadsStore, StoreLost: h.StoreLost, Members: []wireMember{}, Endpoints: []wireEndpoint{}, Caps: []wireCap{}, RetryBudgets: []wireRetries{},
 	}
 	for _, m := range h.Members {
 		w.Members = append(w.Members, wireMember{string(m.ID), string(m.Zone), m.State, m.SinceHeard.String(), m.Configuration})
@@ -69,6 +76,9 @@
 	for _, c := range h.Caps {
 		w.Caps = append(w.Caps, wireCap{string(c.Organisation), c.Level, c.Used, c.Allowed})
 	}
+	for _, b := range h.RetryBudgets {
+		w.RetryBudgets = append(w.RetryBudgets, wireRetries{string(b.Service), b.Available, b.Burst})
+	}
 	data, err := json.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
@@ -102,6 +112,9 @@
 	for _, c := range w.Caps {
 		h.Caps = append(h.Caps, Cap{dotterelpulley.OrganisationID(c.Organisation), c.Level, c.Used, c.Allowed})
 	}
+	for _, b := range w.RetryBudgets {
+		h.RetryBudgets = append(h.RetryBudgets, RetryBudget{dotterelpulley.ServiceID(b.Service), b.Available, b.Burst})
+	}
 	return h, durations.err
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,7 +46,9 @@
 	arrived      time.Time
 	deadline     time.Time
 	origin       origin
-	fingerprint  isolator.Fingerprint
+	// arrivals counts the arrivals of the request at endpoints, as far as this host knows.
+	arrivals    int
+	fingerprint isolator.Fingerprint
 	// parts are those of the prompt that may be isolated.
 	parts []isolator.Part
 
@@ -84,7 +87,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := g.admit(arrived, r)
-	q.origin, q.arrived = from, arrived.Add(-from.waited)
+	q.origin, q.arrived, q.arrivals = from, arrived.Add(-from.waited), from.arrivals
 	if refused == nil && from.forwarded && g.paths.lost(q.service) {
 		refused = newRefusal(dotterelpulley.ErrorNoEndpoint, "no link to the endpoints either")
 	}
@@ -288,6 +291,7 @@
 		Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
 	if q.origin.forwarded {
 		w.Header().Set(headerRefusal, refused.kind.String())
+		w.Header().Set(headerArrivals, strconv.Itoa(q.arrivals))
 	}
 	platform.SetRefusalHeaders(w.Header(), q.AttemptID, refused.retryAfter)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,8 +33,9 @@
 type origin struct {
 	// forwarded means that it comes from another host, which has admitted it.
 	forwarded bool
-	// waited is the time that the request has spent there.
-	waited time.Duration
+	// waited is the time that the request has spent there, arrivals the number of endpoints that it had reached before.
+	waited   time.Duration
+	arrivals int
 }
 
 // serveForwarded handles a request that another host can't send to an endpoint itself.
@@ -44,11 +45,14 @@
 		http.Error(w, "invalid "+headerForwarded, http.StatusBadRequest)
 		return
 	}
+	// A build that doesn't tell the arrivals may have sent the request before.
+	arrivals, _ := arrivalsIn(r.Header)
 	r.Header.Del(headerForwarded)
+	r.Header.Del(headerArrivals)
 	// The time limit of the listener is for small calls.
 	g.limitBodyTime(w, time.Time{})
 	g.metrics.Inc("forwarded-in")
-	g.serve(w, r, origin{forwarded: true, waited: time.Duration(waited) * time.Millisecond})
+	g.serve(w, r, origin{forwarded: true, waited: time.Duration(waited) * time.Millisecond, arrivals: arrivals})
 }
 
 // mustForward reports whether only another host can reach the endpoints of the request's service.
@@ -88,6 +92,7 @@
 		p.excludeHelper(helper.ID)
 		return p.handleExchangeError(ctx, a, err)
 	}
+	p.noteArrivalsElsewhere(exchange)
 	if name := exchange.Header.Get(headerRefusal); name != "" {
 		p.excludeHelper(helper.ID)
 		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name))
@@ -107,6 +112,7 @@
 	header := p.header.Clone()
 	platform.Forward{Key: p.Key, Remaining: time.Until(p.deadline), LastEventID: p.lastEventID}.Apply(header)
 	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
+	header.Set(headerArrivals, strconv.Itoa(p.arrivals))
 	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,7 +214,12 @@
 	g.retryBudget.Ratio = b.RetryRatio * retryBudgetFraction
 	// Each host counts only its own retries: the burst is its share of RetryExtra, and a negative PerSecond allows no steady rate beside the ratio.
 	g.retryBudget.PerSecond = -1
-	g.retryBudget.Burst = max(b.RetryExtra*retryBudgetFraction/float64(g.peers.knownHosts()), 1)
+	hosts := g.peers.knownHosts()
+	burst := max(b.RetryExtra*retryBudgetFraction/float64(hosts), 1)
+	if burst != g.retryBudget.Burst {
+		g.event(log.InfoLevel, "retry-burst").Int("hosts", hosts).Float64("burst", burst).Msg("")
+	}
+	g.retryBudget.Burst = burst
 	g.promotions.limit(promoter.Settings{Share: b.ExposureShare, Slack: float64(b.ExposureSlack), Hosts: max(g.peers.knownHosts(), g.peers.expectedHosts())})
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -230,6 +230,7 @@
 	if err != nil {
 		return p.handleExchangeError(ctx, a, err)
 	}
+	p.noteArrival()
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.heedEndpoint(a, exchange.StatusCode, metadata)
 	return p.handleResponse(ctx, a, exchange, metadata)
@@ -257,6 +258,11 @@
 	if p.finishUnsent(a, err) {
 		return p.tryNextEndpoint()
 	}
+	if a.helper == "" {
+		p.noteArrival()
+	} else {
+		p.noteArrivalsElsewhere(nil)
+	}
 	p.runs++
 	return p.handleInterruptedRun(ctx, a, err)
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -13,7 +15,7 @@
 // statePath serves the host's state to operators, on the metrics address.
 const statePath = "/state"
 
-// describe returns the host's current view of itself, other hosts, endpoints and caps.
+// describe returns the host's current view of itself, other hosts, endpoints, caps and retry budgets.
 func (g *Gateway) describe(now time.Time) describer.Host {
 	self := g.peers.self()
 	h := describer.Host{
@@ -45,6 +47,10 @@
 			Organisation: v.Organisation, Level: float64(v.Allowed - v.Used), Used: float64(v.Used), Allowed: float64(v.Allowed),
 		})
 	}
+	for id, available := range g.retryBudget.Available(now) {
+		h.RetryBudgets = append(h.RetryBudgets, describer.RetryBudget{Service: id, Available: available, Burst: g.retryBudget.Burst})
+	}
+	slices.SortFunc(h.RetryBudgets, func(a, b describer.RetryBudget) int { return cmp.Compare(a.Service, b.Service) })
 	return h
 }
 
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -22,6 +22,7 @@
 	first, second := s.startReadyGateway(), s.startReadyGateway()
 	first.peers.addHost(second.peers.self())
 	s.waitFor("the hosts have heard each other", func() bool { return first.peers.knownHosts() == 2 })
+	s.Assert(s.get(first, "/lookup/").status, qt.Equals, http.StatusOK)
 	response, err := http.Get("http://" + string(first.metricsAddress()) + statePath)
 	s.Assert(err, qt.IsNil)
 	defer response.Body.Close()
@@ -39,6 +40,9 @@
 	s.Check(string(h.Endpoints[0].ID), qt.Equals, "e1")
 	s.Assert(h.Caps, qt.HasLen, 1)
 	s.Check(h.Caps[0].Allowed > 0, qt.IsTrue)
+	s.Assert(h.RetryBudgets, qt.HasLen, 1)
+	s.Check(string(h.RetryBudgets[0].Service), qt.Equals, "plain")
+	s.Check(h.RetryBudgets[0].Burst > 0, qt.IsTrue)
 }
 
 func TestEndpointThatRefusesConnectionsIsReportedToOtherHosts(t *testing.T) {
--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -78,6 +78,15 @@
 	return true
 }
 
+// Available returns the retries that each service with requests has left.
+func (b *RetryBudget) Available(now time.Time) map[dotterelpulley.ServiceID]float64 {
+	available := make(map[dotterelpulley.ServiceID]float64, len(b.services))
+	for id := range b.services {
+		available[id] = b.bucket(now, id).tokens
+	}
+	return available
+}
+
 // Allows reports whether the service's budget has a retry left.
 func (b *RetryBudget) Allows(now time.Time, id dotterelpulley.ServiceID) bool {
 	return b.bucket(now, id).tokens >= 1
