--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -97,10 +98,21 @@
 	s.links = append(s.links, links)
 	s.Assert(g.Start(), qt.IsNil)
 	s.gateways = append(s.gateways, g)
-	s.TB.(*testing.T).Cleanup(func() { s.Check(g.Close(), qt.IsNil) })
+	s.TB.(*testing.T).Cleanup(func() {
+		if slices.Contains(s.gateways, g) {
+			s.Check(g.Close(), qt.IsNil)
+		}
+	})
 	return g
 }
 
+// stopGateway stops a host before the test's end.
+func (s *site) stopGateway(g *Gateway) {
+	i := slices.Index(s.gateways, g)
+	s.gateways, s.links = slices.Delete(s.gateways, i, i+1), slices.Delete(s.links, i, i+1)
+	s.Assert(g.Close(), qt.IsNil)
+}
+
 // freeAddress returns an address that the site has not returned before; the system may assign a port again once it is closed.
 func freeAddress(s *site, ip netip.Addr) dotterelpulley.Address {
 	for {
