Take further hops of a request from the retry budget of the host with its caller

Cause: the budget was asked only before a repeat at an endpoint of the own host. The class: a bound over all hosts that each hop counts for itself.

The host with the caller has counted the request; it takes every arrival after the first from its budget, and names the endpoints to leave out, so that a host that helps may be asked again. Builds that don't tell count as having reached one endpoint.

--- a/gateway/arrivals.go
+++ b/gateway/arrivals.go
@@ -3,43 +3,103 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
+	"unicode"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/connector"
 )
 
-// headerArrivals is the number of arrivals of a request at endpoints: before it was forwarded, in a forwarded request; in total, in
-// a host's own answer to one.
-const headerArrivals = "Dotterel-Arrivals"
+const (
+	// headerArrivals says which endpoints a request has reached: before it was forwarded, in a forwarded request; in total, in the
+	// answer to one.
+	headerArrivals = "Dotterel-Arrivals"
+	// maxToldArrivals limits the arrivals that another host can name.
+	maxToldArrivals = 64
+)
 
-// maxToldArrivals limits the arrivals that another host can name.
-const maxToldArrivals = 1 << 10
+// endpointArrivals are the arrivals of one request at endpoints; the zero value is none.
+type endpointArrivals struct {
+	count int
+	// endpoints are those that don't get the request again; not all arrivals have one.
+	endpoints []dotterelpulley.EndpointID
+}
 
-// arrivalsIn returns the number of arrivals in the headers of another host; false if it names none, as an earlier build.
-func arrivalsIn(h http.Header) (int, bool) {
-	n, err := strconv.Atoi(h.Get(headerArrivals))
-	if err != nil || n < 0 || n > maxToldArrivals {
-		return 0, false
+// encode returns the number of arrivals, followed by the endpoints.
+func (a endpointArrivals) encode() string {
+	text := strconv.Itoa(a.count)
+	for _, id := range a.endpoints {
+		if isWord(string(id)) {
+			text += " " + string(id)
+		}
+	}
+	return text
+}
+
+// isWord reports whether the text can be told from what surrounds it in a header.
+func isWord(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return unicode.IsSpace(r) || !unicode.IsPrint(r) })
+}
+
+// decodeArrivals returns the arrivals that another host names in its headers; false if it names none, as an earlier build.
+func decodeArrivals(h http.Header) (endpointArrivals, bool) {
+	words := strings.Fields(h.Get(headerArrivals))
+	if len(words) == 0 || len(words) > maxToldArrivals+1 {
+		return endpointArrivals{}, false
+	}
+	n, err := strconv.Atoi(words[0])
+	if err != nil || n < len(words)-1 || n > maxToldArrivals {
+		return endpointArrivals{}, false
 	}
-	return n, true
+	a := endpointArrivals{count: n}
+	for _, id := range words[1:] {
+		a.endpoints = append(a.endpoints, dotterelpulley.EndpointID(id))
+	}
+	return a, true
 }
 
-// noteArrival counts an arrival of the request at an endpoint that this host has sent it to.
-func (p *proxiedRequest) noteArrival() {
+// noteArrival counts the arrival of the request at the attempt's endpoint, to which this host has sent it.
+func (p *proxiedRequest) noteArrival(a attempt) {
 	p.gateway.metrics.Inc("arrivals")
-	if p.arrivals > 0 {
+	if p.arrivals.count > 0 {
 		p.gateway.metrics.Inc("arrivals-again")
 	}
-	p.arrivals++
+	p.arrivals.count++
+	p.arrivals.endpoints = append(p.arrivals.endpoints, a.Endpoint.ID)
 }
 
-// noteArrivalsElsewhere adopts the number of arrivals that the host names through which the request went. A host that names none,
-// or whose answer was lost, has sent the request to one endpoint or more.
-func (p *proxiedRequest) noteArrivalsElsewhere(exchange *connector.Exchange) {
+// markAnswer names the arrivals in the answer to a forwarded request, which carries no such header of the endpoint's.
+func (p *proxiedRequest) markAnswer(exchange *connector.Exchange) {
+	if !p.origin.forwarded {
+		return
+	}
+	exchange.Header.Del(headerRefusal)
+	exchange.Header.Del(headerArrivals)
+	p.response.writer.Header().Set(headerArrivals, p.arrivals.encode())
+}
+
+// noteArrivalsElsewhere adopts the arrivals that the host names through which the request went, and reports whether it names
+// any. A host that names none, or whose answer was lost, has sent the request to one endpoint or more.
+func (p *proxiedRequest) noteArrivalsElsewhere(exchange *connector.Exchange) (named bool) {
+	told := endpointArrivals{}
 	if exchange != nil {
-		if n, ok := arrivalsIn(exchange.Header); ok {
-			p.arrivals = max(p.arrivals, n)
-			return
-		}
+		told, named = decodeArrivals(exchange.Header)
+		exchange.Header.Del(headerArrivals)
+	}
+	if !named || told.count < p.arrivals.count {
+		told = p.arrivals
+		told.count++
+		named = false
+	}
+	p.attempts += told.count - p.arrivals.count
+	p.arrivals = told
+	p.exclude(told.endpoints)
+	return named
+}
+
+// exclude keeps the request from the endpoints.
+func (p *proxiedRequest) exclude(endpoints []dotterelpulley.EndpointID) {
+	for _, id := range endpoints {
+		p.excluded[id] = true
 	}
-	p.arrivals++
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -7,7 +7,6 @@
 	"math"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -47,7 +46,7 @@
 	deadline     time.Time
 	origin       origin
 	// arrivals counts the arrivals of the request at endpoints, as far as this host knows.
-	arrivals    int
+	arrivals    endpointArrivals
 	fingerprint isolator.Fingerprint
 	// parts are those of the prompt that may be isolated.
 	parts []isolator.Part
@@ -291,7 +290,7 @@
 		Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
 	if q.origin.forwarded {
 		w.Header().Set(headerRefusal, refused.kind.String())
-		w.Header().Set(headerArrivals, strconv.Itoa(q.arrivals))
+		w.Header().Set(headerArrivals, q.arrivals.encode())
 	}
 	platform.SetRefusalHeaders(w.Header(), q.AttemptID, refused.retryAfter)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,9 +34,9 @@
 type origin struct {
 	// forwarded means that it comes from another host, which has admitted it.
 	forwarded bool
-	// waited is the time that the request has spent there, arrivals the number of endpoints that it had reached before.
+	// waited is the time that the request has spent there, arrivals are those before it was forwarded.
 	waited   time.Duration
-	arrivals int
+	arrivals endpointArrivals
 }
 
 // serveForwarded handles a request that another host can't send to an endpoint itself.
@@ -45,8 +46,7 @@
 		http.Error(w, "invalid "+headerForwarded, http.StatusBadRequest)
 		return
 	}
-	// A build that doesn't tell the arrivals may have sent the request before.
-	arrivals, _ := arrivalsIn(r.Header)
+	arrivals, _ := decodeArrivals(r.Header)
 	r.Header.Del(headerForwarded)
 	r.Header.Del(headerArrivals)
 	// The time limit of the listener is for small calls.
@@ -92,10 +92,15 @@
 		p.excludeHelper(helper.ID)
 		return p.handleExchangeError(ctx, a, err)
 	}
-	p.noteArrivalsElsewhere(exchange)
-	if name := exchange.Header.Get(headerRefusal); name != "" {
+	before := p.arrivals.count
+	named := p.noteArrivalsElsewhere(exchange)
+	arrived := p.arrivals.count > before
+	if !named || !arrived {
+		// Another host may have an endpoint that this one lacks, or knows which endpoints to leave out.
 		p.excludeHelper(helper.ID)
-		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name))
+	}
+	if name := exchange.Header.Get(headerRefusal); name != "" {
+		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name), arrived)
 	}
 	return p.handleResponse(ctx, a, exchange, platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header))
 }
@@ -112,7 +117,7 @@
 	header := p.header.Clone()
 	platform.Forward{Key: p.Key, Remaining: time.Until(p.deadline), LastEventID: p.lastEventID}.Apply(header)
 	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
-	header.Set(headerArrivals, strconv.Itoa(p.arrivals))
+	header.Set(headerArrivals, p.arrivals.encode())
 	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 	})
@@ -130,8 +135,9 @@
 	return kind.Answer().Truth != dotterelpulley.NotRun
 }
 
-// handleHelperRefusal decides how the request continues after the helper's own answer.
-func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind) outcome {
+// handleHelperRefusal decides how the request continues after the helper's own answer; arrived means that the helper has sent it
+// to an endpoint.
+func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind, arrived bool) outcome {
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.drainBody(exchange)
 	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
@@ -149,6 +155,9 @@
 		return outcomeDone
 	default:
 		p.helperRefusal = refused
+		if arrived {
+			return p.retry()
+		}
 		return outcomeNextEndpoint
 	}
 }
@@ -171,8 +180,9 @@
 }
 
 // endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
-// endpoint.
+// endpoint: another host may send it the request.
 func (p *proxiedRequest) endUnreached(a attempt, err error) {
+	p.arrivals.endpoints = slices.DeleteFunc(p.arrivals.endpoints, func(id dotterelpulley.EndpointID) bool { return id == a.Endpoint.ID })
 	p.finishAttempt(a, scheduler.ResultCancelled, fmt.Errorf("links lost: %w", err))
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -69,6 +69,7 @@
 // proxy sends the request to endpoints until the caller has its final response.
 func (g *Gateway) proxy(w http.ResponseWriter, r *http.Request, q *request) {
 	p := &proxiedRequest{request: q, gateway: g, response: &responseWriter{writer: w, controller: http.NewResponseController(w)}, excluded: map[dotterelpulley.EndpointID]bool{}}
+	p.exclude(q.arrivals.endpoints)
 	g.metrics.Inc("requests")
 	if !q.origin.forwarded {
 		g.mutex.Lock()
@@ -230,7 +231,8 @@
 	if err != nil {
 		return p.handleExchangeError(ctx, a, err)
 	}
-	p.noteArrival()
+	p.noteArrival(a)
+	p.markAnswer(exchange)
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.heedEndpoint(a, exchange.StatusCode, metadata)
 	return p.handleResponse(ctx, a, exchange, metadata)
@@ -259,7 +261,7 @@
 		return p.tryNextEndpoint()
 	}
 	if a.helper == "" {
-		p.noteArrival()
+		p.noteArrival(a)
 	} else {
 		p.noteArrivalsElsewhere(nil)
 	}
@@ -350,8 +352,13 @@
 	return outcomeNextEndpoint
 }
 
-// retry takes one retry from the budget before it moves on to another endpoint.
+// retry takes one retry from the budget before it moves on to another endpoint. A forwarded request goes back to the host that has
+// its caller, whose budget has counted it.
 func (p *proxiedRequest) retry() outcome {
+	if p.origin.forwarded {
+		p.notContinued = "the host that has its caller decides on repeats"
+		return outcomeFailed
+	}
 	p.gateway.mutex.Lock()
 	ok := p.gateway.retryBudget.Withdraw(time.Now(), p.service)
 	p.gateway.mutex.Unlock()
@@ -432,7 +439,10 @@
 			Str("not-continued", p.notContinued).Err(p.lastError).Msg("")
 		panic(http.ErrAbortHandler)
 	case p.runs == 0:
-		refused := newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
+		refused := p.helperRefusal
+		if refused == nil {
+			refused = newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
+		}
 		p.refuse(refused)
 	case p.gateway.requests.Err() != nil:
 		p.gateway.writeRefusal(p.response.writer, p.request, newRefusal(dotterelpulley.ErrorOutcomeUnknown, "the host ended"))
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 )
 
@@ -61,6 +64,13 @@
 	n := countArrivals(endpoints)
 	s.Assert(n >= requests, qt.IsTrue, qt.Commentf("%d arrivals", n))
 	s.Assert(n <= allowed, qt.IsTrue, qt.Commentf("%d arrivals, %d allowed", n, allowed))
+	var again, repeats int64
+	for _, g := range s.gateways {
+		again += g.metrics.counts.Get("arrivals-again")
+		repeats += g.metrics.counts.Get("repeats")
+	}
+	s.Assert(again, qt.Equals, int64(n-requests))
+	s.Assert(again <= repeats, qt.IsTrue, qt.Commentf("%d arrivals again, %d repeats", again, repeats))
 }
 
 // Each process began with a burst of its own, which wasn't even divided until the host had heard the others.
@@ -84,3 +94,52 @@
 	s.Assert(n >= starts*requests, qt.IsTrue, qt.Commentf("%d arrivals", n))
 	s.Assert(n <= allowed, qt.IsTrue, qt.Commentf("%d arrivals, %d allowed", n, allowed))
 }
+
+// One host that helps is enough to reach a second endpoint after a first that refused.
+func TestAForwardedRequestReachesASecondEndpoint(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var refusing atomic.Pointer[string]
+	var endpoints []*standin.Endpoint
+	for _, id := range []string{"i-1", "i-2"} {
+		endpoints = append(endpoints, s.endpoint(id, "plain", func(w http.ResponseWriter, r *http.Request, n int) {
+			refusing.CompareAndSwap(nil, &id)
+			if *refusing.Load() == id {
+				standin.WriteNotExecuted(w)
+				return
+			}
+			answerHello(w, r, n)
+		}))
+	}
+	s.endpoint("idle", "idle", answerHello)
+	for _, g := range startHosts(s, 2) {
+		s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == len(endpoints)+1 })
+		s.waitForAllowance(g, 100)
+	}
+	s.cutOff(0, "plain")
+	got := s.post(s.gateways[0], "/call/", "book")
+	s.Assert(got.status, qt.Equals, http.StatusOK)
+	s.Assert(got.header.Values(headerArrivals), qt.HasLen, 0)
+	s.Assert(countArrivals(endpoints), qt.Equals, 2)
+	s.Assert(s.gateways[0].metrics.counts.Get("repeats"), qt.Equals, int64(1))
+	s.Assert(s.gateways[1].metrics.counts.Get("repeats"), qt.Equals, int64(0))
+	s.Assert(s.gateways[1].metrics.counts.Get("arrivals-again"), qt.Equals, int64(1))
+}
+
+func TestArrivalsThatAnotherHostNamesAreDecoded(t *testing.T) {
+	c := qt.New(t)
+	for text, want := range map[string]endpointArrivals{
+		"0":     {},
+		"2 i-1": {count: 2, endpoints: []dotterelpulley.EndpointID{"i-1"}},
+		(endpointArrivals{count: 2, endpoints: []dotterelpulley.EndpointID{"i-1", "i 2\n"}}).encode(): {count: 2, endpoints: []dotterelpulley.EndpointID{"i-1"}},
+	} {
+		got, ok := decodeArrivals(http.Header{headerArrivals: {text}})
+		c.Check(ok, qt.IsTrue, qt.Commentf("%q", text))
+		c.Check(got.count, qt.Equals, want.count)
+		c.Check(got.endpoints, qt.DeepEquals, want.endpoints)
+	}
+	for _, text := range []string{"", "-1", "x", "1 i-1 i-2", "65", "99999999999999999999", strings.Repeat("i ", 100)} {
+		_, ok := decodeArrivals(http.Header{headerArrivals: {text}})
+		c.Check(ok, qt.IsFalse, qt.Commentf("%q", text))
+	}
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -221,7 +221,7 @@
 		w.finishUnanswered(s)
 		return
 	}
-	w.noteArrival()
+	w.noteArrival(s.attempt)
 	s.exchange.Abort()
 	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
 	w.heedEndpoint(s.attempt, s.exchange.StatusCode, metadata)
@@ -244,7 +244,7 @@
 func (w *silenceWatch) finishUnanswered(s *successor) {
 	var failure *connector.ExchangeError
 	if !errors.As(s.err, &failure) || failure.MaybeSent {
-		w.noteArrival()
+		w.noteArrival(s.attempt)
 		w.runs++
 	}
 	if s.cancelled || w.ctx.Err() != nil {
