Start a host's part of the retry budget empty, and divide it from the start

Cause: a process began with a whole burst, whatever the one before had used; and as it had heard no other host when its budget was made, the burst was that of the whole fleet (hosts 1, burst 40.6 in the log, for the first second). The class: a sum over all hosts that a process keeps alone and loses with its end.

A process now begins without its part of the fixed number, which comes back over three windows, and divides it by all hosts that it may share it with. The bound holds by its construction for any restarts, so more of the ratio is used (0.9 for 0.7). A part below one retry no longer rounds up to one, which at 295 hosts allowed 295 of 58: what exceeds the part decays within a tenth of the window. A limit of zero is zero and not the default.

The sums over 1 to 295 hosts in virtual time fail with a full start (172 retries of 104), undivided (4,630 of 2,018) and without the decay (197 of 117). Two tests drained the budget by hand and now set its limit to zero; the tests' site has a larger fixed number, as a start no longer has one.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,8 +33,6 @@
 	isolateAfter = 3
 	// crashMemory is how long a crash counts against a request, several times as long as an endpoint's restart.
 	crashMemory = 2 * time.Minute
-	// retryBudgetFraction is the fraction of the platform's retry budget that is used, because each host counts only its own retries.
-	retryBudgetFraction = 0.7
 	// maxIdleConnections limits the idle connections to one endpoint to several times its slots.
 	maxIdleConnections = 32
 	// idleConnectionsFraction is the fraction of an endpoint's accepted connections that may be idle, which leaves room for busy ones.
@@ -211,16 +209,14 @@
 	g.rationer.Window = b.UsageWindow
 	g.rationer.SilenceTimeout = g.peers.silenceLimit()
 	g.rationer.HostCount = g.peers.expectedHosts()
-	g.retryBudget.Ratio = b.RetryRatio * retryBudgetFraction
-	// Each host counts only its own retries: the burst is its share of RetryExtra, and a negative PerSecond allows no steady rate beside the ratio.
-	g.retryBudget.PerSecond = -1
-	hosts := g.peers.knownHosts()
-	burst := max(b.RetryExtra*retryBudgetFraction/float64(hosts), 1)
-	if burst != g.retryBudget.Burst {
+	now := time.Now()
+	hosts := max(g.peers.knownHosts(), g.peers.expectedHosts())
+	before := g.retryBudget.MostSaved()
+	g.retryBudget.Divide(now, limiter.RetryLimit{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow}, hosts)
+	if burst := g.retryBudget.MostSaved(); burst != before {
 		g.event(log.InfoLevel, "retry-burst").Int("hosts", hosts).Float64("burst", burst).Msg("")
 	}
-	g.retryBudget.Burst = burst
-	g.promotions.limit(promoter.Settings{Share: b.ExposureShare, Slack: float64(b.ExposureSlack), Hosts: max(g.peers.knownHosts(), g.peers.expectedHosts())})
+	g.promotions.limit(promoter.Settings{Share: b.ExposureShare, Slack: float64(b.ExposureSlack), Hosts: hosts})
 }
 
 // limitIdleConnections limits the idle connections to this host's share of what the endpoints accept.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -48,7 +48,7 @@
 		})
 	}
 	for id, available := range g.retryBudget.Available(now) {
-		h.RetryBudgets = append(h.RetryBudgets, describer.RetryBudget{Service: id, Available: available, Burst: g.retryBudget.Burst})
+		h.RetryBudgets = append(h.RetryBudgets, describer.RetryBudget{Service: id, Available: available, Burst: g.retryBudget.MostSaved()})
 	}
 	slices.SortFunc(h.RetryBudgets, func(a, b describer.RetryBudget) int { return cmp.Compare(a.Service, b.Service) })
 	return h
--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -22,6 +23,8 @@
 	// PerSecond is the number of retries per second allowed in addition to Ratio; 0.5 if zero, none if negative.
 	PerSecond float64
 
+	// part replaces the fields above by the part of a limit over all hosts; nil if there is no such limit.
+	part     *retryPart
 	services map[dotterelpulley.ServiceID]*bucket
 }
 
@@ -30,42 +33,66 @@
 	at     time.Time
 }
 
+// allowance is what a bucket gets and keeps.
+type allowance struct {
+	ratio     float64
+	perSecond float64
+	// burst is what it keeps; what it gets beyond that from requests, up to one retry, decays with the lifetime.
+	burst    float64
+	lifetime time.Duration
+}
+
+func (b *RetryBudget) allowance() allowance {
+	if b.part != nil {
+		return b.part.allowance
+	}
+	a := allowance{ratio: b.Ratio, perSecond: max(b.PerSecond, 0), burst: b.Burst}
+	if a.ratio == 0 {
+		a.ratio = defaultRetryRatio
+	}
+	if b.PerSecond == 0 {
+		a.perSecond = retriesPerSecond
+	}
+	if a.burst <= 0 {
+		a.burst = defaultBurst
+	}
+	return a
+}
+
 func (b *RetryBudget) bucket(now time.Time, id dotterelpulley.ServiceID) *bucket {
 	if b.services == nil {
 		b.services = map[dotterelpulley.ServiceID]*bucket{}
 	}
+	a := b.allowance()
 	s, ok := b.services[id]
 	if !ok {
-		s = &bucket{tokens: b.burst(), at: now}
+		s = &bucket{tokens: a.burst, at: now}
+		if b.part != nil {
+			// Another process of this host may have used its part just before this one started.
+			s = &bucket{at: b.part.since}
+		}
 		b.services[id] = s
 	}
-	s.tokens = min(b.burst(), s.tokens+max(now.Sub(s.at).Seconds(), 0)*b.perSecond())
-	s.at = now
+	s.advance(now, a)
 	return s
 }
 
-func (b *RetryBudget) perSecond() float64 {
-	if b.PerSecond == 0 {
-		return retriesPerSecond
-	}
-	return max(b.PerSecond, 0)
-}
-
-func (b *RetryBudget) burst() float64 {
-	if b.Burst > 0 {
-		return b.Burst
+// advance brings the bucket up to the time.
+func (s *bucket) advance(now time.Time, a allowance) {
+	passed := max(now.Sub(s.at), 0)
+	s.at = now
+	s.tokens = min(s.tokens, max(a.burst, 1))
+	if s.tokens > a.burst {
+		s.tokens = a.burst + (s.tokens-a.burst)*math.Exp(-float64(passed)/float64(a.lifetime))
+		return
 	}
-	return defaultBurst
+	s.tokens = min(a.burst, s.tokens+passed.Seconds()*a.perSecond)
 }
 
 // Deposit credits the service with one request.
 func (b *RetryBudget) Deposit(now time.Time, id dotterelpulley.ServiceID) {
-	ratio := b.Ratio
-	if ratio == 0 {
-		ratio = defaultRetryRatio
-	}
-	s := b.bucket(now, id)
-	s.tokens = min(b.burst(), s.tokens+ratio)
+	s, a := b.bucket(now, id), b.allowance()
+	s.tokens = min(max(a.burst, 1), s.tokens+a.ratio)
 }
 
 // Withdraw takes one retry out of the service's budget and reports whether it had one.
@@ -87,6 +114,11 @@
 	return available
 }
 
+// MostSaved returns how many retries a service accumulates at most.
+func (b *RetryBudget) MostSaved() float64 {
+	return b.allowance().burst
+}
+
 // Allows reports whether the service's budget has a retry left.
 func (b *RetryBudget) Allows(now time.Time, id dotterelpulley.ServiceID) bool {
 	return b.bucket(now, id).tokens >= 1
