Count hosts out of reach among those that divide a bound

Removed hosts count for ten more minutes unless they said that they leave. TestRemovedHostsCountAsPossiblyRunning: after a minute the count that was used before (HeardCount) is 1, PossibleCount 3.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -30,6 +30,9 @@
 	baseSilenceTimeout = 900 * time.Millisecond
 	// forgetAfter is the time without a digest after which a host is removed and no longer sent any.
 	forgetAfter = 20 * time.Second
+	// rememberFor is how long a removed host that didn't say that it left still counts as one that may be running, beyond the
+	// reach of this one.
+	rememberFor = 10 * time.Minute
 	// retryInterval is the minimum time between two digests to a silent host.
 	retryInterval = time.Second
 )
@@ -70,6 +73,8 @@
 	members map[dotterelpulley.HostID]*Member
 	// zones holds the zones of the members by peer address.
 	zones map[dotterelpulley.Address]dotterelpulley.ZoneID
+	// removed holds when hosts were removed that may still be running.
+	removed map[dotterelpulley.HostID]time.Time
 	// seeds holds addresses whose host is unknown, with the time of the last attempt.
 	seeds map[dotterelpulley.Address]time.Time
 }
@@ -80,6 +85,7 @@
 		a.members = map[dotterelpulley.HostID]*Member{}
 		a.zones = map[dotterelpulley.Address]dotterelpulley.ZoneID{}
 		a.seeds = map[dotterelpulley.Address]time.Time{}
+		a.removed = map[dotterelpulley.HostID]time.Time{}
 		a.detector.init(a.Seed)
 	}
 }
@@ -215,6 +221,9 @@
 			delete(a.members, id)
 			delete(a.suspected, id)
 			delete(a.zones, m.PeerAddress)
+			if m.State != Left {
+				a.removed[id] = now
+			}
 		case m.State == Left && now.Sub(last) < retryInterval:
 		case !a.active(now, m):
 			if now.Sub(m.lastTried) >= retryInterval {
@@ -309,3 +318,17 @@
 	}
 	return n
 }
+
+// PossibleCount returns the number of hosts that may be running, including this one: those known that have not left, and those
+// removed lately, which may run beyond the reach of this host.
+func (a *Announcer) PossibleCount(now time.Time) int {
+	n := a.ExpectedCount()
+	for id, at := range a.removed {
+		if _, known := a.members[id]; known || now.Sub(at) > rememberFor {
+			delete(a.removed, id)
+			continue
+		}
+		n++
+	}
+	return n
+}
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -265,3 +265,27 @@
 		}
 	})
 }
+
+// Hosts cut off from each other for long divided bounds over all hosts by themselves alone.
+func TestRemovedHostsCountAsPossiblyRunning(t *testing.T) {
+	c := qt.New(t)
+	a := Announcer{Self: Host{ID: "self", PeerAddress: "127.0.0.1:1"}}
+	now := start
+	for i, state := range []State{Serving, Draining, Left} {
+		host := Host{ID: dotterelpulley.HostID(state.String()), PeerAddress: dotterelpulley.Address(fmt.Sprintf("127.0.0.1:%d", 2+i))}
+		a.Receive(now, Digest{Host: host, Start: 1, Incarnation: 1, Sequence: 1, State: state})
+	}
+	c.Assert(a.PossibleCount(now), qt.Equals, 3)
+	cutFor := func(d time.Duration) time.Time {
+		for range int(d / time.Second) {
+			now = now.Add(time.Second)
+			a.Targets(now, Digest{})
+		}
+		return now
+	}
+	c.Assert(a.PossibleCount(cutFor(time.Minute)), qt.Equals, 3)
+	c.Assert(a.HeardCount(), qt.Equals, 1)
+	a.Receive(now, Digest{Host: Host{ID: "serving", PeerAddress: "127.0.0.1:2"}, Start: 1, Incarnation: 1, Sequence: 2, State: Serving})
+	c.Assert(a.PossibleCount(now), qt.Equals, 3)
+	c.Assert(a.PossibleCount(cutFor(11*time.Minute)), qt.Equals, 1)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,7 +210,7 @@
 	g.rationer.SilenceTimeout = g.peers.silenceLimit()
 	g.rationer.HostCount = g.peers.expectedHosts()
 	now := time.Now()
-	hosts := max(g.peers.knownHosts(), g.peers.expectedHosts())
+	hosts := g.peers.possibleHosts(now)
 	before := g.retryBudget.MostSaved()
 	g.retryBudget.Divide(now, limiter.RetryLimit{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow}, hosts)
 	if burst := g.retryBudget.MostSaved(); burst != before {
@@ -225,10 +225,11 @@
 	if t == nil {
 		return
 	}
+	hosts := g.peers.possibleHosts(time.Now())
 	maxIdle := maxIdleConnections
 	for _, s := range t.Services {
 		if s.MaxConnections > 0 {
-			maxIdle = min(maxIdle, int(idleConnectionsFraction*float64(s.MaxConnections))/g.peers.knownHosts())
+			maxIdle = min(maxIdle, int(idleConnectionsFraction*float64(s.MaxConnections))/hosts)
 		}
 	}
 	g.connector.SetMaxIdlePerEndpoint(maxIdle)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -103,6 +103,13 @@
 	return p.announcer.ExpectedCount()
 }
 
+// possibleHosts returns how many hosts may be sending requests, including this one and those that this one doesn't reach.
+func (p *peers) possibleHosts(now time.Time) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.announcer.PossibleCount(now)
+}
+
 // silenceLimit returns the time without a digest after which a host counts as silent.
 func (p *peers) silenceLimit() time.Duration {
 	p.mutex.Lock()
