Reserve a retry until it is sent

A repeat was taken from the budget when it was decided, and then waited for an endpoint, for up to 1.5 objectives. Repeats that had waited could all be sent in one window on top of what had been saved up meanwhile, and one that found no endpoint in time had been paid for all the same, so that callers of later requests were refused. Found by reading; no play has shown the first.

A decided repeat is reserved: it takes room among the saved ones until it is sent, and is given back at the request's end if it isn't. TestARepeatThatIsNotSentCostsNothing fails without the return (4.00 of 7 left), TestReservedRetriesTakeRoomUntilTheyAreSent without the room.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -87,6 +87,7 @@
 		Placed: scheduler.Placed{ID: scheduler.ID(g.nextWorkID.Add(1))}, startedAt: now, helper: helper.ID,
 		attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%s/%d", p.AttemptID, helper.ID, len(p.excludedHelpers))),
 	}
+	p.useRepeat()
 	exchange, err := p.dispatchThrough(ctx, helper)
 	if err != nil {
 		p.excludeHelper(helper.ID)
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -32,6 +32,7 @@
 	// runs counts the endpoints that may have run the request; attempts counts all.
 	runs     int
 	attempts int
+	repeats  repeats
 	excluded map[dotterelpulley.EndpointID]bool
 	// excludedHelpers are the hosts that didn't take the request, helperRefusal is what the last of them answered.
 	excludedHelpers map[dotterelpulley.HostID]bool
@@ -75,6 +76,7 @@
 		g.mutex.Lock()
 		g.retryBudget.Deposit(q.arrived, q.service)
 		g.mutex.Unlock()
+		defer p.returnRepeat()
 	}
 	if q.route.Kind == router.Streaming && g.drain.refusesStreams(q.arrived) {
 		refused := newRefusal(dotterelpulley.ErrorDraining, "a new stream may outlast the shutdown")
@@ -190,6 +192,7 @@
 		p.refuse(refused)
 		return outcomeDone
 	}
+	p.useRepeat()
 	exchange, err := p.dispatchUnlessSilent(ctx, a)
 	return p.handleExchange(ctx, a, exchange, err)
 }
@@ -352,22 +355,18 @@
 	return outcomeNextEndpoint
 }
 
-// retry takes one retry from the budget before it moves on to another endpoint. A forwarded request goes back to the host that has
+// retry reserves one retry of the budget before it moves on to another endpoint. A forwarded request goes back to the host that has
 // its caller, whose budget has counted it.
 func (p *proxiedRequest) retry() outcome {
 	if p.origin.forwarded {
 		p.notContinued = "the host that has its caller decides on repeats"
 		return outcomeFailed
 	}
-	p.gateway.mutex.Lock()
-	ok := p.gateway.retryBudget.Withdraw(time.Now(), p.service)
-	p.gateway.mutex.Unlock()
-	if !ok {
+	if !p.reserveRepeat() {
 		p.gateway.metrics.Inc("repeats-over-budget")
 		p.notContinued = "over the retry budget"
 		return outcomeFailed
 	}
-	p.gateway.metrics.Inc("repeats")
 	return p.tryNextEndpoint()
 }
 
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -143,3 +144,24 @@
 		c.Check(ok, qt.IsFalse, qt.Commentf("%q", text))
 	}
 }
+
+// A repeat that found no endpoint in time was paid for all the same.
+func TestARepeatThatIsNotSentCostsNothing(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	endpoints := refusingEndpoints(s, 1)
+	g := s.startReadyGateway()
+	s.waitFor("the endpoint is known", func() bool { return len(registrations(g)) == 1 })
+	// Each request pays for several retries, and saves none beyond the seven of the fixed number.
+	limitRetries(g, 8, 10)
+	for range 3 {
+		r := s.request(context.Background(), g, http.MethodGet, "/lookup/", "")
+		r.Header.Set("Dotterelpulley-Deadline-Ms", "100")
+		s.Assert(s.send(r).status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	s.Assert(countArrivals(endpoints) > 0, qt.IsTrue)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	available := g.retryBudget.Available(time.Now())["plain"]
+	s.Assert(available > 6.9, qt.IsTrue, qt.Commentf("%.2f retries left", available))
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -109,27 +109,17 @@
 	if g.paths.lost(w.service) {
 		return scheduler.Placed{}, false
 	}
-	g.mutex.Lock()
-	allowed := g.retryBudget.Allows(time.Now(), w.service)
-	g.mutex.Unlock()
-	if !allowed {
+	if !w.reserveRepeat() {
 		g.metrics.Inc("repeats-over-budget")
 		return scheduler.Placed{}, false
 	}
 	w.excluded[w.attempt.Endpoint.ID] = true
 	placed, ok := g.queue.tryAcquire(w.work())
 	if !ok {
+		w.returnRepeat()
 		return scheduler.Placed{}, false
 	}
-	g.mutex.Lock()
-	allowed = g.retryBudget.Withdraw(time.Now(), w.service)
-	g.mutex.Unlock()
-	if !allowed {
-		g.metrics.Inc("repeats-over-budget")
-		g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, placed.ID, scheduler.ResultCancelled) })
-		return scheduler.Placed{}, false
-	}
-	g.metrics.Inc("repeats")
+	w.useRepeat()
 	return placed, true
 }
 
--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -31,6 +31,8 @@
 type bucket struct {
 	tokens float64
 	at     time.Time
+	// reserved counts the retries that wait to be sent.
+	reserved int
 }
 
 // allowance is what a bucket gets and keeps.
@@ -81,18 +83,23 @@
 func (s *bucket) advance(now time.Time, a allowance) {
 	passed := max(now.Sub(s.at), 0)
 	s.at = now
-	s.tokens = min(s.tokens, max(a.burst, 1))
+	s.tokens = min(s.tokens, s.room(a))
 	if s.tokens > a.burst {
 		s.tokens = a.burst + (s.tokens-a.burst)*math.Exp(-float64(passed)/float64(a.lifetime))
 		return
 	}
-	s.tokens = min(a.burst, s.tokens+passed.Seconds()*a.perSecond)
+	s.tokens = min(max(a.burst-float64(s.reserved), s.tokens), s.tokens+passed.Seconds()*a.perSecond)
+}
+
+// room returns how many retries the bucket can hold. Reserved ones take room, as they may all be sent later at one time.
+func (s *bucket) room(a allowance) float64 {
+	return max(max(a.burst, 1)-float64(s.reserved), 0)
 }
 
 // Deposit credits the service with one request.
 func (b *RetryBudget) Deposit(now time.Time, id dotterelpulley.ServiceID) {
 	s, a := b.bucket(now, id), b.allowance()
-	s.tokens = min(max(a.burst, 1), s.tokens+a.ratio)
+	s.tokens = min(s.room(a), s.tokens+a.ratio)
 }
 
 // Withdraw takes one retry out of the service's budget and reports whether it had one.
@@ -105,6 +112,27 @@
 	return true
 }
 
+// Reserve takes one retry out of the service's budget that is sent later, and reports whether it had one; Use or Return must follow.
+func (b *RetryBudget) Reserve(now time.Time, id dotterelpulley.ServiceID) bool {
+	if !b.Withdraw(now, id) {
+		return false
+	}
+	b.services[id].reserved++
+	return true
+}
+
+// Use ends a reservation whose retry is sent.
+func (b *RetryBudget) Use(now time.Time, id dotterelpulley.ServiceID) {
+	b.bucket(now, id).reserved--
+}
+
+// Return ends a reservation whose retry isn't sent.
+func (b *RetryBudget) Return(now time.Time, id dotterelpulley.ServiceID) {
+	s := b.bucket(now, id)
+	s.reserved--
+	s.tokens = min(s.room(b.allowance()), s.tokens+1)
+}
+
 // Available returns the retries that each service with requests has left.
 func (b *RetryBudget) Available(now time.Time) map[dotterelpulley.ServiceID]float64 {
 	available := make(map[dotterelpulley.ServiceID]float64, len(b.services))
@@ -118,8 +146,3 @@
 func (b *RetryBudget) MostSaved() float64 {
 	return b.allowance().burst
 }
-
-// Allows reports whether the service's budget has a retry left.
-func (b *RetryBudget) Allows(now time.Time, id dotterelpulley.ServiceID) bool {
-	return b.bucket(now, id).tokens >= 1
-}
--- a/limiter/retry_limit_test.go
+++ b/limiter/retry_limit_test.go
@@ -183,3 +183,37 @@
 	}
 	c.Check(b.Withdraw(start.Add(time.Hour), service), qt.IsFalse)
 }
+
+// Retries that waited for an endpoint were all sent at once, on top of what had been saved up meanwhile.
+func TestReservedRetriesTakeRoomUntilTheyAreSent(t *testing.T) {
+	c := qt.New(t)
+	var b limiter.RetryBudget
+	b.Divide(start, limiter.RetryLimit{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, 7)
+	now := start.Add(time.Minute)
+	reserved := 0
+	for range 1000 {
+		b.Deposit(now, service)
+		for b.Reserve(now, service) {
+			reserved++
+		}
+	}
+	c.Check(reserved, qt.Equals, 10)
+	for range reserved {
+		b.Use(now, service)
+	}
+	c.Check(b.Withdraw(now, service), qt.IsFalse)
+}
+
+func TestAReservedRetryThatIsNotSentIsReturned(t *testing.T) {
+	c := qt.New(t)
+	var b limiter.RetryBudget
+	b.Divide(start, limiter.RetryLimit{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, 7)
+	now := start.Add(time.Minute)
+	before := b.Withdraw(now, service)
+	c.Assert(before, qt.IsTrue)
+	left := b.Available(now)[service]
+	c.Assert(b.Reserve(now, service), qt.IsTrue)
+	c.Check(b.Available(now)[service], qt.Equals, left-1)
+	b.Return(now, service)
+	c.Check(b.Available(now)[service], qt.Equals, left)
+}
