Reject registrations that name no usable endpoint

A further report: another writer's odd entry among those of the endpoints (very deep, a number too large, a port out of range) ended the hosts that read it.

Here no process ended and no loop stopped: deep records, numbers that JSON can't hold and ports above 65535 were rejected. But entries with port 0, an unspecified or multicast address, no service, a sequence number or slots beyond all reason were taken for endpoints and got requests, and a number that no duration holds was converted as the machine likes. A registration of a host without addresses counted as a host that divides bounds.

--- a/gateway/host_registration.go
+++ b/gateway/host_registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -87,10 +88,24 @@
 	}
 }
 
+// decodeHostRegistration decodes a registration with addresses that can be used.
+func decodeHostRegistration(data []byte) (hostRegistration, error) {
+	var h hostRegistration
+	if err := json.Unmarshal(data, &h); err != nil {
+		return hostRegistration{}, err
+	}
+	for _, address := range []dotterelpulley.Address{h.Peer, h.Callers} {
+		if _, err := netip.ParseAddrPort(string(address)); err != nil {
+			return hostRegistration{}, err
+		}
+	}
+	return h, nil
+}
+
 func (g *Gateway) addHosts(records []platform.Record) {
 	for _, r := range records {
-		var h hostRegistration
-		if err := json.Unmarshal(r.Value, &h); err != nil {
+		h, err := decodeHostRegistration(r.Value)
+		if err != nil {
 			g.event(log.WarnLevel, "host-unreadable").Str("peer", r.Key).Err(err).Msg("")
 			continue
 		}
--- a/gateway/operators_faults_test.go
+++ b/gateway/operators_faults_test.go
@@ -230,14 +230,31 @@
 	s.publishConfiguration(1, 1000)
 	s.endpoint("i-1", "plain", answerHello)
 	g := s.startReadyGateway()
-	for _, record := range []string{"", "null", "[]", "{", `{"version":"x"}`, `{"version":9,"routes":[{}]}`, `{"seq":1}`, "\x00\xff"} {
+	records := []string{"", "null", "[]", "{", `{"version":"x"}`, `{"version":9,"routes":[{}]}`, `{"seq":1}`, "\x00\xff"}
+	nested := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	for _, field := range []string{`"more":` + nested, `"seq":1e400`, `"seq":1e300`, `"slots":1e10`, `"slots":1000000000`, `"cold_left_ms":1e300`, `"born":1e30`, `"address":"10.0.0.1:65536"`, `"address":"0.0.0.0:0"`} {
+		records = append(records, `{"service":"plain","address":"127.0.0.1:9","zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1,`+field+`}`)
+	}
+	records = append(records, nested, `{"version":1e400}`, `{"version":9,"limits":`+nested+`}`, `{"service":"plain","target":"v9","duration_s":1e300}`, `{"zone":"a","peer":"127.0.0.1:99999","callers":"x"}`)
+	for i, record := range records {
 		s.store.Put(platform.OperatorsTopic, platform.ConfigurationKey, []byte(record))
+		s.store.Put(platform.OperatorsTopic, "rollout/plain", []byte(record))
+		s.store.Put(platform.StatusTopic, "rollout/plain", []byte(record))
 		s.store.Put(platform.EndpointsTopic, "odd", []byte(record))
+		s.store.Put(platform.EndpointsTopic, fmt.Sprintf("odd-%d", i), []byte(record))
 		s.store.Put(platform.HostsTopic, "odd", []byte(record))
+		s.store.Put(platform.HostsTopic, fmt.Sprintf("odd-%d", i), []byte(record))
 	}
+	second := s.startReadyGateway()
 	s.publishConfiguration(10, 1000)
 	s.waitFor("the newest configuration is in force", func() bool { return g.configurationVersion() == 10 })
 	s.waitForAllowance(g, 1)
 	s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusOK)
-	s.Assert(registrations(g)[0].ID, qt.Equals, dotterelpulley.EndpointID("i-1"))
+	s.endpoint("i-2", "plain", answerHello)
+	for _, host := range []*Gateway{g, second} {
+		s.waitFor("the other endpoints are followed", func() bool { return len(registrations(host)) == 2 })
+		s.Assert(registrations(host)[0].ID, qt.Equals, dotterelpulley.EndpointID("i-1"))
+		s.Assert(host.metrics.counts.Get("panics"), qt.Equals, int64(0))
+		s.Assert(host.peers.possibleHosts(time.Now()), qt.Equals, 2)
+	}
 }
