Grant no process a roll-out's slack that the one before has used

The canary's part grows with the time for which the process has known the order, not with the order's age, and in the last stage a process that heard of the order late gets none.

--- a/promoter/share.go
+++ b/promoter/share.go
@@ -55,18 +55,26 @@
 }
 
 // credit returns the number of requests beyond the fraction. A canary gets it little by little, as a burst would show the
-// target under more load than the old version has. In the last stage it leaves room for the requests between the completion
-// and the deadline.
+// target under more load than the old version has, and as other processes of this host may have used theirs before it started.
+// In the last stage it leaves room for the requests between the completion and the deadline.
 func (p *Promoter) credit(now time.Time, r *rollout) float64 {
 	slack := p.Settings.Slack / float64(max(p.Settings.Hosts, 1))
 	if r.stage != Full {
-		elapsed := 1 - r.deadline.Sub(now).Seconds()/r.Duration.Seconds()
-		return canaryCredit * slack * min(max(elapsed/creditTime, 0), 1)
+		known := now.Sub(r.seenAt).Seconds() / r.Duration.Seconds()
+		return canaryCredit * slack * min(known/creditTime, 1)
+	}
+	if r.late() {
+		return 0
 	}
 	rate := float64(r.divided) / max(now.Sub(r.seenAt).Seconds(), 1)
 	return budgetFraction*slack - rate*completionMargin.Seconds()
 }
 
+// late reports whether this host heard of the order some time after it was given, as after a restart.
+func (r *rollout) late() bool {
+	return r.seenAt.Sub(r.deadline.Add(-r.Duration)) > heldTime
+}
+
 // fullTime returns how long the target may get all requests before the completion, at the rate over all hosts.
 func (p *Promoter) fullTime(r *rollout, rate float64) time.Duration {
 	if rate <= 0 {
