Keep an organisation's usage when its cap changes

Cause: with a lower cap the usage in the window was scaled down, so that the lower cap wouldn't refuse at once, and a higher one didn't scale it up; a removed cap lost it altogether.

Usage is no longer changed. Each part of the window remembers the lowest limit then in force, and counts in proportion against a lower one, in full otherwise. A change of the bound changes the bound alone.

--- a/rationer/account.go
+++ b/rationer/account.go
@@ -38,9 +38,10 @@
 
 // recentRate returns the rate of the usage in the last quarter of the window.
 func (a *account) recentRate(now time.Time, k knowledge) Amount {
-	sum := a.total(now, k) - a.sum
+	sum := k.usage(now, a)
+	a.advance(now)
 	for n := range slotCount / 4 {
-		sum += *a.slot(a.newest - n)
+		sum += a.counted(a.newest - n)
 	}
 	return sum / Amount(now.Sub(a.startOf(a.newest-slotCount/4+1)).Seconds())
 }
@@ -83,10 +84,10 @@
 		return 0
 	}
 	// The oldest reports are about twice as old as the mean.
-	sum, unseen, reportSpan := amount, used-a.sum, float64(max(2*k.age, 1))
+	sum, unseen, reportSpan := amount, k.usage(now, a), float64(max(2*k.age, 1))
 	highest := -a.limit()
 	for n := range slotCount - 1 {
-		sum += *a.slot(a.newest - n)
+		sum += a.counted(a.newest - n)
 		passed := now.Sub(a.startOf(a.newest - n))
 		unseenPart := unseen * Amount(min(1, float64(passed)/reportSpan))
 		highest = max(highest, sum+unseenPart-a.Burst-a.Rate*Amount((savingTime+passed).Seconds()))
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -85,6 +85,9 @@
 		since := p.lastCharged
 		p.lastCharged = now
 		for organisation, a := range r.accounts {
+			if !a.capped {
+				continue
+			}
 			amount := a.evenRate() * Amount(now.Sub(since).Seconds()) / Amount(len(r.peers)+1)
 			a.addSince(since, now, amount)
 			p.assumedUsage[organisation] += amount
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -74,14 +74,8 @@
 func (r *Rationer) SetCap(now time.Time, id dotterelpulley.OrganisationID, c Cap) {
 	r.init(now)
 	a := r.account(id)
-	before := a.limit()
-	known := a.capped
 	a.Cap, a.capped = c, true
-	if after := a.limit(); known && after < before {
-		// Usage that the higher cap allowed must not count as excess under the lower one.
-		a.advance(now)
-		a.scale(float64(after / before))
-	}
+	a.setLimit(now, a.limit())
 }
 
 func (r *Rationer) window() time.Duration {
@@ -91,9 +85,11 @@
 	return defaultWindow
 }
 
-// RemoveCap removes the cap of an organisation.
+// RemoveCap removes the cap of an organisation. What it has used is kept, as the cap may come back within the window.
 func (r *Rationer) RemoveCap(id dotterelpulley.OrganisationID) {
-	delete(r.accounts, id)
+	if a, ok := r.accounts[id]; ok {
+		a.capped = false
+	}
 }
 
 // knowledge returns how much this host knows of what all hosts have used.
@@ -172,11 +168,11 @@
 	return a.allowed(k.reach) - a.total(now, k), true
 }
 
-// LocalUsage returns this host's report to its peers: what each organisation with a cap has used on it since its start.
+// LocalUsage returns this host's report to its peers: what each organisation has used on it under a cap since its start.
 func (r *Rationer) LocalUsage() map[dotterelpulley.OrganisationID]Amount {
 	usage := make(map[dotterelpulley.OrganisationID]Amount, len(r.accounts))
 	for id, a := range r.accounts {
-		if a.capped {
+		if a.capped || a.admitted != 0 {
 			usage[id] = a.admitted
 		}
 	}
--- a/rationer/window.go
+++ b/rationer/window.go
@@ -1,6 +1,9 @@
 package rationer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // slotCount is the number of time slots that a window is divided into.
 const slotCount = 64
@@ -14,6 +17,21 @@
 	// newest is the number of the latest slot.
 	newest int
 	sum    Amount
+	// inForce is the current limit, limits the lowest one in force during each slot; zero if none is known.
+	inForce Amount
+	limits  [slotCount]Amount
+	// lowered means that some slot had a higher limit.
+	lowered bool
+}
+
+// setLimit sets the limit in force from now on.
+func (w *window) setLimit(now time.Time, limit Amount) {
+	w.advance(now)
+	w.inForce = limit
+	if current := &w.limits[w.index(w.newest)]; *current == 0 || limit < *current {
+		*current = limit
+	}
+	w.lowered = slices.ContainsFunc(w.limits[:], func(l Amount) bool { return l > limit })
 }
 
 func (w *window) slotLength() time.Duration {
@@ -25,18 +43,36 @@
 	current := w.slotAt(now)
 	if current-w.newest >= slotCount {
 		w.newest, w.sum, w.slots = current, 0, [slotCount]Amount{}
+		w.lowered = false
+		for i := range w.limits {
+			w.limits[i] = w.inForce
+		}
 	}
 	for w.newest < current {
 		w.newest++
 		slot := w.slot(w.newest)
 		w.sum -= *slot
 		*slot = 0
+		w.limits[w.index(w.newest)] = w.inForce
 	}
 }
 
 // slot returns the slot with the number, which may be up to slotCount-1 below the newest.
 func (w *window) slot(n int) *Amount {
-	return &w.slots[((n%slotCount)+slotCount)%slotCount]
+	return &w.slots[w.index(n)]
+}
+
+func (w *window) index(n int) int {
+	return ((n % slotCount) + slotCount) % slotCount
+}
+
+// counted returns what the slot with the number counts against the limit in force: usage that a higher limit allowed takes the
+// same part of a lower one.
+func (w *window) counted(n int) Amount {
+	if then := w.limits[w.index(n)]; then > w.inForce {
+		return *w.slot(n) * w.inForce / then
+	}
+	return *w.slot(n)
 }
 
 // add counts an amount that was used at the time; what lies before the window counts in its oldest slot.
@@ -76,24 +112,24 @@
 	return w.origin.Add(time.Duration(n) * w.slotLength())
 }
 
-// used returns the usage in the window.
+// used returns the usage in the window that counts against the limit in force.
 func (w *window) used(now time.Time) Amount {
 	w.advance(now)
-	return w.sum
+	if !w.lowered {
+		return w.sum
+	}
+	sum := Amount(0)
+	for n := range slotCount {
+		sum += w.counted(w.newest - n)
+	}
+	return sum
 }
 
 // expiring returns the usage in the slots that the next steps of the window leave behind; the window must be up to date.
 func (w *window) expiring(steps int) Amount {
 	sum := Amount(0)
 	for n := range min(steps, slotCount) {
-		sum += *w.slot(w.newest - slotCount + 1 + n)
+		sum += w.counted(w.newest - slotCount + 1 + n)
 	}
 	return sum
 }
-
-func (w *window) scale(factor float64) {
-	for i := range w.slots {
-		w.slots[i] *= Amount(factor)
-	}
-	w.sum *= Amount(factor)
-}
