Judge whole requests that crash endpoints like parts of prompts

Whole requests are now judged by a second PartGuard: facts with an age that all hosts repeat in their digests, isolation kept in the store, one trial on parole, and no repeat within one attempt once two incidents are known. A request that is answered clears itself, so a popular one is no longer refused everywhere for the crashes of another.

--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -80,6 +80,10 @@
 	Crashes []Crash
 	// Parts is what the host knows of prompt parts that may have crashed endpoints.
 	Parts []PartFact
+	// Requests is what the host knows of whole requests that may have crashed endpoints; TellsRequests that it tells so, as builds
+	// after 164c83d do, and Crashes are for earlier ones.
+	Requests      []PartFact
+	TellsRequests bool
 	// Rollouts is what the host knows of the operators' roll-outs.
 	Rollouts []Rollout
 	// Limits are the limits that endpoints named to the host lately.
@@ -141,7 +145,7 @@
 	Endpoint    uint32
 }
 
-// PartFact is the evidence of a prompt part in the crash of an endpoint instance.
+// PartFact is the evidence of a prompt part, or of a whole request, in the crash of an endpoint instance.
 type PartFact struct {
 	Part     uint64
 	Incident uint32
@@ -182,6 +186,8 @@
 	fieldHistoryRequest
 	fieldUsageHistory
 	fieldChange
+	fieldRequestFact
+	fieldTellsRequests
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -200,7 +206,7 @@
 	for number, value := range map[fields.Number]uint64{
 		fieldIncarnation: d.Incarnation, fieldSequence: d.Sequence,
 		fieldState: uint64(d.State), fieldConfiguration: uint64(d.Configuration), fieldStoreUnreachable: protowire.EncodeBool(d.StoreUnreachable),
-		fieldBrief: protowire.EncodeBool(d.Brief), fieldStart: d.Start,
+		fieldBrief: protowire.EncodeBool(d.Brief), fieldStart: d.Start, fieldTellsRequests: protowire.EncodeBool(d.TellsRequests),
 	} {
 		if value != 0 {
 			b = fields.AppendNumber(b, number, value)
@@ -237,7 +243,10 @@
 		b = appendNumbers(b, fieldCrash, c.Fingerprint, c.Attempt, uint64(c.Endpoint))
 	}
 	for _, f := range d.Parts {
-		b = appendNumbers(b, fieldPartFact, f.Part, uint64(f.Incident), uint64(f.Evidence), uint64(max(f.Age, 0)/time.Millisecond))
+		b = f.append(b, fieldPartFact)
+	}
+	for _, f := range d.Requests {
+		b = f.append(b, fieldRequestFact)
 	}
 	for _, r := range d.Rollouts {
 		b = fields.AppendBytes(b, fieldRollout, r.encode())
@@ -255,6 +264,20 @@
 	return appendNumbers(b, field, uint64(l.Key), uint64(l.Running), uint64(l.PromptTokens))
 }
 
+func (f PartFact) append(b []byte, field fields.Number) []byte {
+	return appendNumbers(b, field, f.Part, uint64(f.Incident), uint64(f.Evidence), uint64(max(f.Age, 0)/time.Millisecond))
+}
+
+func decodePartFact(b []byte) (PartFact, error) {
+	v, err := consumeNumbers(b, 4)
+	if err != nil {
+		return PartFact{}, err
+	}
+	return PartFact{
+		Part: v[0], Incident: uint32(v[1]), Evidence: uint8(min(v[2], math.MaxUint8)), Age: time.Duration(min(v[3], maxMilliseconds)) * time.Millisecond,
+	}, nil
+}
+
 func decodeLoad(b []byte) (Load, error) {
 	v, err := consumeNumbers(b, 3)
 	if err != nil {
@@ -321,6 +344,8 @@
 		d.UnreachableServices = append(d.UnreachableServices, uint32(value))
 	case fieldStart:
 		d.Start = value
+	case fieldTellsRequests:
+		d.TellsRequests = protowire.DecodeBool(value)
 	case fieldBrief:
 		d.Brief = protowire.DecodeBool(value)
 	}
@@ -405,13 +430,17 @@
 		}
 		d.Crashes = append(d.Crashes, Crash{Fingerprint: v[0], Attempt: v[1], Endpoint: uint32(v[2])})
 	case fieldPartFact:
-		v, err := consumeNumbers(value, 4)
+		fact, err := decodePartFact(value)
 		if err != nil {
 			return err
 		}
-		d.Parts = append(d.Parts, PartFact{
-			Part: v[0], Incident: uint32(v[1]), Evidence: uint8(min(v[2], math.MaxUint8)), Age: time.Duration(min(v[3], maxMilliseconds)) * time.Millisecond,
-		})
+		d.Parts = append(d.Parts, fact)
+	case fieldRequestFact:
+		fact, err := decodePartFact(value)
+		if err != nil {
+			return err
+		}
+		d.Requests = append(d.Requests, fact)
 	}
 	return nil
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -46,10 +46,9 @@
 	deadline     time.Time
 	origin       origin
 	// arrivals counts the arrivals of the request at endpoints, as far as this host knows.
-	arrivals    endpointArrivals
-	fingerprint isolator.Fingerprint
-	// parts are those of the prompt that may be isolated.
-	parts []isolator.Part
+	arrivals endpointArrivals
+	// suspects are what may crash the endpoint that runs the request, by kind.
+	suspects [isolationKinds][]isolator.Part
 
 	method string
 	target string
@@ -183,7 +182,7 @@
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, q *request, into *buffer) *refusal {
 	q.header = platform.ForwardedRequestHeaders(r.Header)
 	if r.ContentLength == 0 {
-		q.fingerprint = fingerprintOf(q)
+		q.suspects = suspectsOf(q)
 		return nil
 	}
 	limit := g.table.Load().BodyBytes
@@ -214,7 +213,7 @@
 	q.body = into.data
 	// The caller may be silent from here on; after an error the limit stays, as the server reads on.
 	g.limitBodyTime(w, time.Time{})
-	q.fingerprint, q.parts = fingerprintOf(q), partsOf(q)
+	q.suspects = suspectsOf(q)
 	return nil
 }
 
@@ -251,14 +250,7 @@
 func (g *Gateway) checkLimits(now time.Time, q *request) *refusal {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if verdict, _ := g.isolator.Check(now, q.fingerprint); verdict == isolator.Isolated {
-		refused := newRefusal(dotterelpulley.ErrorIsolated, "the request crashed endpoints before")
-		// This attempt hasn't run; a status that means a failed run would make the caller resend it.
-		refused.status = http.StatusServiceUnavailable
-		refused.retryAfter = crashMemory
-		return refused
-	}
-	if refused := g.checkParts(now, q); refused != nil {
+	if refused := g.checkSuspects(now, q.suspects); refused != nil {
 		return refused
 	}
 	if q.organisation == "" || q.origin.forwarded {
--- a/gateway/copy_guard.go
+++ b/gateway/copy_guard.go
@@ -53,5 +53,5 @@
 	g.metrics.Inc("store-eras")
 	g.event(log.WarnLevel, "store-era").Uint64("era", uint64(era)).Msg("")
 	g.registration.renew()
-	g.keepAllParts(now)
+	g.keepAllIsolated(now)
 }
--- a/gateway/cut_off_test.go
+++ b/gateway/cut_off_test.go
@@ -187,7 +187,8 @@
 	for _, g := range s.gateways {
 		s.waitFor("only endpoints that don't answer are left", func() bool { return len(registrations(g)) == 6 })
 	}
-	for range isolateAfter {
+	const crashesUntilIsolated = 3
+	for range crashesUntilIsolated {
 		s.links[0].cut(linksUp, false)
 		s.waitFor("the host reaches the endpoints", func() bool { return !s.gateways[0].paths.lost("plain") })
 		got := make(chan answer, 1)
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -119,8 +119,5 @@
 	for id, usage := range usageByOrganisation {
 		d.Usage[id] = float64(usage)
 	}
-	d.Parts = g.reportedParts(now, d.Sequence)
-	for _, c := range g.crashes {
-		d.Crashes = append(d.Crashes, c.Crash)
-	}
+	g.addIsolations(now, d)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/apportioner"
 	"github.com/dotterelpulley/dotterelpulley/connector"
-	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/limiter"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/promoter"
@@ -29,10 +28,6 @@
 )
 
 const (
-	// isolateAfter is how many endpoints a request may crash before it is refused.
-	isolateAfter = 3
-	// crashMemory is how long a crash counts against a request, several times as long as an endpoint's restart.
-	crashMemory = 2 * time.Minute
 	// maxIdleConnections limits the idle connections to one endpoint to several times its slots.
 	maxIdleConnections = 32
 	// idleConnectionsFraction is the fraction of an endpoint's accepted connections that may be idle, which leaves room for busy ones.
@@ -80,10 +75,8 @@
 	retryBudget limiter.RetryBudget
 	// historyRequestedAt is when this host last asked another one for its usage history.
 	historyRequestedAt time.Time
-	isolator           isolator.Isolator
-	crashes            []observedCrash
-	parts              isolator.PartGuard
-	partKeeper         partKeeper
+	isolations         [isolationKinds]isolation
+	crashes            crashReports
 
 	paths       endpointPaths
 	peers       peers
@@ -127,7 +120,8 @@
 	g.queue.scheduler = scheduler.Scheduler{Seed: seed, Zone: settings.Zone}
 	g.queue.waiters = map[scheduler.ID]chan scheduler.Decision{}
 	g.queue.changed = make(chan struct{}, 1)
-	g.isolator.Settings = isolator.Settings{Limit: isolateAfter, Lifetime: crashMemory}
+	g.isolations[promptParts] = isolation{kind: promptParts, topic: platform.IsolationsTopic}
+	g.isolations[wholeRequests] = isolation{kind: wholeRequests, topic: platform.IsolatedRequestsTopic}
 	g.apportioner.Self = settings.Host
 	g.bodies.limit = bodyBudget(settings.Memory)
 	g.connector.OnOpen = func() { g.metrics.Inc("connections-opened") }
@@ -165,7 +159,8 @@
 	g.supervise("follow-readers", g.followReaders)
 	g.supervise("follow-endpoints", g.followEndpoints)
 	g.supervise("register-host", g.registerHost)
-	g.supervise("keep-parts", g.keepParts)
+	g.supervise("keep-parts", func() { g.keepIsolated(&g.isolations[promptParts]) })
+	g.supervise("keep-requests", func() { g.keepIsolated(&g.isolations[wholeRequests]) })
 	g.supervise("announce-state", g.announceState)
 	g.supervise("announce-changes", g.announceChanges)
 	g.supervise("receive-digests", g.receiveDigests)
@@ -241,11 +236,10 @@
 	g.connector.Prune(now)
 	g.hosts.Prune(now)
 	g.limitIdleConnections()
-	g.prunePartsAndTell(now)
+	g.pruneIsolations(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.isolator.Prune(now)
-	g.expireCrashes(now)
+	g.crashes.expire(now)
 	g.applyBounds()
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -266,20 +266,20 @@
 }
 
 func TestARequestThatCrashesEndpointsIsRefused(t *testing.T) {
+	const crashes = 3
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
 	s.endpoint("i-1", "plain", answerHello)
 	g := s.startReadyGateway()
-	g.mutex.Lock()
-	q := &request{organisation: "t1", method: http.MethodPost, target: "/call/", body: []byte("bad")}
-	f := fingerprintOf(q)
-	for i := range isolateAfter {
-		now := time.Now().Add(time.Duration(i-isolateAfter) * time.Second)
+	suspects := suspectsOf(&request{organisation: "t1", method: http.MethodPost, target: "/call/", body: []byte("bad")})[wholeRequests]
+	for i := range crashes {
+		now := time.Now().Add(time.Duration(i-crashes) * time.Second)
 		id := dotterelpulley.EndpointID(fmt.Sprintf("crashed-%d", i))
-		g.isolator.Started(now, f, id, isolator.AttemptID(i))
-		g.recordCrash(now, id)
+		g.mutex.Lock()
+		g.isolations[wholeRequests].Begin(now, suspects, id, isolator.AttemptID(i), g.mayTryPart(now))
+		g.mutex.Unlock()
+		g.endpointCrashed(now, id)
 	}
-	g.mutex.Unlock()
 	a := s.post(g, "/call/", "bad")
 	s.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
 	s.Assert(s.post(g, "/call/", "good").status, qt.Equals, http.StatusOK)
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -12,19 +12,45 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
+	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
-// partRetryAfter is the retry delay of a request with an isolated part, which is tried again after that time at the earliest.
-const partRetryAfter = 30 * time.Second
+// suspectRetryAfter is the retry delay of a request that is refused because of earlier crashes, which is tried again after that
+// time at the earliest.
+const suspectRetryAfter = 30 * time.Second
 
-// partsOf returns the parts of the request's prompt that may be isolated.
-func partsOf(q *request) []isolator.Part {
-	var parts []isolator.Part
+// isolationKind is a kind of what may crash the endpoint that runs a request.
+type isolationKind int
+
+const (
+	// promptParts are parts of prompts, which different requests share.
+	promptParts isolationKind = iota
+	// wholeRequests are requests that come again unchanged.
+	wholeRequests
+
+	isolationKinds
+)
+
+// kindNames are the names of the kinds in the log.
+var kindNames = [isolationKinds]string{"part", "request"}
+
+// isolation isolates what crashes endpoints, of one kind; the gateway's mutex guards what it embeds.
+type isolation struct {
+	isolator.PartGuard
+	kind isolationKind
+	// topic keeps what is isolated for hosts that all start at once.
+	topic  platform.Topic
+	keeper partKeeper
+}
+
+// suspectsOf returns what may crash the endpoint that runs the request, by kind.
+func suspectsOf(q *request) (suspects [isolationKinds][]isolator.Part) {
 	for _, p := range q.SharedParts {
-		parts = append(parts, isolator.PartOf(q.service, uint64(p)))
+		suspects[promptParts] = append(suspects[promptParts], isolator.PartOf(q.service, uint64(p)))
 	}
-	return parts
+	suspects[wholeRequests] = []isolator.Part{isolator.Part(fingerprintOf(q))}
+	return suspects
 }
 
 // mayTryPart reports whether this host is the one that tries the part on parole: the one with the highest hash of those alive.
@@ -41,50 +67,50 @@
 	}
 }
 
-func refusePart(p isolator.Part) *refusal {
-	refused := newRefusal(dotterelpulley.ErrorIsolated, fmt.Sprintf("part %s of the prompt crashed endpoints before", p))
+func refuseSuspect(kind isolationKind, p isolator.Part) *refusal {
+	refused := newRefusal(dotterelpulley.ErrorIsolated, fmt.Sprintf("%s %s crashed endpoints before", kindNames[kind], p))
 	// This attempt hasn't run; a status that means a failed run would make the caller resend it.
 	refused.status = http.StatusServiceUnavailable
-	refused.retryAfter = partRetryAfter
+	refused.retryAfter = suspectRetryAfter
 	return refused
 }
 
-// checkParts refuses a request with an isolated part; the mutex must be held.
-func (g *Gateway) checkParts(now time.Time, q *request) *refusal {
-	if p, refused := g.parts.Check(now, q.parts, g.mayTryPart(now)); refused {
-		g.metrics.Inc("parts-refused")
-		return refusePart(p)
+// checkSuspects refuses a request that may crash the endpoint which runs it; the mutex must be held.
+func (g *Gateway) checkSuspects(now time.Time, suspects [isolationKinds][]isolator.Part) *refusal {
+	for kind := range isolationKinds {
+		if p, refused := g.isolations[kind].Check(now, suspects[kind], g.mayTryPart(now)); refused {
+			g.metrics.Inc("parts-refused")
+			return refuseSuspect(kind, p)
+		}
 	}
 	return nil
 }
 
-// beginRun records that the request is about to be sent to the endpoint, unless one of its parts was isolated while it waited.
+// beginRun records that the request is about to be sent to the endpoint, unless it was isolated while it waited.
 func (p *proxiedRequest) beginRun(a attempt) *refusal {
 	g := p.gateway
 	g.mutex.Lock()
-	part, refused := g.parts.Begin(a.startedAt, p.parts, a.Endpoint.ID, a.attemptID, g.mayTryPart(a.startedAt))
-	if !refused {
-		g.isolator.Started(a.startedAt, p.fingerprint, a.Endpoint.ID, a.attemptID)
+	refused := g.checkSuspects(a.startedAt, p.suspects)
+	if refused == nil {
+		for kind := range isolationKinds {
+			g.isolations[kind].Begin(a.startedAt, p.suspects[kind], a.Endpoint.ID, a.attemptID, g.mayTryPart(a.startedAt))
+		}
 	}
 	g.mutex.Unlock()
-	if !refused {
-		return nil
+	if refused != nil {
+		g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, scheduler.ResultCancelled) })
 	}
-	g.metrics.Inc("parts-refused")
-	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, scheduler.ResultCancelled) })
-	return refusePart(part)
+	return refused
 }
 
-// noteAnswered records that the endpoint has begun its answer and gone on with it, so that no part of the prompt crashes it.
+// noteAnswered records that the endpoint has begun its answer and gone on with it, so that the request doesn't crash it.
 func (p *proxiedRequest) noteAnswered(a attempt) {
-	if len(p.parts) == 0 || a.helper != "" {
+	if a.helper != "" {
 		return
 	}
-	g := p.gateway
-	g.mutex.Lock()
-	changes := g.parts.Answered(time.Now(), a.Endpoint.ID, a.attemptID)
-	g.mutex.Unlock()
-	g.notePartChanges(changes, "answered")
+	p.gateway.changeIsolations("answered", func(i *isolation) []isolator.PartChange {
+		return i.Answered(time.Now(), a.Endpoint.ID, a.attemptID)
+	})
 }
 
 // endpointCrashed records an endpoint's crash, for the requests that ran on it and their parts.
@@ -98,21 +124,47 @@
 		incident = isolator.Incident(scheduler.EndpointKey(id))
 	}
 	g.mutex.Lock()
-	g.recordCrash(now, id)
-	changes := g.parts.EndpointCrashed(now, id, incident)
+	g.reportCrash(now, id)
 	g.mutex.Unlock()
-	g.notePartChanges(changes, "endpoint "+string(id)+" crashed")
+	g.changeIsolations("endpoint "+string(id)+" crashed", func(i *isolation) []isolator.PartChange {
+		return i.EndpointCrashed(now, id, incident)
+	})
 }
 
-// mayRepeat reports whether no part of the request is under strong suspicion, as its repeat would cost one more endpoint.
+// changeIsolations changes what is known of each kind by what this host has seen itself.
+func (g *Gateway) changeIsolations(why string, change func(*isolation) []isolator.PartChange) {
+	for kind := range isolationKinds {
+		g.mutex.Lock()
+		changes := change(&g.isolations[kind])
+		g.mutex.Unlock()
+		g.noteChanges(kind, changes, why)
+	}
+}
+
+// mayRepeat reports whether the request is under no strong suspicion, as its repeat would cost one more endpoint.
 func (p *proxiedRequest) mayRepeat() bool {
 	p.gateway.mutex.Lock()
 	defer p.gateway.mutex.Unlock()
-	return p.gateway.parts.MayRepeat(time.Now(), p.parts)
+	for kind := range isolationKinds {
+		if !p.gateway.isolations[kind].MayRepeat(time.Now(), p.suspects[kind]) {
+			return false
+		}
+	}
+	return true
 }
 
-// receiveParts applies what another host knows of parts.
-func (g *Gateway) receiveParts(now time.Time, from dotterelpulley.HostID, received []announcer.PartFact) {
+// receiveIsolations applies what another host's digest tells of crashes.
+func (g *Gateway) receiveIsolations(now time.Time, d announcer.Digest) {
+	g.receiveFacts(now, promptParts, d.ID, d.Parts)
+	requests := d.Requests
+	if !d.TellsRequests {
+		requests = g.adoptCrashes(now, d.Crashes)
+	}
+	g.receiveFacts(now, wholeRequests, d.ID, requests)
+}
+
+// receiveFacts applies what another host knows of one kind.
+func (g *Gateway) receiveFacts(now time.Time, kind isolationKind, from dotterelpulley.HostID, received []announcer.PartFact) {
 	if len(received) == 0 {
 		return
 	}
@@ -123,65 +175,72 @@
 		})
 	}
 	g.mutex.Lock()
-	changes := g.parts.Receive(now, facts)
+	changes := g.isolations[kind].Receive(now, facts)
 	g.mutex.Unlock()
-	g.logPartChanges(changes, "told by "+string(from))
+	g.logChanges(kind, changes, "told by "+string(from))
 	// Hosts time incidents a little differently, so that there may be none that saw the deciding one itself.
-	g.keepOwnParts(now, changes)
+	g.keepOwnChanges(now, kind, changes)
+}
+
+// addIsolations adds what this host tells of crashes to the digest; the mutex must be held.
+func (g *Gateway) addIsolations(now time.Time, d *announcer.Digest) {
+	d.Parts = announcedFacts(g.isolations[promptParts].Facts(now, d.Sequence))
+	d.Requests, d.TellsRequests = announcedFacts(g.isolations[wholeRequests].Facts(now, d.Sequence)), true
+	d.Crashes = g.crashes.announced()
 }
 
-// reportedParts returns what the digest with this number tells of parts; the mutex must be held.
-func (g *Gateway) reportedParts(now time.Time, sequence uint64) []announcer.PartFact {
-	var reported []announcer.PartFact
-	for _, f := range g.parts.Facts(now, sequence) {
-		reported = append(reported, announcer.PartFact{
+func announcedFacts(facts []isolator.PartFact) (announced []announcer.PartFact) {
+	for _, f := range facts {
+		announced = append(announced, announcer.PartFact{
 			Part: uint64(f.Part), Incident: uint32(f.Incident), Evidence: uint8(f.Evidence), Age: f.Age,
 		})
 	}
-	return reported
+	return announced
 }
 
-// notePartChanges handles changes by what this host has seen itself.
-func (g *Gateway) notePartChanges(changes []isolator.PartChange, why string) {
+// noteChanges handles changes by what this host has seen itself.
+func (g *Gateway) noteChanges(kind isolationKind, changes []isolator.PartChange, why string) {
 	if len(changes) == 0 {
 		return
 	}
-	g.logPartChanges(changes, why)
+	g.logChanges(kind, changes, why)
 	g.peers.sendNow()
 	for _, c := range changes {
 		if (c.From == isolator.IsolatedPart) != (c.To == isolator.IsolatedPart) {
-			g.keepPart(c.Part)
+			g.isolations[kind].keeper.add(c.Part)
 		}
 	}
 }
 
-// logPartChanges logs the parts whose state has changed. Suspicions are many and short, so that only their count is kept.
-func (g *Gateway) logPartChanges(changes []isolator.PartChange, why string) {
+// logChanges logs what is isolated or no longer is. Suspicions are many and short, so that only their count is kept.
+func (g *Gateway) logChanges(kind isolationKind, changes []isolator.PartChange, why string) {
 	for _, c := range changes {
 		g.metrics.Inc("parts-" + c.To.String())
 		if c.From != isolator.IsolatedPart && c.To != isolator.IsolatedPart {
 			continue
 		}
-		g.event(log.WarnLevel, "part-"+c.To.String()).Str("part", c.Part.String()).Str("was", c.From.String()).
+		g.event(log.WarnLevel, "part-"+c.To.String()).Str("kind", kindNames[kind]).Str("part", c.Part.String()).Str("was", c.From.String()).
 			Int("incidents", c.Incidents).Str("incident", fmt.Sprintf("%08x", uint32(c.Incident))).Str("why", why).Msg("")
 	}
 }
 
-// prunePartsAndTell forgets what no longer counts of parts.
-func (g *Gateway) prunePartsAndTell(now time.Time) {
-	g.mutex.Lock()
-	changes := g.parts.Prune(now)
-	g.mutex.Unlock()
-	g.logPartChanges(changes, "expired")
-	g.keepOwnParts(now, changes)
+// pruneIsolations forgets what no longer counts.
+func (g *Gateway) pruneIsolations(now time.Time) {
+	for kind := range isolationKinds {
+		g.mutex.Lock()
+		changes := g.isolations[kind].Prune(now)
+		g.mutex.Unlock()
+		g.logChanges(kind, changes, "expired")
+		g.keepOwnChanges(now, kind, changes)
+	}
 }
 
-// keepOwnParts keeps the parts that were isolated or no longer are, and that this host tries on parole.
-func (g *Gateway) keepOwnParts(now time.Time, changes []isolator.PartChange) {
+// keepOwnChanges keeps what was isolated or no longer is, and what this host tries on parole.
+func (g *Gateway) keepOwnChanges(now time.Time, kind isolationKind, changes []isolator.PartChange) {
 	mayTry := g.mayTryPart(now)
 	for _, c := range changes {
 		if (c.From == isolator.IsolatedPart) != (c.To == isolator.IsolatedPart) && mayTry(c.Part) {
-			g.keepPart(c.Part)
+			g.isolations[kind].keeper.add(c.Part)
 		}
 	}
 }
--- a/gateway/isolation_store.go
+++ b/gateway/isolation_store.go
@@ -66,54 +66,52 @@
 	AgeMS    int64  `json:"age-ms"`
 }
 
-// keepPart makes the store hold what is known of the part if it is isolated, and nothing otherwise.
-func (g *Gateway) keepPart(p isolator.Part) {
-	g.partKeeper.add(p)
-}
-
-// keepAllParts writes the isolated parts again after the store's return from a copy, each by one host.
-func (g *Gateway) keepAllParts(now time.Time) {
-	g.mutex.Lock()
-	isolated := g.parts.Isolated(now)
-	g.mutex.Unlock()
+// keepAllIsolated writes what is isolated again after the store's return from a copy, each by one host.
+func (g *Gateway) keepAllIsolated(now time.Time) {
 	mayTry := g.mayTryPart(now)
-	for _, p := range isolated {
-		if mayTry(p) {
-			g.keepPart(p)
+	for kind := range isolationKinds {
+		i := &g.isolations[kind]
+		g.mutex.Lock()
+		isolated := i.Isolated(now)
+		g.mutex.Unlock()
+		for _, p := range isolated {
+			if mayTry(p) {
+				i.keeper.add(p)
+			}
 		}
 	}
 }
 
-// keepParts reads the isolated parts once and then writes those that change.
-func (g *Gateway) keepParts() {
+// keepIsolated reads what is isolated once and then writes what changes.
+func (g *Gateway) keepIsolated(i *isolation) {
 	for g.ctx.Err() == nil {
-		err := g.readKeptParts()
+		err := g.readKeptParts(i)
 		if err == nil {
 			break
 		}
-		g.event(log.InfoLevel, "parts-unread").Err(err).Msg("")
+		g.event(log.InfoLevel, "parts-unread").Str("topic", string(i.topic)).Err(err).Msg("")
 		repeater.Sleep(g.ctx, fallbackRetryDelay)
 	}
 	for {
 		select {
 		case <-g.ctx.Done():
 			return
-		case <-g.partKeeper.requested():
+		case <-i.keeper.requested():
 		}
-		for p, ok := g.partKeeper.take(); ok && g.ctx.Err() == nil; p, ok = g.partKeeper.take() {
-			if err := g.writeKeptPart(p); err != nil {
-				g.event(log.InfoLevel, "part-unwritten").Str("part", p.String()).Err(err).Msg("")
-				g.partKeeper.add(p)
+		for p, ok := i.keeper.take(); ok && g.ctx.Err() == nil; p, ok = i.keeper.take() {
+			if err := g.writeKeptPart(i, p); err != nil {
+				g.event(log.InfoLevel, "part-unwritten").Str("topic", string(i.topic)).Str("part", p.String()).Err(err).Msg("")
+				i.keeper.add(p)
 				repeater.Sleep(g.ctx, fallbackRetryDelay+rand.N(fallbackRetryDelay))
 			}
 		}
 	}
 }
 
-func (g *Gateway) readKeptParts() error {
+func (g *Gateway) readKeptParts(i *isolation) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeAnswerTimeout)
 	defer cancel()
-	snapshot, err := g.store.Newest(ctx, platform.IsolationsTopic)
+	snapshot, err := g.store.Newest(ctx, i.topic)
 	if err != nil {
 		return fmt.Errorf("read isolated parts: %w", err)
 	}
@@ -129,24 +127,23 @@
 		}
 		facts = append(facts, decoded...)
 	}
-	now := time.Now()
 	g.mutex.Lock()
-	changes := g.parts.Receive(now, facts)
+	changes := i.Receive(time.Now(), facts)
 	g.mutex.Unlock()
-	g.logPartChanges(changes, "kept in the store")
+	g.logChanges(i.kind, changes, "kept in the store")
 	return nil
 }
 
-func (g *Gateway) writeKeptPart(p isolator.Part) error {
+func (g *Gateway) writeKeptPart(i *isolation, p isolator.Part) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeAnswerTimeout)
 	defer cancel()
 	g.mutex.Lock()
-	record, err := encodeKeptPart(p, g.parts.State(time.Now(), p), g.parts.FactsOf(time.Now(), p))
+	record, err := encodeKeptPart(p, i.State(time.Now(), p), i.FactsOf(time.Now(), p))
 	g.mutex.Unlock()
 	if err != nil {
 		return err
 	}
-	if _, err := g.store.Append(ctx, platform.IsolationsTopic, record); err != nil {
+	if _, err := g.store.Append(ctx, i.topic, record); err != nil {
 		return fmt.Errorf("write part %s: %w", p, err)
 	}
 	return nil
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
@@ -83,13 +84,13 @@
 func (f *fragileFleet) knows(g *Gateway) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return slices.Equal(g.parts.Isolated(time.Now()), []isolator.Part{partOfID(deadlyPart)})
+	return slices.Equal(g.isolations[promptParts].Isolated(time.Now()), []isolator.Part{partOfID(deadlyPart)})
 }
 
 // partOfID returns the model service's part with the id.
 func partOfID(id string) isolator.Part {
 	h := http.Header{"Dotterelpulley-Prompt-Prefix": {id + ":1,x:1"}}
-	return partsOf(&request{service: "model", RequestMetadata: platform.DecodeRequestMetadata(h)})[0]
+	return suspectsOf(&request{service: "model", RequestMetadata: platform.DecodeRequestMetadata(h)})[promptParts][0]
 }
 
 // Guards against endpoints that crash one after the other on requests which share one part of their prompts.
@@ -181,12 +182,12 @@
 			e := f.endpoint("i-1", "model", handler)
 			g := f.startReadyGateway()
 			part := partOfID(deadlyPart)
-			g.receiveParts(time.Now(), "host-9", []announcer.PartFact{{Part: uint64(part), Incident: 1, Age: time.Second}})
+			g.receiveFacts(time.Now(), promptParts, "host-9", []announcer.PartFact{{Part: uint64(part), Incident: 1, Age: time.Second}})
 			f.ask(g, "/plan/", deadlyPart)
 			f.Assert(e.Received(), qt.HasLen, 1)
 			g.mutex.Lock()
 			defer g.mutex.Unlock()
-			f.Assert(g.parts.State(time.Now(), part), qt.Equals, isolator.Suspected)
+			f.Assert(g.isolations[promptParts].State(time.Now(), part), qt.Equals, isolator.Suspected)
 		})
 	}
 }
@@ -201,18 +202,18 @@
 	part := partOfID(deadlyPart)
 	now := time.Now()
 	for i := range isolator.Incident(3) {
-		g.receiveParts(now, "host-9", []announcer.PartFact{{Part: uint64(part), Incident: uint32(i), Age: time.Duration(i) * time.Second}})
+		g.receiveFacts(now, promptParts, "host-9", []announcer.PartFact{{Part: uint64(part), Incident: uint32(i), Age: time.Duration(i) * time.Second}})
 	}
 	s.waitFor("the part is kept", func() bool { return len(s.store.Records(platform.IsolationsTopic)) > 0 })
 	run := isolator.AttemptID(1)
 	g.mutex.Lock()
-	isolated := g.parts.Isolated(now)
-	_, refused := g.parts.Begin(now.Add(2*time.Minute), []isolator.Part{part}, "i-1", run, func(isolator.Part) bool { return true })
-	changes := g.parts.Answered(now.Add(2*time.Minute), "i-1", run)
+	isolated := g.isolations[promptParts].Isolated(now)
+	_, refused := g.isolations[promptParts].Begin(now.Add(2*time.Minute), []isolator.Part{part}, "i-1", run, func(isolator.Part) bool { return true })
+	changes := g.isolations[promptParts].Answered(now.Add(2*time.Minute), "i-1", run)
 	g.mutex.Unlock()
 	s.Assert(isolated, qt.DeepEquals, []isolator.Part{part})
 	s.Assert(refused, qt.IsFalse)
-	g.notePartChanges(changes, "answered")
+	g.noteChanges(promptParts, changes, "answered")
 	s.waitFor("the record is deleted", func() bool {
 		records := s.store.Records(platform.IsolationsTopic)
 		return len(records) > 0 && records[len(records)-1].Key == part.String() && len(records[len(records)-1].Value) == 0
@@ -251,3 +252,90 @@
 		c.Assert(err, qt.IsNotNil)
 	}
 }
+
+// crashWith records crashes of endpoints that had run the request, the last one just now.
+func crashWith(g *Gateway, suspects []isolator.Part, crashes int, between func(at time.Time)) {
+	for i := range crashes {
+		at := time.Now().Add(time.Duration(i+1-crashes) * time.Second)
+		id := dotterelpulley.EndpointID(fmt.Sprint("crashed-", i))
+		g.mutex.Lock()
+		g.isolations[wholeRequests].Begin(at, suspects, id, isolator.AttemptID(i), g.mayTryPart(at))
+		g.mutex.Unlock()
+		g.endpointCrashed(at, id)
+		between(at)
+	}
+}
+
+func wholeRequest(body string) []isolator.Part {
+	return suspectsOf(&request{organisation: "t1", method: http.MethodPost, target: "/call/", body: []byte(body)})[wholeRequests]
+}
+
+// A host that was restarted ran a request that crashes endpoints again, as it knew of no crash.
+func TestAnIsolatedRequestOutlivesRestarts(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	e := s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	crashWith(g, wholeRequest("bad"), 3, func(time.Time) {})
+	knows := func(g *Gateway) bool {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		return slices.Equal(g.isolations[wholeRequests].Isolated(time.Now()), wholeRequest("bad"))
+	}
+	refuses := func(g *Gateway) {
+		s.waitFor("the host knows the request", func() bool { return knows(g) })
+		s.waitForAllowance(g, 20)
+		s.Assert(s.post(g, "/call/", "bad").status, qt.Equals, http.StatusServiceUnavailable)
+		s.Assert(s.post(g, "/call/", "good").status, qt.Equals, http.StatusOK)
+	}
+	refuses(g)
+	s.waitFor("the request is kept", func() bool { return len(s.store.Records(platform.IsolatedRequestsTopic)) > 0 })
+	// The other hosts tell a host that starts, whatever the store holds.
+	s.store.SetFailureStatus(http.StatusServiceUnavailable)
+	told := s.startGateway()
+	g.peers.addHost(told.peers.self())
+	s.waitFor("the host is told", func() bool { return knows(told) })
+	s.store.SetFailureStatus(0)
+	s.waitFor("the host is ready", func() bool { return told.ready(time.Now()) })
+	refuses(told)
+	// The store tells one that starts alone.
+	s.stopGateway(g)
+	s.stopGateway(told)
+	refuses(s.startReadyGateway())
+	s.Assert(e.Received(), qt.HasLen, 3)
+}
+
+// A popular request was refused everywhere for the crashes of another that ran beside it.
+func TestARequestThatIsAnsweredIsNotRefusedForTheCrashesOfOthers(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.endpoint("i-1", "plain", answerHello)
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	popular := wholeRequest("popular")
+	crashWith(g, append(wholeRequest("bad"), popular...), 4, func(time.Time) {
+		s.Assert(s.post(g, "/call/", "popular").status, qt.Equals, http.StatusOK)
+	})
+	s.Assert(s.post(g, "/call/", "bad").status, qt.Equals, http.StatusServiceUnavailable)
+	s.Assert(s.post(g, "/call/", "popular").status, qt.Equals, http.StatusOK)
+}
+
+// Only hosts of earlier builds count by the crashes that they report; others tell what they know of requests.
+func TestCrashesReportedByEarlierBuildsCount(t *testing.T) {
+	for _, tells := range []bool{false, true} {
+		c := qt.New(t)
+		g := New(platform.Settings{Host: "host-1"}, &log.Logger{Level: log.PanicLevel})
+		for i := range uint32(3) {
+			g.receiveIsolations(time.Now().Add(time.Duration(i)*time.Second), announcer.Digest{
+				Host: announcer.Host{ID: "host-2"}, TellsRequests: tells,
+				Crashes: []announcer.Crash{{Fingerprint: 7, Attempt: uint64(i), Endpoint: i}},
+			})
+		}
+		g.mutex.Lock()
+		state := g.isolations[wholeRequests].State(time.Now().Add(3*time.Second), 7)
+		g.mutex.Unlock()
+		c.Check(state == isolator.IsolatedPart, qt.Equals, !tells)
+		c.Check(g.Close(), qt.IsNil)
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
-	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/rationer"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -22,13 +20,9 @@
 const (
 	// datagramLimit is the largest size of a digest; a datagram over loopback or Ethernet may be larger.
 	datagramLimit = 32 << 10
-	// crashReportTime is how long each crash is reported, long enough for several digests to be lost.
-	crashReportTime = 5 * time.Second
 	// recentUsageTime is how long after its last change an organisation's usage stays in brief digests, longer than it takes
 	// for most hosts of a large fleet to get one of them.
 	recentUsageTime = 5 * time.Second
-	// maxReportedCrashes limits the crashes in a digest.
-	maxReportedCrashes = 64
 )
 
 // peers exchanges digests with the other hosts.
@@ -42,12 +36,6 @@
 	unreadable map[unreadableKey]bool
 }
 
-// observedCrash is a crash that this host observed itself or was told of first by another one.
-type observedCrash struct {
-	announcer.Crash
-	at time.Time
-}
-
 func (p *peers) configure(s platform.Settings, seed uint64) {
 	address := func(ip netip.Addr) dotterelpulley.Address {
 		return dotterelpulley.Address(netip.AddrPortFrom(ip, s.FirstPeerPort).String())
@@ -254,7 +242,7 @@
 		g.peers.sendNow()
 	}
 	g.markLeaving(now, d.LeavingInstances)
-	g.receiveParts(now, d.ID, d.Parts)
+	g.receiveIsolations(now, d)
 	g.learnRollouts(now, d.Rollouts)
 	g.learnLimits(now, d)
 	g.catchUp(d)
@@ -274,33 +262,6 @@
 	if d.State == announcer.Left {
 		g.rationer.RemoveHost(d.ID)
 	}
-	for _, c := range d.Crashes {
-		known := !g.isolator.AddCrash(isolator.Crash{
-			Fingerprint: isolator.Fingerprint(c.Fingerprint), Attempt: isolator.AttemptID(c.Attempt),
-			Endpoint: dotterelpulley.EndpointID(fmt.Sprintf("%08x", c.Endpoint)), Started: now, At: now,
-		})
-		if !known {
-			// The host that saw the crash reaches only some of a large fleet while it reports it.
-			g.reportCrash(now, c)
-		}
-	}
-}
-
-// recordCrash records an endpoint's crash; the mutex must be held.
-func (g *Gateway) recordCrash(now time.Time, id dotterelpulley.EndpointID) {
-	for _, d := range g.isolator.EndpointCrashed(now, id) {
-		g.reportCrash(now, announcer.Crash{Fingerprint: uint64(d.Fingerprint), Attempt: uint64(d.Attempt), Endpoint: scheduler.EndpointKey(id)})
-	}
-}
-
-// reportCrash adds a crash to the next digests, in place of the oldest one if there are too many; the mutex must be held.
-func (g *Gateway) reportCrash(now time.Time, c announcer.Crash) {
-	g.crashes = append(g.crashes, observedCrash{at: now, Crash: c})
-	g.crashes = g.crashes[max(len(g.crashes)-maxReportedCrashes, 0):]
-}
-
-func (g *Gateway) expireCrashes(now time.Time) {
-	g.crashes = slices.DeleteFunc(g.crashes, func(c observedCrash) bool { return now.Sub(c.at) > crashReportTime })
 }
 
 // position returns this host's position among all live hosts, ordered by id.
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -374,13 +374,11 @@
 }
 
 // endRun records that an endpoint no longer runs the request.
-func (g *Gateway) endRun(now time.Time, a attempt, fingerprint isolator.Fingerprint, result scheduler.Result) {
+func (g *Gateway) endRun(a attempt) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.isolator.Ended(a.Endpoint.ID, a.attemptID)
-	g.parts.Ended(a.Endpoint.ID, a.attemptID)
-	if result == scheduler.ResultCompleted {
-		g.isolator.Completed(now, fingerprint)
+	for i := range g.isolations {
+		g.isolations[i].Ended(a.Endpoint.ID, a.attemptID)
 	}
 }
 
@@ -388,7 +386,7 @@
 func (p *proxiedRequest) finishAttempt(a attempt, result scheduler.Result, err error) {
 	now := time.Now()
 	if a.helper == "" {
-		p.gateway.endRun(now, a, p.fingerprint, result)
+		p.gateway.endRun(a)
 	}
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
 	if result != scheduler.ResultCompleted {
@@ -397,7 +395,7 @@
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
-			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.parts)).Err(err).Msg("")
+			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.suspects[promptParts])).Err(err).Msg("")
 	}
 }
 
--- a/isolator/part_guard.go
+++ b/isolator/part_guard.go
@@ -126,6 +126,21 @@
 	return parts
 }
 
+// Waiting is a run on an endpoint that hasn't begun its answer.
+type Waiting struct {
+	Attempt AttemptID
+	Parts   []Part
+}
+
+// Waiting returns the runs on the endpoint that haven't begun their answers.
+func (g *PartGuard) Waiting(endpoint dotterelpulley.EndpointID) []Waiting {
+	var runs []Waiting
+	for _, r := range g.waiting[endpoint] {
+		runs = append(runs, Waiting{Attempt: r.attempt, Parts: r.parts})
+	}
+	return runs
+}
+
 // Answered records that a run has begun its answer and gone on with it, and returns the parts whose state that changes.
 func (g *PartGuard) Answered(now time.Time, endpoint dotterelpulley.EndpointID, attempt AttemptID) []PartChange {
 	var changes []PartChange
