Order what hosts tell of endpoints by the offsets of the store's log

Cause: hosts took over whatever list another host held. Two records were compared only across eras of the store, so that within one an older one replaced a newer one and undid its removal.

Each record now travels with its offset, each list with the position up to which it speaks. What was written before what a host knows, before a removal, or before the position at which the host knew of no such endpoint, is dropped; a list takes away nothing that was written after it. Earlier builds tell no offsets: there the endpoint's sequence numbers decide. Two records of one key in one read count in their order, too.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -49,11 +50,27 @@
 	r.PauseReading()
 }
 
+// position returns the offset up to which the endpoints' records are known.
+func (r *endpointRegistry) position() int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Position()
+}
+
+// dateRecords sets the offsets of the records to those of the endpoints' latest ones.
+func (r *endpointRegistry) dateRecords(records []relayer.Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for i := range records {
+		records[i].Written = max(records[i].Written, r.Written(dotterelpulley.EndpointID(records[i].Key)))
+	}
+}
+
 // applyStoreRecords applies records read from the store.
 func (g *Gateway) applyStoreRecords(now time.Time, read topicRecords) {
-	batch := registrar.Batch{Era: read.era, Complete: read.complete}
+	batch := registrar.Batch{Era: read.era, Complete: read.complete, Position: int64(read.next)}
 	for _, r := range read.records {
-		g.addRecord(&batch, r.Key, r.Value)
+		g.addRecord(&batch, relayer.Record{Key: r.Key, Value: r.Value, Written: int64(r.Offset) + 1})
 	}
 	g.registry.mutex.Lock()
 	changes := g.registry.ApplyStore(now, batch)
@@ -65,10 +82,10 @@
 }
 
 // applyReaderChanges applies the endpoint changes received from a reader and reports whether the reader is up to date.
-func (g *Gateway) applyReaderChanges(now time.Time, era dotterelpulley.StoreEra, relayed relayer.Changes) bool {
-	batch := registrar.Batch{Era: era, Complete: relayed.Full}
+func (g *Gateway) applyReaderChanges(now time.Time, relayed *relayer.FollowResponse) bool {
+	batch := registrar.Batch{Era: relayed.Era, Complete: relayed.Full, Position: relayed.Position}
 	for _, r := range relayed.Records {
-		g.addRecord(&batch, r.Key, r.Value)
+		g.addRecord(&batch, r)
 	}
 	g.registry.mutex.Lock()
 	changes, current := g.registry.ApplyPeer(now, batch)
@@ -80,22 +97,24 @@
 	return current
 }
 
-// addRecord decodes a record, which removes its key if it is empty, into the batch.
-func (g *Gateway) addRecord(batch *registrar.Batch, key string, value []byte) {
-	id := dotterelpulley.EndpointID(key)
-	if len(value) == 0 {
+// addRecord decodes a record, which removes its key if it is empty, into the batch in place of earlier ones of its key.
+func (g *Gateway) addRecord(batch *registrar.Batch, r relayer.Record) {
+	id := dotterelpulley.EndpointID(r.Key)
+	batch.Removed = slices.DeleteFunc(batch.Removed, func(other dotterelpulley.EndpointID) bool { return other == id })
+	batch.Records = slices.DeleteFunc(batch.Records, func(other registrar.Record) bool { return other.ID == id })
+	if len(r.Value) == 0 {
 		batch.Removed = append(batch.Removed, id)
 		return
 	}
-	registration, err := platform.DecodeRegistration(id, value)
+	registration, err := platform.DecodeRegistration(id, r.Value)
 	if err != nil {
 		g.metrics.Inc("entries-unreadable")
-		g.event(log.WarnLevel, "entry-unreadable").Str("endpoint", key).Err(err).Msg("")
+		g.event(log.WarnLevel, "entry-unreadable").Str("endpoint", r.Key).Err(err).Msg("")
 		batch.Unreadable = append(batch.Unreadable, id)
 		return
 	}
 	registration.WarmAt = time.Now().Add(registration.ColdLeft)
-	batch.Records = append(batch.Records, registrar.Record{Registration: registration, Encoded: value})
+	batch.Records = append(batch.Records, registrar.Record{Registration: registration, Encoded: r.Value, Written: r.Written})
 }
 
 // relayEndpointChanges passes changes on to the hosts that follow this one; the registry's mutex must be held.
@@ -106,7 +125,7 @@
 			g.event(log.InfoLevel, "endpoint-gone").Str("endpoint", string(c.ID)).Msg("")
 			continue
 		}
-		g.changes.put(relayer.Record{Key: string(c.ID), Value: c.Encoded})
+		g.changes.put(relayer.Record{Key: string(c.ID), Value: c.Encoded, Written: c.Written})
 		g.event(log.InfoLevel, "endpoint").Str("endpoint", string(c.ID)).Str("service", string(c.Service)).
 			Str("address", string(c.Address)).Str("state", c.State.String()).Msg("")
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -47,6 +47,8 @@
 	// complete means that these are the newest records of all keys rather than the new ones.
 	complete bool
 	era      dotterelpulley.StoreEra
+	// next is the offset up to which the topic is known.
+	next platform.Offset
 }
 
 // readWait returns how long the next call may wait for new records: only a read after a successful read waits at all.
@@ -65,14 +67,14 @@
 			return topicRecords{}, err
 		}
 		r.synced, r.next, r.era = true, snapshot.Next, snapshot.Era
-		return topicRecords{records: snapshot.Records, complete: true, era: snapshot.Era}, nil
+		return topicRecords{records: snapshot.Records, complete: true, era: snapshot.Era, next: snapshot.Next}, nil
 	}
 	records, next, err := store.Read(ctx, platform.Position{Topic: r.topic, Next: r.next, Era: r.era}, wait)
 	if err != nil {
 		return topicRecords{}, err
 	}
 	r.next = next
-	return topicRecords{records: records, era: r.era}, nil
+	return topicRecords{records: records, era: r.era, next: next}, nil
 }
 
 // readNext returns new records of the topic, or the newest record of each key after a gap.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -184,7 +184,11 @@
 	limit := time.NewTimer(min(query.Wait, relayWait))
 	defer limit.Stop()
 	for {
+		// A position that is read later might be after records that the answer lacks.
+		position := g.registry.position()
 		answer, hasChanges, changed := g.changes.since(query, g.configurationVersion())
+		answer.Position = position
+		g.registry.dateRecords(answer.Records)
 		answer.Era, answer.StoreLost = g.store.Era(), g.storeAccess.isLost(time.Now())
 		if !hasChanges && (!answer.StoreLost || query.AcceptStoreLost) {
 			select {
@@ -270,7 +274,7 @@
 	}
 	g.store.ObserveEra(answer.Era)
 	g.noteEra(time.Now())
-	if !g.applyReaderChanges(time.Now(), answer.Era, answer.Changes) {
+	if !g.applyReaderChanges(time.Now(), answer) {
 		return false, fmt.Errorf("the reader is in era %d of the store, which is in %d", answer.Era, g.store.Era())
 	}
 	query.Incarnation, query.EndpointSequence = answer.Incarnation, answer.Next
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,8 +34,9 @@
 	// answeredAt is when the store last answered; returnedAt is when its last outage ended or it returned from a copy.
 	answeredAt time.Time
 	returnedAt time.Time
-	// era is the newest era of the records applied.
-	era dotterelpulley.StoreEra
+	// era is the newest era of the records applied, position the offset up to which its log is known; zero if it isn't.
+	era      dotterelpulley.StoreEra
+	position int64
 }
 
 type entry struct {
@@ -47,7 +48,9 @@
 type removal struct {
 	Registration
 	era dotterelpulley.StoreEra
-	at  time.Time
+	// position is the offset at which the registration was gone; zero if that isn't known.
+	position int64
+	at       time.Time
 }
 
 // Change is a registration that was added, replaced or removed.
@@ -72,6 +75,8 @@
 	Complete bool
 	Records  []Record
 	Removed  []dotterelpulley.EndpointID
+	// Position is the offset up to which the batch knows the store's log; zero if the host that relayed it doesn't tell.
+	Position int64
 	// Unreadable are endpoints whose record can't be decoded: it changes nothing, and the endpoint isn't gone.
 	Unreadable []dotterelpulley.EndpointID
 }
@@ -82,6 +87,8 @@
 		r.returnedAt = now
 	}
 	r.answeredAt = now
+	// What the store itself holds is news wherever this host has read to.
+	r.position = 0
 	return r.apply(now, b)
 }
 
@@ -104,7 +111,8 @@
 	changes := r.put(b)
 	for _, id := range r.missing(b) {
 		e, ok := r.known[id]
-		if !ok {
+		if !ok || e.era == b.Era && b.Position > 0 && e.Written > b.Position {
+			// The other host hasn't read the registration yet.
 			continue
 		}
 		if e.State == dotterelpulley.EndpointLive && now.Sub(r.returnedAt) < expiryGrace {
@@ -113,17 +121,27 @@
 			}
 			continue
 		}
-		changes = r.remove(now, id, changes)
+		changes = r.remove(now, id, b.Position, changes)
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.pendingRemovals)) {
 		if now.Sub(r.pendingRemovals[id]) >= expiryGrace {
-			changes = r.remove(now, id, changes)
+			changes = r.remove(now, id, b.Position, changes)
 		}
 	}
 	r.prune(now)
 	return changes
 }
 
+// Position returns the offset up to which the log of the newest era is known; zero if it isn't.
+func (r *Registrar) Position() int64 {
+	return r.position
+}
+
+// Written returns the offset after the endpoint's latest record, which may have changed nothing but its sequence number.
+func (r *Registrar) Written(id dotterelpulley.EndpointID) int64 {
+	return r.known[id].Written
+}
+
 // PauseReading records that this host stops reading the store, so that the time until it reads again is no outage.
 func (r *Registrar) PauseReading() {
 	r.answeredAt = time.Time{}
@@ -131,11 +149,15 @@
 
 // put adds the batch's records that are news.
 func (r *Registrar) put(b Batch) []Change {
-	r.era = max(r.era, b.Era)
+	if b.Era > r.era {
+		r.era, r.position = b.Era, 0
+	}
+	position := r.position
+	r.position = max(r.position, b.Position)
 	var changes []Change
 	for _, record := range b.Records {
 		known, ok := r.known[record.ID]
-		if r.isOutdated(record.Registration, b.Era) {
+		if r.isOutdated(record, b.Era, position) {
 			continue
 		}
 		if ok && known.era < b.Era && known.StartedAt.Equal(record.StartedAt) {
@@ -152,14 +174,24 @@
 	return changes
 }
 
-// isOutdated reports whether a record of the era was written before what an earlier era has shown of its endpoint: the copy
-// from which the store returned then holds a record that the store had already replaced.
-func (r *Registrar) isOutdated(record Registration, era dotterelpulley.StoreEra) bool {
+// isOutdated reports whether a record of the era was written before what this host knows of its endpoint: another host may be
+// behind, and the copy from which the store returned may hold a record that the store had already replaced. The position is the
+// one up to which this host knows the log: an endpoint that it doesn't know was gone there.
+func (r *Registrar) isOutdated(record Record, era dotterelpulley.StoreEra, position int64) bool {
 	if known, ok := r.known[record.ID]; ok {
-		return known.era < era && known.changes(record) && !record.replaces(known.Registration)
+		if known.era == era && known.Written > 0 && record.Written > 0 {
+			return record.Written < known.Written
+		}
+		return known.era <= era && known.changes(record.Registration) && !record.replaces(known.Registration)
 	}
 	removed, ok := r.removed[record.ID]
-	return ok && removed.era < era && !record.replaces(removed.Registration)
+	if !ok {
+		return record.Written > 0 && record.Written <= position
+	}
+	if removed.era == era && removed.position > 0 && record.Written > 0 {
+		return record.Written <= removed.position
+	}
+	return removed.era <= era && !record.replaces(removed.Registration)
 }
 
 // missing returns the endpoints that the batch says are gone, by id.
@@ -183,14 +215,15 @@
 	return ids
 }
 
-func (r *Registrar) remove(now time.Time, id dotterelpulley.EndpointID, changes []Change) []Change {
+// remove removes a registration that was gone at the position.
+func (r *Registrar) remove(now time.Time, id dotterelpulley.EndpointID, position int64, changes []Change) []Change {
 	e, ok := r.known[id]
 	if !ok {
 		return changes
 	}
 	delete(r.known, id)
 	delete(r.pendingRemovals, id)
-	r.removed[id] = removal{Registration: e.Registration, era: r.era, at: now}
+	r.removed[id] = removal{Registration: e.Registration, era: r.era, position: position, at: now}
 	return append(changes, Change{Record: e.Record, Removed: true})
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -212,3 +212,82 @@
 		}
 	})
 }
+
+// written returns the record with its offset.
+func written(r Record, offset int64) Record {
+	r.Written = offset
+	return r
+}
+
+// A host that was cut off, or that had read the store a moment earlier, brought back endpoints that had left.
+func TestAnOlderListOfAnotherHostBringsNothingBack(t *testing.T) {
+	c := qt.New(t)
+	var r Registrar
+	r.ApplyStore(start, Batch{Era: 1, Complete: true, Position: 20, Records: []Record{
+		written(live("stays", 1, 5), 10), written(live("leaves", 1, 5), 11), written(live("gone", 1, 5), 12),
+	}})
+	r.ApplyStore(start.Add(time.Second), Batch{Era: 1, Position: 30, Records: []Record{written(leaving("leaves", 6), 25), written(live("new", 1, 1), 26)}, Removed: []dotterelpulley.EndpointID{"gone"}})
+	want := known{"stays": "live", "leaves": "leaving", "new": "live"}
+	c.Assert(states(&r), qt.DeepEquals, want)
+
+	// The other host has since read the registrations written again, but not what came after them.
+	older := Batch{Era: 1, Complete: true, Position: 24, Records: []Record{written(live("stays", 1, 7), 22), written(live("leaves", 1, 5), 11), written(live("gone", 1, 7), 24)}}
+	_, current := r.ApplyPeer(start.Add(2*time.Second), older)
+	c.Assert(current, qt.IsTrue)
+	c.Assert(states(&r), qt.DeepEquals, want)
+
+	// One that tells no offsets is judged by the sequence numbers of the endpoints.
+	untold := Batch{Era: 1, Complete: true, Records: []Record{live("stays", 1, 7), live("leaves", 1, 5), live("gone", 1, 5), live("new", 1, 1)}}
+	r.ApplyPeer(start.Add(2*time.Second), untold)
+	c.Assert(states(&r), qt.DeepEquals, want)
+
+	// What was written after the removal is news, whoever tells it.
+	r.ApplyPeer(start.Add(3*time.Second), Batch{Era: 1, Position: 40, Records: []Record{written(live("gone", 2, 1), 35)}})
+	want["gone"] = "live"
+	c.Assert(states(&r), qt.DeepEquals, want)
+}
+
+// In any order of what several hosts have read of one log, the newest state of each endpoint stands.
+func TestHostsThatReadOneLogAgreeInAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []dotterelpulley.EndpointID{"a", "b", "c"}
+		type event struct {
+			record  Record
+			removed bool
+		}
+		var log []event
+		seq := map[dotterelpulley.EndpointID]int64{}
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			seq[id]++
+			state := rapid.SampledFrom([]dotterelpulley.EndpointState{dotterelpulley.EndpointLive, dotterelpulley.EndpointLeaving}).Draw(t, "state")
+			log = append(log, event{record(string(id), 1, seq[id], state), rapid.Bool().Draw(t, "removed")})
+		}
+		// listAt is the complete list of a host that has read the log up to the position.
+		listAt := func(position int) Batch {
+			newest := map[dotterelpulley.EndpointID]Record{}
+			for i, e := range log[:position] {
+				delete(newest, e.record.ID)
+				if !e.removed {
+					newest[e.record.ID] = written(e.record, int64(i)+1)
+				}
+			}
+			b := Batch{Era: 1, Complete: true, Position: int64(position)}
+			for _, id := range ids {
+				if record, ok := newest[id]; ok {
+					b.Records = append(b.Records, record)
+				}
+			}
+			return b
+		}
+		var r, latest Registrar
+		newest := rapid.IntRange(1, len(log)).Draw(t, "newest")
+		latest.ApplyStore(start, listAt(newest))
+		r.ApplyPeer(start, listAt(newest))
+		for i := range rapid.IntRange(1, 8).Draw(t, "older lists") {
+			r.ApplyPeer(start.Add(time.Duration(i)*time.Second), listAt(rapid.IntRange(1, newest).Draw(t, "position")))
+		}
+		c.Assert(states(&r), qt.DeepEquals, states(&latest))
+	})
+}
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -29,6 +29,8 @@
 type Record struct {
 	Registration
 	Encoded []byte
+	// Written is the offset after the record in the store's log, within its era; zero if the host that relayed it doesn't tell.
+	Written int64
 }
 
 // InstanceKey is the hash that identifies one start of an endpoint among hosts.
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -31,6 +32,8 @@
 	Era dotterelpulley.StoreEra
 	// StoreLost is true if the reader can't reach the store, so that another one has to be asked.
 	StoreLost bool
+	// Position is the offset up to which the reader knows the endpoints' records, within Era; zero if it doesn't tell.
+	Position int64
 	// Age is the time since the operators' records were last known to be complete; AgeKnown is false if they never were.
 	Age      time.Duration
 	AgeKnown bool
@@ -56,6 +59,7 @@
 	fieldOrder
 	fieldOrderEra
 	fieldOrderNext
+	fieldPosition
 )
 
 // Field numbers of a record and an order on the wire.
@@ -64,6 +68,7 @@
 	fieldValue
 	fieldAfterEra
 	fieldAfterNext
+	fieldWritten
 )
 
 // Marshal returns the request in the protocol buffers wire format.
@@ -109,6 +114,7 @@
 	b = fields.AppendNumber(b, fieldFull, protowire.EncodeBool(r.Full))
 	b = fields.AppendNumber(b, fieldEra, uint64(r.Era))
 	b = fields.AppendNumber(b, fieldStoreLost, protowire.EncodeBool(r.StoreLost))
+	b = fields.AppendNumber(b, fieldPosition, uint64(max(r.Position, 0)))
 	if len(r.Configuration) > 0 {
 		b = fields.AppendBytes(b, fieldConfiguration, r.Configuration)
 	}
@@ -125,7 +131,11 @@
 
 func marshalRecord(r Record) []byte {
 	b := fields.AppendBytes(nil, fieldKey, []byte(r.Key))
-	return fields.AppendBytes(b, fieldValue, r.Value)
+	b = fields.AppendBytes(b, fieldValue, r.Value)
+	if r.Written > 0 {
+		b = fields.AppendNumber(b, fieldWritten, uint64(r.Written))
+	}
+	return b
 }
 
 // Unmarshal parses the response.
@@ -137,6 +147,8 @@
 			r.Incarnation = value
 		case fieldSequence:
 			r.Next = Sequence(value)
+		case fieldPosition:
+			r.Position = offsetOf(value)
 		case fieldAge:
 			r.Age = time.Duration(value)
 		case fieldAgeKnown:
@@ -174,6 +186,8 @@
 			o.After.Era = dotterelpulley.StoreEra(value)
 		case fieldAfterNext:
 			o.After.Next = int64(value)
+		case fieldWritten:
+			o.Written = offsetOf(value)
 		}
 	}, func(number fields.Number, value []byte) error {
 		switch number {
@@ -186,3 +200,11 @@
 	})
 	return o, err
 }
+
+// offsetOf returns an offset on the wire; one that no store has counts as unknown.
+func offsetOf(value uint64) int64 {
+	if value > math.MaxInt64 {
+		return 0
+	}
+	return int64(value)
+}
--- a/relayer/record_set.go
+++ b/relayer/record_set.go
@@ -12,6 +12,8 @@
 type Record struct {
 	Key   string
 	Value []byte
+	// Written is the offset after the record in the store's log, within its era; zero if the sender doesn't tell.
+	Written int64
 }
 
 // Changes lists what has changed in a record set since a sequence number.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -89,12 +89,12 @@
 	c.Assert(gotRequest.Unmarshal(request.Marshal()), qt.IsNil)
 	c.Assert(gotRequest, qt.Equals, request)
 	response := FollowResponse{
-		Incarnation: 1, Age: time.Second, AgeKnown: true, Configuration: []byte("c"),
+		Incarnation: 1, Position: 12, Age: time.Second, AgeKnown: true, Configuration: []byte("c"),
 		Orders: []Order{
 			{Record: Record{Key: "rollout/s", Value: []byte("o")}, After: Position{Era: 2, Next: 9}},
 			{Record: Record{Key: "withdrawn", Value: []byte{}}, After: Position{Era: 2, Next: 10}},
 		},
-		Changes: Changes{Full: true, Next: 4, Records: []Record{{Key: "k", Value: []byte("v")}, {Key: "gone", Value: []byte{}}}},
+		Changes: Changes{Full: true, Next: 4, Records: []Record{{Key: "k", Value: []byte("v"), Written: 11}, {Key: "gone", Value: []byte{}}}},
 	}
 	var gotResponse FollowResponse
 	c.Assert(gotResponse.Unmarshal(response.Marshal()), qt.IsNil)
