--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -52,7 +52,7 @@
 				var requests atomic.Int64
 				handler := func(w http.ResponseWriter, r *http.Request, n int) {
 					if requests.Add(1) == 1 {
-						writeBrokenStream(w, 1, 3)
+						writeBrokenStream(w, 3)
 						return
 					}
 					fail(w, r, n)
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -154,7 +154,7 @@
 	var requests atomic.Int64
 	handler := func(w http.ResponseWriter, r *http.Request, _ int) {
 		if requests.Add(1) == 1 {
-			writeBrokenStream(w, 1, 3)
+			writeBrokenStream(w, 3)
 			return
 		}
 		if r.Header.Get("Last-Event-Id") != "3" {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -105,9 +105,9 @@
 	s.Assert(s.post(g, "/call/", "book").status, qt.Equals, http.StatusBadGateway)
 }
 
-// writeBrokenStream sends events up to the last and aborts in the middle of the next one.
-func writeBrokenStream(w http.ResponseWriter, from, last int) {
-	standin.WriteEvents(w, from, last)
+// writeBrokenStream sends events from the first up to the last and aborts in the middle of the next one.
+func writeBrokenStream(w http.ResponseWriter, last int) {
+	standin.WriteEvents(w, 1, last)
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", last+1)
 	_ = http.NewResponseController(w).Flush()
 	standin.AbortResponse()
@@ -120,7 +120,7 @@
 	var runs atomic.Int64
 	handler := func(w http.ResponseWriter, r *http.Request, n int) {
 		if runs.Add(1) == 1 {
-			writeBrokenStream(w, 1, 2)
+			writeBrokenStream(w, 2)
 			return
 		}
 		laterHandler(w, r, n)
@@ -155,7 +155,7 @@
 func TestBrokenStreamIsNotResumedOnANonResumableRoute(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
-	handler := func(w http.ResponseWriter, _ *http.Request, _ int) { writeBrokenStream(w, 1, 2) }
+	handler := func(w http.ResponseWriter, _ *http.Request, _ int) { writeBrokenStream(w, 2) }
 	one, two := s.endpoint("i-1", "model", handler), s.endpoint("i-2", "model", handler)
 	g := s.startReadyGateway()
 	a := s.post(g, "/plan/", "prompt")
--- a/rationer/account.go
+++ b/rationer/account.go
@@ -73,13 +73,13 @@
 func (a *account) fits(now time.Time, k knowledge, amount, reserve Amount) bool {
 	used := a.total(now, k)
 	tolerance := roundingError * a.limit()
-	return used+amount+reserve <= a.allowed(k.reach)+tolerance && a.excess(now, k, used, amount+reserve) <= tolerance || used <= 0
+	return used+amount+reserve <= a.allowed(k.reach)+tolerance && a.excess(now, k, amount+reserve) <= tolerance || used <= 0
 }
 
 // excess returns by how much the usage in any latest part of the window would exceed the burst and the rate. Without this bound,
 // hosts that all restart after a surge would grant again what the surge has used just before, and all hosts of a large fleet
 // would use what they see left of the window at the same moment.
-func (a *account) excess(now time.Time, k knowledge, used, amount Amount) Amount {
+func (a *account) excess(now time.Time, k knowledge, amount Amount) Amount {
 	if k.wholeWindow {
 		return 0
 	}
@@ -101,7 +101,7 @@
 		return a.span
 	}
 	used := a.total(now, k)
-	untilRateHas := time.Duration(float64(a.excess(now, k, used, amount)/a.Rate) * float64(time.Second))
+	untilRateHas := time.Duration(float64(a.excess(now, k, amount)/a.Rate) * float64(time.Second))
 	return min(max(a.untilWindowHas(k, used, amount), untilRateHas), a.span)
 }
 
--- a/rationer/cap_change_test.go
+++ b/rationer/cap_change_test.go
@@ -32,7 +32,7 @@
 		"lowered in steps": func(r *Rationer, now time.Time, step int) {
 			r.SetCap(now, organisation, []Cap{high, {Rate: 60, Burst: 60}, {Rate: 30, Burst: 30}, low}[step%4])
 		},
-		"removed and set again": func(r *Rationer, now time.Time, step int) {
+		"removed and set again": func(r *Rationer, now time.Time, _ int) {
 			r.RemoveCap(organisation)
 			r.SetCap(now, organisation, high)
 		},
