--- a/gateway/host_registration.go
+++ b/gateway/host_registration.go
@@ -88,16 +88,17 @@
 	}
 }
 
-// decodeHostRegistration decodes a registration with addresses that can be used.
+// decodeHostRegistration decodes a registration with addresses that can be used; a host without callers names none for them.
 func decodeHostRegistration(data []byte) (hostRegistration, error) {
 	var h hostRegistration
 	if err := json.Unmarshal(data, &h); err != nil {
 		return hostRegistration{}, err
 	}
-	for _, address := range []dotterelpulley.Address{h.Peer, h.Callers} {
-		if _, err := netip.ParseAddrPort(string(address)); err != nil {
-			return hostRegistration{}, err
-		}
+	if _, err := netip.ParseAddrPort(string(h.Peer)); err != nil {
+		return hostRegistration{}, err
+	}
+	if _, err := netip.ParseAddrPort(string(h.Callers)); err != nil && h.Callers != "" {
+		return hostRegistration{}, err
 	}
 	return h, nil
 }
