Log and count the endpoints that are kept although the store lacks them

Whether a host that lost touch takes its own cut for an outage of the store could only be told from when it dropped an endpoint. store-returned and endpoint-kept (counters store-returns, endpoints-kept) name the moment and the endpoints. No decision changes.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -73,7 +73,9 @@
 		g.addRecord(&batch, relayer.Record{Key: r.Key, Value: r.Value, Written: int64(r.Offset) + 1})
 	}
 	g.registry.mutex.Lock()
+	before := g.registry.Doubt()
 	changes := g.registry.ApplyStore(now, batch)
+	g.logDoubt(before, g.registry.Doubt())
 	g.relayEndpointChanges(changes)
 	g.registry.mutex.Unlock()
 	if len(changes) > 0 {
@@ -88,7 +90,9 @@
 		g.addRecord(&batch, r)
 	}
 	g.registry.mutex.Lock()
+	before := g.registry.Doubt()
 	changes, current := g.registry.ApplyPeer(now, batch)
+	g.logDoubt(before, g.registry.Doubt())
 	g.relayEndpointChanges(changes)
 	g.registry.mutex.Unlock()
 	if len(changes) > 0 {
@@ -97,6 +101,20 @@
 	return current
 }
 
+// logDoubt logs that the store counts as returned from an outage, and which endpoints are kept although it lacks them.
+func (g *Gateway) logDoubt(before, after registrar.Doubt) {
+	if after.ReturnedAt.After(before.ReturnedAt) {
+		g.metrics.Inc("store-returns")
+		g.event(log.InfoLevel, "store-returned").Msg("")
+	}
+	for _, id := range after.Endpoints {
+		if !slices.Contains(before.Endpoints, id) {
+			g.metrics.Inc("endpoints-kept")
+			g.event(log.InfoLevel, "endpoint-kept").Str("endpoint", string(id)).Dur("returned-before", time.Since(after.ReturnedAt)).Msg("")
+		}
+	}
+}
+
 // addRecord decodes a record, which removes its key if it is empty, into the batch in place of earlier ones of its key.
 func (g *Gateway) addRecord(batch *registrar.Batch, r relayer.Record) {
 	id := dotterelpulley.EndpointID(r.Key)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -137,6 +137,18 @@
 	return r.position
 }
 
+// Doubt is a series of registrations that disappeared with an outage of the store or a copy of it, and are kept for a while.
+type Doubt struct {
+	// ReturnedAt is when the store returned, as far as this host knows.
+	ReturnedAt time.Time
+	Endpoints  []dotterelpulley.EndpointID
+}
+
+// Doubt returns the registrations that are kept although the store lacks them.
+func (r *Registrar) Doubt() Doubt {
+	return Doubt{ReturnedAt: r.returnedAt, Endpoints: slices.Sorted(maps.Keys(r.pendingRemovals))}
+}
+
 // Written returns the offset after the endpoint's latest record, which may have changed nothing but its sequence number.
 func (r *Registrar) Written(id dotterelpulley.EndpointID) int64 {
 	return r.known[id].Written
