Ask other hosts whether the store was out before keeping endpoints that it lacks

Cause: a host took every pause of over 1.2 s in its own reading for an outage of the store, in which registrations of running endpoints expire, and kept what had gone meanwhile for 1.9 s and until its next read. A host's own loss of touch is not an outage.

Change: hosts keep the span over which the store is known to have answered anybody, and readers tell it with their answers. A host in doubt asks up to four others; a span that covers its own pause refutes the outage, and what is missing goes at once. Spans are taken by their shorter ends, so that slow calls and frozen hosts can't cover an outage. The grace ends by a timer and after one more read, no longer with the next read.

The same on related paths: a host that began to read during an outage dropped the endpoints that had expired, as it knew of no read before; its own failed calls count now. A host that takes over from readers that ended has seen no failure, and still keeps nothing.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -32,15 +32,45 @@
 			continue
 		}
 		read, err := g.readNext(&reader, 0)
-		if err == nil {
-			g.applyStoreRecords(time.Now(), read)
-		}
-		wait := endpointsReadInterval
 		if err != nil {
-			wait = g.retryDelay()
+			g.registry.noteFailure()
+			repeater.Sleep(g.ctx, g.retryDelay())
+			continue
 		}
-		repeater.Sleep(g.ctx, wait)
+		g.applyStoreRecords(time.Now(), read)
+		repeater.Sleep(g.ctx, g.registry.readDelay(time.Now()))
+	}
+}
+
+// noteFailure records that the store did not answer this host.
+func (r *endpointRegistry) noteFailure() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.NoteFailure()
+}
+
+// doubt returns the registrations that are kept although the store lacks them.
+func (r *endpointRegistry) doubt() registrar.Doubt {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Doubt()
+}
+
+// contact returns the latest contact of any host with the store.
+func (r *endpointRegistry) contact() registrar.Contact {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Contact()
+}
+
+// readDelay returns the time until the next read, the last of which comes just before a missing registration is removed.
+func (r *endpointRegistry) readDelay(now time.Time) time.Duration {
+	d := r.doubt()
+	last := d.Until.Add(-settleLead).Sub(now)
+	if len(d.Endpoints) == 0 || last <= 0 {
+		return endpointsReadInterval
 	}
+	return min(last, endpointsReadInterval)
 }
 
 // pauseReading records that this host stops reading, so that the time until it reads again doesn't count as a store outage.
@@ -72,40 +102,40 @@
 	for _, r := range read.records {
 		g.addRecord(&batch, relayer.Record{Key: r.Key, Value: r.Value, Written: int64(r.Offset) + 1})
 	}
-	g.registry.mutex.Lock()
-	before := g.registry.Doubt()
-	changes := g.registry.ApplyStore(now, batch)
-	g.logDoubt(before, g.registry.Doubt())
-	g.relayEndpointChanges(changes)
-	g.registry.mutex.Unlock()
-	if len(changes) > 0 {
-		g.updateScheduler()
-	}
+	g.changeEndpoints(func() []registrar.Change { return g.registry.ApplyStore(now, batch) })
 }
 
 // applyReaderChanges applies the endpoint changes received from a reader and reports whether the reader is up to date.
-func (g *Gateway) applyReaderChanges(now time.Time, relayed *relayer.FollowResponse) bool {
+func (g *Gateway) applyReaderChanges(now time.Time, relayed *relayer.FollowResponse) (current bool) {
 	batch := registrar.Batch{Era: relayed.Era, Complete: relayed.Full, Position: relayed.Position}
 	for _, r := range relayed.Records {
 		g.addRecord(&batch, r)
 	}
+	g.changeEndpoints(func() (changes []registrar.Change) {
+		changes, current = g.registry.ApplyPeer(now, batch)
+		return changes
+	})
+	return current
+}
+
+// changeEndpoints applies a change to the registrations and passes its consequences on.
+func (g *Gateway) changeEndpoints(change func() []registrar.Change) {
 	g.registry.mutex.Lock()
 	before := g.registry.Doubt()
-	changes, current := g.registry.ApplyPeer(now, batch)
+	changes := change()
 	g.logDoubt(before, g.registry.Doubt())
 	g.relayEndpointChanges(changes)
 	g.registry.mutex.Unlock()
 	if len(changes) > 0 {
 		g.updateScheduler()
 	}
-	return current
 }
 
-// logDoubt logs that the store counts as returned from an outage, and which endpoints are kept although it lacks them.
+// logDoubt logs that the store may have been out, and which endpoints are kept although it lacks them.
 func (g *Gateway) logDoubt(before, after registrar.Doubt) {
 	if after.ReturnedAt.After(before.ReturnedAt) {
-		g.metrics.Inc("store-returns")
-		g.event(log.InfoLevel, "store-returned").Msg("")
+		g.metrics.Inc("outages-suspected")
+		g.event(log.InfoLevel, "outage-suspected").Msg("")
 	}
 	for _, id := range after.Endpoints {
 		if !slices.Contains(before.Endpoints, id) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -181,6 +181,9 @@
 
 // answerFollower answers a query, after a wait if nothing has changed.
 func (g *Gateway) answerFollower(ctx context.Context, query relayer.FollowRequest) *relayer.FollowResponse {
+	if query.ContactOnly {
+		return &relayer.FollowResponse{Contact: g.toldContact()}
+	}
 	limit := time.NewTimer(min(query.Wait, relayWait))
 	defer limit.Stop()
 	for {
@@ -200,6 +203,7 @@
 			}
 		}
 		answer.Age, answer.AgeKnown = g.freshness.age()
+		answer.Contact = g.toldContact()
 		return &answer
 	}
 }
@@ -258,11 +262,12 @@
 
 // queryReader queries one reader once, applies its answer, and reports whether the reader has lost the store.
 func (g *Gateway) queryReader(client *http.Client, reader announcer.Member, query *relayer.FollowRequest) (storeLost bool, err error) {
-	startedAt := sinceBoot()
+	startedAt, calledAt := sinceBoot(), time.Now()
 	answer, err := g.callReader(client, reader, query)
 	if err != nil {
 		return false, err
 	}
+	g.applyContact(calledAt, answer.Contact)
 	if len(answer.Configuration) > 0 {
 		g.applyConfiguration(answer.Configuration, -1)
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -40,6 +40,8 @@
 	usedAddresses map[dotterelpulley.Address]bool
 	// links are the hosts' links to endpoints, in the order of gateways.
 	links []*endpointLinks
+	// onStart, if set, is called with each host before it starts.
+	onStart func(*Gateway)
 }
 
 func newSite(t *testing.T) *site {
@@ -96,6 +98,9 @@
 	links := &endpointLinks{}
 	g.connector.Dial = links.dial
 	s.links = append(s.links, links)
+	if s.onStart != nil {
+		s.onStart(g)
+	}
 	s.Assert(g.Start(), qt.IsNil)
 	s.gateways = append(s.gateways, g)
 	s.TB.(*testing.T).Cleanup(func() {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// outageThreshold is the time without an answer after which the store counts as unavailable.
+	// outageThreshold is the time without an answer after which the store may have been unavailable.
 	outageThreshold = 1200 * time.Millisecond
 	// expiryGrace is how long a registration that disappeared during an outage of the store, or with a copy of it, is kept
 	// after the store's return, for its endpoint to write it again.
@@ -27,13 +27,16 @@
 	known map[dotterelpulley.EndpointID]entry
 	// removed holds the last registration of each endpoint that was removed.
 	removed map[dotterelpulley.EndpointID]removal
-	// pendingRemovals are registrations that disappeared with an outage or a copy, with the time of the store's return.
-	pendingRemovals map[dotterelpulley.EndpointID]time.Time
+	// pendingRemovals are registrations that disappeared, with the silence of the store or the copy that may be the reason.
+	pendingRemovals map[dotterelpulley.EndpointID]silence
 	// leaving holds the instances that said they were leaving, with the time of the first word.
 	leaving map[InstanceKey]time.Time
-	// answeredAt is when the store last answered; returnedAt is when its last outage ended or it returned from a copy.
-	answeredAt time.Time
-	returnedAt time.Time
+	// contact is the latest contact of any host with the store that is known here.
+	contact Contact
+	// reading means that this host reads the store itself, so that a pause of its answers may be an outage.
+	reading bool
+	// silence is the last time in which registrations may have expired.
+	silence silence
 	// era is the newest era of the records applied, position the offset up to which its log is known; zero if it isn't.
 	era      dotterelpulley.StoreEra
 	position int64
@@ -63,7 +66,7 @@
 	if r.known == nil {
 		r.known = map[dotterelpulley.EndpointID]entry{}
 		r.removed = map[dotterelpulley.EndpointID]removal{}
-		r.pendingRemovals = map[dotterelpulley.EndpointID]time.Time{}
+		r.pendingRemovals = map[dotterelpulley.EndpointID]silence{}
 		r.leaving = map[InstanceKey]time.Time{}
 	}
 }
@@ -83,15 +86,52 @@
 
 // ApplyStore applies what this host read from the store and returns the changes.
 func (r *Registrar) ApplyStore(now time.Time, b Batch) []Change {
-	if !r.answeredAt.IsZero() && now.Sub(r.answeredAt) > outageThreshold {
-		r.returnedAt = now
-	}
-	r.answeredAt = now
+	r.noteAnswer(now)
 	// What the store itself holds is news wherever this host has read to.
 	r.position = 0
 	return r.apply(now, b)
 }
 
+// noteAnswer records that the store answered this host.
+func (r *Registrar) noteAnswer(now time.Time) {
+	if pause := now.Sub(r.contact.Until); r.reading && !r.contact.Until.IsZero() && pause > outageThreshold {
+		r.silence = silence{from: r.contact.Until, until: now}
+	}
+	r.reading = true
+	r.contact = r.contact.join(Contact{Since: now, Until: now})
+}
+
+// NoteFailure records that the store did not answer this host.
+func (r *Registrar) NoteFailure() {
+	r.reading = true
+}
+
+// PauseReading records that this host stops reading the store, so that the time until it reads again is no outage.
+func (r *Registrar) PauseReading() {
+	r.reading = false
+}
+
+// Contact returns the latest contact of any host with the store that is known here.
+func (r *Registrar) Contact() Contact {
+	return r.contact
+}
+
+// ApplyContact applies the contact with the store that another host tells, and returns the removals that it shows to be no
+// consequence of an outage.
+func (r *Registrar) ApplyContact(now time.Time, told Contact) []Change {
+	r.contact = r.contact.join(told)
+	if r.silence.isRefutedBy(r.contact) {
+		r.silence = silence{}
+	}
+	var changes []Change
+	for _, id := range slices.Sorted(maps.Keys(r.pendingRemovals)) {
+		if r.pendingRemovals[id].isRefutedBy(r.contact) {
+			changes = r.remove(now, id, r.position, changes)
+		}
+	}
+	return changes
+}
+
 // ApplyPeer applies what another host that reads the store relayed and returns the changes; false means that the other
 // host is still in an earlier era, whose records are dropped.
 func (r *Registrar) ApplyPeer(now time.Time, b Batch) ([]Change, bool) {
@@ -106,7 +146,7 @@
 func (r *Registrar) apply(now time.Time, b Batch) []Change {
 	r.init()
 	if b.Era > r.era && len(r.known) > 0 {
-		r.returnedAt = now
+		r.silence = silence{until: now, lostRecords: true}
 	}
 	changes := r.put(b)
 	for _, id := range r.missing(b) {
@@ -115,20 +155,27 @@
 			// The other host hasn't read the registration yet.
 			continue
 		}
-		if e.State == dotterelpulley.EndpointLive && now.Sub(r.returnedAt) < expiryGrace {
+		if e.State == dotterelpulley.EndpointLive && now.Sub(r.silence.until) < expiryGrace {
 			if _, pending := r.pendingRemovals[id]; !pending {
-				r.pendingRemovals[id] = r.returnedAt
+				r.pendingRemovals[id] = r.silence
 			}
 			continue
 		}
 		changes = r.remove(now, id, b.Position, changes)
 	}
+	changes = append(changes, r.Settle(now)...)
+	r.prune(now)
+	return changes
+}
+
+// Settle removes the registrations that are still missing at the end of their grace, and returns the changes.
+func (r *Registrar) Settle(now time.Time) []Change {
+	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(r.pendingRemovals)) {
-		if now.Sub(r.pendingRemovals[id]) >= expiryGrace {
-			changes = r.remove(now, id, b.Position, changes)
+		if now.Sub(r.pendingRemovals[id].until) >= expiryGrace {
+			changes = r.remove(now, id, r.position, changes)
 		}
 	}
-	r.prune(now)
 	return changes
 }
 
@@ -137,16 +184,27 @@
 	return r.position
 }
 
-// Doubt is a series of registrations that disappeared with an outage of the store or a copy of it, and are kept for a while.
+// Doubt is the state of the registrations that are kept for a while although the store lacks them.
 type Doubt struct {
-	// ReturnedAt is when the store returned, as far as this host knows.
+	// ReturnedAt is when the store returned, as far as this host knows; zero if it wasn't away.
 	ReturnedAt time.Time
 	Endpoints  []dotterelpulley.EndpointID
+	// Until is when the first of them is removed.
+	Until time.Time
+	// Refutable means that another host's contact with the store can show that some of them didn't expire in an outage.
+	Refutable bool
 }
 
 // Doubt returns the registrations that are kept although the store lacks them.
 func (r *Registrar) Doubt() Doubt {
-	return Doubt{ReturnedAt: r.returnedAt, Endpoints: slices.Sorted(maps.Keys(r.pendingRemovals))}
+	d := Doubt{ReturnedAt: r.silence.until, Endpoints: slices.Sorted(maps.Keys(r.pendingRemovals))}
+	for _, s := range r.pendingRemovals {
+		if end := s.until.Add(expiryGrace); d.Until.IsZero() || end.Before(d.Until) {
+			d.Until = end
+		}
+		d.Refutable = d.Refutable || !s.lostRecords
+	}
+	return d
 }
 
 // Written returns the offset after the endpoint's latest record, which may have changed nothing but its sequence number.
@@ -154,11 +212,6 @@
 	return r.known[id].Written
 }
 
-// PauseReading records that this host stops reading the store, so that the time until it reads again is no outage.
-func (r *Registrar) PauseReading() {
-	r.answeredAt = time.Time{}
-}
-
 // put adds the batch's records that are news.
 func (r *Registrar) put(b Batch) []Change {
 	if b.Era > r.era {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -23,6 +23,15 @@
 	Wait time.Duration
 	// AcceptStoreLost makes a reader that can't reach the store wait for a change like any other; otherwise it says so at once.
 	AcceptStoreLost bool
+	// ContactOnly asks for nothing but Contact; a host of an earlier build answers in full.
+	ContactOnly bool
+}
+
+// Contact is a span over which the store answered some host, by the ages of its ends when it was told; zero if there is none.
+type Contact struct {
+	Since time.Duration
+	Until time.Duration
+	Known bool
 }
 
 // FollowResponse is a reader's response to a FollowRequest.
@@ -37,6 +46,8 @@
 	// Age is the time since the operators' records were last known to be complete; AgeKnown is false if they never were.
 	Age      time.Duration
 	AgeKnown bool
+	// Contact is the latest contact of any host with the store that the reader knows of.
+	Contact Contact
 	// Configuration is the operators' newest record; empty if the requesting host has it.
 	Configuration []byte
 	// Orders are the orders that the requesting host lacks, oldest first.
@@ -60,6 +71,9 @@
 	fieldOrderEra
 	fieldOrderNext
 	fieldPosition
+	fieldContactOnly
+	fieldContactSince
+	fieldContactUntil
 )
 
 // Field numbers of a record and an order on the wire.
@@ -79,7 +93,8 @@
 	b = fields.AppendNumber(b, fieldWait, uint64(r.Wait))
 	b = fields.AppendNumber(b, fieldOrderEra, uint64(r.Orders.Era))
 	b = fields.AppendNumber(b, fieldOrderNext, uint64(r.Orders.Next))
-	return fields.AppendNumber(b, fieldStoreLost, protowire.EncodeBool(r.AcceptStoreLost))
+	b = fields.AppendNumber(b, fieldStoreLost, protowire.EncodeBool(r.AcceptStoreLost))
+	return fields.AppendNumber(b, fieldContactOnly, protowire.EncodeBool(r.ContactOnly))
 }
 
 // Unmarshal parses the request.
@@ -101,6 +116,8 @@
 			r.Orders.Next = int64(value)
 		case fieldStoreLost:
 			r.AcceptStoreLost = protowire.DecodeBool(value)
+		case fieldContactOnly:
+			r.ContactOnly = protowire.DecodeBool(value)
 		}
 	}, func(fields.Number, []byte) error { return nil })
 }
@@ -115,6 +132,10 @@
 	b = fields.AppendNumber(b, fieldEra, uint64(r.Era))
 	b = fields.AppendNumber(b, fieldStoreLost, protowire.EncodeBool(r.StoreLost))
 	b = fields.AppendNumber(b, fieldPosition, uint64(max(r.Position, 0)))
+	if r.Contact.Known {
+		b = fields.AppendNumber(b, fieldContactSince, uint64(r.Contact.Since))
+		b = fields.AppendNumber(b, fieldContactUntil, uint64(r.Contact.Until))
+	}
 	if len(r.Configuration) > 0 {
 		b = fields.AppendBytes(b, fieldConfiguration, r.Configuration)
 	}
@@ -141,7 +162,9 @@
 // Unmarshal parses the response.
 func (r *FollowResponse) Unmarshal(data []byte) error {
 	*r = FollowResponse{}
-	return fields.Each(data, func(number fields.Number, value uint64) {
+	// What isn't told is no contact.
+	since, until := uint64(0), uint64(math.MaxUint64)
+	err := fields.Each(data, func(number fields.Number, value uint64) {
 		switch number {
 		case fieldIncarnation:
 			r.Incarnation = value
@@ -159,6 +182,10 @@
 			r.Era = dotterelpulley.StoreEra(value)
 		case fieldStoreLost:
 			r.StoreLost = protowire.DecodeBool(value)
+		case fieldContactSince:
+			since = value
+		case fieldContactUntil:
+			until = value
 		}
 	}, func(number fields.Number, value []byte) error {
 		switch number {
@@ -175,6 +202,10 @@
 		}
 		return nil
 	})
+	if until <= since && since <= math.MaxInt64 {
+		r.Contact = Contact{Since: time.Duration(since), Until: time.Duration(until), Known: true}
+	}
+	return err
 }
 
 // unmarshalOrder parses an order, or a record, which has no position.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -158,3 +158,25 @@
 		}
 	})
 }
+
+func TestContactsAreToldAsTheyAre(t *testing.T) {
+	c := qt.New(t)
+	for _, contact := range []Contact{{}, {Known: true}, {Since: time.Hour, Until: time.Second, Known: true}} {
+		var response FollowResponse
+		c.Assert(response.Unmarshal(FollowResponse{Contact: contact}.Marshal()), qt.IsNil)
+		c.Assert(response.Contact, qt.Equals, contact)
+	}
+	var request FollowRequest
+	c.Assert(request.Unmarshal(FollowRequest{ContactOnly: true}.Marshal()), qt.IsNil)
+	c.Assert(request.ContactOnly, qt.IsTrue)
+}
+
+// A span that ends before it begins, or whose numbers no clock can have, tells nothing.
+func TestImpossibleContactsAreNone(t *testing.T) {
+	c := qt.New(t)
+	for _, contact := range []Contact{{Since: 1, Until: 2, Known: true}, {Since: -1, Until: 0, Known: true}, {Since: 1, Until: -1, Known: true}} {
+		var response FollowResponse
+		c.Assert(response.Unmarshal(FollowResponse{Contact: contact}.Marshal()), qt.IsNil)
+		c.Assert(response.Contact, qt.Equals, Contact{})
+	}
+}
