Soak: endpoints that write an answer once more on a kept connection

What callers saw: on real processes, requests that must run once ran twice, the first endpoint having refused ("ran -") (TWICE).

Its hosts took a refusal of an earlier request, which came once more without an id on a kept connection, for the answer to the next one, and sent that to a second endpoint while the first ran it.

The fault is now a strike of the soak: a proxy writes refusals, with or without their id, or any answer once more before the next one. Callers also send bodies of 3 KB and 20 KB.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
@@ -102,7 +104,7 @@
 	soak := ctx
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+queryTimeout)
 	defer cancel()
-	method, body := http.MethodPost, "body of "+string(sent.AttemptID)
+	method, body := http.MethodPost, bodyOf(sent.AttemptID)
 	if route.Kind == router.Idempotent {
 		method, body = http.MethodGet, ""
 	}
@@ -123,6 +125,12 @@
 	}
 }
 
+// bodyOf returns a request's body, of some bytes, some KB, or more than a host sends before it reads the answer.
+func bodyOf(id AttemptID) string {
+	sizes := []int{0, 0, 0, 0, 3 << 10, 3 << 10, 3 << 10, 20 << 10}
+	return "body of " + string(id) + strings.Repeat(".", sizes[xxhash.Sum64String(string(id))%uint64(len(sizes))])
+}
+
 func (c *caller) readResponse(request *http.Request, route route, sent *Sent) {
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -167,16 +167,29 @@
 	s.rewriteRecords()
 }}
 
-// scheduleCopies returns the store's returns from a copy. They have random numbers of their own, so that a seed's other
-// faults stay the same.
-func scheduleCopies(seed uint64, count int, window time.Duration) []injection {
-	r := rand.New(rand.NewPCG(seed, 3))
+// scheduleMore returns injections of one fault. The stream gives them random numbers of their own, so that a seed's other faults
+// stay the same.
+func scheduleMore(f fault, seed, stream uint64, count int, window time.Duration) []injection {
+	r := rand.New(rand.NewPCG(seed, stream))
 	injections := make([]injection, 0, count)
 	for range count {
 		injections = append(injections, injection{
-			fault: storeCopied, start: time.Duration(r.Int64N(int64(window))),
+			fault: f, start: time.Duration(r.Int64N(int64(window))),
 			duration: minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration))), seed: r.Uint64(),
 		})
 	}
 	return injections
 }
+
+// strayAnswers makes an endpoint refuse some requests, or none, and write such or all answers once more on kept connections.
+var strayAnswers = fault{"stray-answers", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
+	e := s.troubledEndpoint(r)
+	kind := []proxy.Stray{proxy.StrayRefusals, proxy.UnnamedRefusals, proxy.StrayAnswers}[r.IntN(3)]
+	if kind != proxy.StrayAnswers {
+		e.setBehaviour(behaviourReject)
+	}
+	e.proxy.WriteStrays(kind)
+	sleep(ctx, duration)
+	e.proxy.WriteStrays(proxy.NoStray)
+	e.setBehaviour(behaviourNormal)
+}}
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -43,6 +43,8 @@
 	FaultWindow time.Duration
 	// StoreCopies is how often the store returns from a copy, beside the other faults.
 	StoreCopies int
+	// StrayAnswers is how often an endpoint writes answers once more on kept connections, beside the other faults.
+	StrayAnswers int
 }
 
 func (s Settings) withDefaults() (Settings, error) {
@@ -61,8 +63,8 @@
 	if s.Hosts < 1 || s.Hosts > maxHosts {
 		return s, fmt.Errorf("%d hosts: between 1 and %d are possible", s.Hosts, maxHosts)
 	}
-	if s.StoreCopies < 0 {
-		return s, fmt.Errorf("%d returns of the store from a copy: there can't be fewer than none", s.StoreCopies)
+	if s.StoreCopies < 0 || s.StrayAnswers < 0 {
+		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers: there can't be fewer than none", s.StoreCopies, s.StrayAnswers)
 	}
 	if s.Callers < 1 || s.Faults < 0 || s.FaultWindow < 0 {
 		return s, fmt.Errorf("%d callers, %d strikes within %s: there must be a caller, and none may be negative", s.Callers, s.Faults, s.FaultWindow)
@@ -168,7 +170,8 @@
 	changesCtx, stopChanges := context.WithCancel(ctx)
 	var changes, injections conc.WaitGroup
 	changes.Go(func() { repeater.Every(changesCtx, configurationInterval, s.publishConfiguration) })
-	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleCopies(s.Seed, s.StoreCopies, s.FaultWindow)...)
+	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleMore(storeCopied, s.Seed, 3, s.StoreCopies, s.FaultWindow)...)
+	planned = append(planned, scheduleMore(strayAnswers, s.Seed, 4, s.StrayAnswers, s.FaultWindow)...)
 	for _, planned := range planned {
 		report.Faults = append(report.Faults, fmt.Sprintf("%s at %s for %s", planned.fault.name, planned.start.Round(time.Millisecond), planned.duration.Round(time.Millisecond)))
 		injections.Go(func() {
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -23,6 +23,9 @@
 	for _, settings := range []Settings{
 		{Seed: 1, Hosts: 3, Callers: 8, Faults: 8, FaultWindow: 6 * time.Second},
 		{Seed: 2, Hosts: 3, Callers: 8, Faults: 4, FaultWindow: 6 * time.Second, StoreCopies: 2},
+		// Requests that must run once ran twice on f307b57 and 164c83d: a refusal of an earlier request, which came once more on a
+		// kept connection without an id, was taken for that of the next one.
+		{Seed: 9002, Hosts: 3, Callers: 16, Faults: 2, FaultWindow: 6 * time.Second, StrayAnswers: 8},
 		// These seeds failed with none of 4 requests served after the recovery, and with a host not ready after 12 s. The
 		// logs of all five hosts stop over the same periods of 3 to 9 s: all processes stalled, which the soak did not detect yet.
 		{Seed: 1000},
--- a/internal/standin/proxy/faults.go
+++ b/internal/standin/proxy/faults.go
@@ -14,6 +14,8 @@
 	silent atomic.Bool
 	once   sync.Once
 	done   chan struct{}
+	// earlier is the answer that comes once more before the next one; only the goroutine that passes answers on uses it.
+	earlier []byte
 }
 
 func (l *link) close() {
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -30,6 +30,7 @@
 	delay        time.Duration
 	loseAnswers  int
 	lostAnswers  int
+	stray        Stray
 	accepted     int
 	tasks        conc.WaitGroup
 }
@@ -141,7 +142,11 @@
 			<-l.done
 			return
 		}
-		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
+		data := buffer[:n]
+		if dir == toCaller {
+			data = p.withStray(l, data)
+		}
+		if _, writeErr := to.Write(data); writeErr != nil || err != nil {
 			return
 		}
 	}
--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -142,3 +142,61 @@
 	c.Assert(p.Accept(), qt.IsNil)
 	c.Assert(exchange(dial(c, p), 'c'), qt.IsNil)
 }
+
+// refuser starts a server that refuses the first request on each connection and answers the others.
+func refuser(c *qt.C) dotterelpulley.Address {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		request := make([]byte, 1)
+		for _, answer := range []string{refusal, whole} {
+			if _, err := conn.Read(request); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+		_, _ = conn.Read(request)
+	})
+	c.Cleanup(func() {
+		c.Check(ln.Close(), qt.IsNil)
+		tasks.Wait()
+	})
+	return dotterelpulley.Address(ln.Addr().String())
+}
+
+const (
+	refusal = "HTTP/1.1 503 Refused\r\nSome-Attempt-Id: 1\r\nSome-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	unnamed = "HTTP/1.1 503 Refused\r\nSome-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	whole   = "HTTP/1.1 200 OK\r\nSome-Attempt-Id: 2\r\nContent-Length: 0\r\n\r\n"
+)
+
+func TestStrayAnswersComeBeforeTheNextOne(t *testing.T) {
+	for kind, want := range map[proxy.Stray]string{
+		proxy.NoStray: whole, proxy.StrayRefusals: refusal + whole, proxy.UnnamedRefusals: unnamed + whole, proxy.StrayAnswers: refusal + whole,
+	} {
+		c := qt.New(t)
+		p := &proxy.Proxy{Target: refuser(c)}
+		c.Assert(p.Start("127.0.0.1:0"), qt.IsNil)
+		c.Cleanup(func() { c.Check(p.Close(), qt.IsNil) })
+		p.WriteStrays(kind)
+		conn, err := net.Dial("tcp", string(p.Address()))
+		c.Assert(err, qt.IsNil)
+		for _, want := range []string{refusal, want} {
+			_, err := conn.Write([]byte("x"))
+			c.Assert(err, qt.IsNil)
+			got := make([]byte, len(want))
+			_, err = io.ReadFull(conn, got)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(got), qt.Equals, want)
+		}
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+}
