Log why a request goes to a second endpoint, where no flood drops the line

Lines of second tries are warnings, and warnings have a buffer of their own: before, 4,096 other lines that waited for a slow reader dropped them.

--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -15,9 +15,6 @@
 	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
-// logBufferLines is the number of log lines that are buffered for the output; further lines are dropped.
-const logBufferLines = 4096
-
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -54,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	writer := &log.AsyncWriter{ChannelSize: logBufferLines, DiscardOnFull: true, Writer: log.IOWriter{Writer: os.Stdout}}
+	writer := gateway.NewLogWriter(os.Stdout)
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	g := gateway.New(settings, logger)
 	g.SwitchOff(mechanisms)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -189,5 +189,9 @@
 
 // logForwarding logs that the request goes through another host.
 func (p *proxiedRequest) logForwarding(helper dotterelpulley.HostID) {
-	p.gateway.requestEvent(log.InfoLevel, "forwarded", p.request).Str("peer", string(helper)).Msg("")
+	level := log.InfoLevel
+	if p.attempts > 0 || len(p.excludedHelpers) > 0 {
+		level = log.WarnLevel
+	}
+	p.gateway.requestEvent(level, "forwarded", p.request).Str("peer", string(helper)).Str("reached", p.arrivals.encode()).Err(p.lastError).Msg("")
 }
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -203,6 +203,9 @@
 	if refused := p.beginRun(a); refused != nil {
 		return attempt{}, refused
 	}
+	if p.attempts > 0 {
+		p.logNextTry(a.Endpoint.ID)
+	}
 	p.attempts++
 	p.gateway.promotions.sent(p.service, p.route.ID)
 	return a, nil
@@ -393,12 +396,18 @@
 		p.excluded[a.Endpoint.ID] = true
 		p.lastError = err
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
-		p.gateway.requestEvent(log.InfoLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
+		p.gateway.requestEvent(log.WarnLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
 			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.suspects[promptParts])).Err(err).Msg("")
 	}
 }
 
+// logNextTry logs to which endpoint the request goes after others, and why the last one before it is not the only one.
+func (p *proxiedRequest) logNextTry(id dotterelpulley.EndpointID) {
+	p.gateway.requestEvent(log.WarnLevel, "next-try", p.request).Str("endpoint", string(id)).Int("try", p.attempts+1).
+		Int("runs", p.runs).Str("reached", p.arrivals.encode()).Err(p.lastError).Msg("")
+}
+
 var resultNames = map[scheduler.Result]string{
 	scheduler.ResultCompleted: "whole", scheduler.ResultRefused: "refused", scheduler.ResultFailed: "failed",
 	scheduler.ResultUnreachable: "unreached", scheduler.ResultDead: "dead", scheduler.ResultWrongInstance: "moved", scheduler.ResultCancelled: "left",
