Refuse what may outlast a planned stop before it is passed on

What callers saw (a report of operators of like systems): in a planned stop, in calm, requests that came late in the grace were taken, passed on and cut at its end, among them such that may not be repeated (LOST).

Here only new streams were turned away, from 2.5 s after the signal. All other requests were passed on until the host ended, at 0.93 of the grace, and then got 502, outcome unknown; so did streams and calls that had waited for a slot.

Change: from 2.5 s after the signal a request that has not run is passed on only if its deadline lies before the host's end, however it came: from a caller, from another host, or out of the queue. The rest is refused at once as not run, to come back on another host after 50 ms. What was passed on has until its own deadline. A second SIGTERM changes neither time.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/drainer"
 )
 
@@ -15,29 +16,48 @@
 	minDrainTime = 3200 * time.Millisecond
 	// drainFraction is the fraction of the platform's shutdown grace after which requests still in flight are aborted.
 	drainFraction = 0.93
-	// streamAdmissionTime is how long after the signal new streams are admitted; later ones may outlast the grace.
-	streamAdmissionTime = 2500 * time.Millisecond
+	// drainAdmissionTime is how long after the signal all requests are passed on; later ones only if they surely end in time.
+	drainAdmissionTime = 2500 * time.Millisecond
+	// drainingRetryAfter makes a caller retry on another host at once.
+	drainingRetryAfter = 50 * time.Millisecond
 	// drainCheckInterval is the time between two checks for requests in flight.
 	drainCheckInterval = 50 * time.Millisecond
 )
 
-// drainState holds the time at which the host started to drain, with its reading of the steady clock.
+// drain is a planned stop of this host, by the steady clock.
+type drain struct {
+	startedAt time.Time
+	// endsAt is when the requests still in flight are ended.
+	endsAt time.Time
+}
+
+// drainState holds the host's drain once it has started; the zero value is a host that serves.
 type drainState struct {
-	startedAt atomic.Pointer[time.Time]
+	drain atomic.Pointer[drain]
 }
 
-func (d *drainState) start(now time.Time) {
-	d.startedAt.CompareAndSwap(nil, &now)
+// start starts the drain unless it has started, and returns it.
+func (d *drainState) start(now time.Time, timeout time.Duration) drain {
+	d.drain.CompareAndSwap(nil, &drain{startedAt: now, endsAt: now.Add(timeout)})
+	return *d.drain.Load()
 }
 
 func (d *drainState) started() bool {
-	return d.startedAt.Load() != nil
+	return d.drain.Load() != nil
+}
+
+// admits reports whether a request with the deadline may be passed on: one that can outlast a drain would be cut at its end, with
+// an outcome that nobody knows.
+func (d *drainState) admits(now, deadline time.Time) bool {
+	drain := d.drain.Load()
+	return drain == nil || now.Sub(drain.startedAt) <= drainAdmissionTime || !deadline.After(drain.endsAt)
 }
 
-// refusesStreams reports whether a new stream could outlast the drain.
-func (d *drainState) refusesStreams(now time.Time) bool {
-	startedAt := d.startedAt.Load()
-	return startedAt != nil && now.Sub(*startedAt) > streamAdmissionTime
+// drainingRefusal returns the refusal of a request that comes too late in a drain; its caller may try another host at once.
+func drainingRefusal(reason string) *refusal {
+	refused := newRefusal(dotterelpulley.ErrorDraining, reason)
+	refused.retryAfter = drainingRetryAfter
+	return refused
 }
 
 // finishTime is how long connections without a request in flight may take to end after a drain.
@@ -76,12 +96,12 @@
 // Drain removes the host from the directory and waits until its requests have ended or the context is done.
 func (g *Gateway) Drain(ctx context.Context) {
 	now := time.Now()
-	g.drain.start(now)
+	d := drainer.Drainer{Timeout: time.Duration(float64(g.bounds.Load().ShutdownGrace) * drainFraction)}
+	endsAt := g.drain.start(now, d.Timeout).endsAt
 	g.peers.sendNow()
 	g.event(log.InfoLevel, "drain").Int64("in-flight", g.inFlight.Load()).Msg("")
-	d := drainer.Drainer{Timeout: time.Duration(float64(g.bounds.Load().ShutdownGrace) * drainFraction)}
 	d.Signal(now)
-	grace, cancel := context.WithDeadline(ctx, now.Add(d.Timeout))
+	grace, cancel := context.WithDeadline(ctx, endsAt)
 	defer cancel()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -20,8 +20,6 @@
 const (
 	// maxEndpointAttempts limits the endpoints to which one request is sent, including those that did not run it.
 	maxEndpointAttempts = 4
-	// drainingRetryAfter makes a caller retry on another host at once.
-	drainingRetryAfter = 50 * time.Millisecond
 )
 
 // proxiedRequest is a request with the state of its attempts at endpoints.
@@ -78,12 +76,6 @@
 		g.mutex.Unlock()
 		defer p.returnRepeat()
 	}
-	if q.route.Kind == router.Streaming && g.drain.refusesStreams(q.arrived) {
-		refused := newRefusal(dotterelpulley.ErrorDraining, "a new stream may outlast the shutdown")
-		refused.retryAfter = drainingRetryAfter
-		p.refuse(refused)
-		return
-	}
 	parent := r.Context()
 	if !q.route.Repeatable() && q.route.Kind != router.Streaming {
 		// A non-idempotent call continues when its caller leaves: aborting it would leave its outcome unknown.
@@ -93,6 +85,10 @@
 	defer cancel()
 	defer context.AfterFunc(g.requests, cancel)()
 	for {
+		if refused := p.refuseLate(); refused != nil {
+			p.refuse(refused)
+			return
+		}
 		var next outcome
 		if p.mustForward() {
 			next = p.forward(ctx)
@@ -117,6 +113,11 @@
 	if p.mustForward() && refused != nil && ctx.Err() == nil && callerGone.Err() == nil {
 		return outcomeNextEndpoint
 	}
+	if refused == nil {
+		if refused = p.refuseLate(); refused != nil {
+			p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, placed.ID, scheduler.ResultCancelled) })
+		}
+	}
 	if refused != nil {
 		p.refuse(refused)
 		return outcomeDone
@@ -124,6 +125,15 @@
 	return p.send(ctx, placed)
 }
 
+// refuseLate returns the refusal of a request that has not run and may outlast this host, nil if it may be passed on.
+func (p *proxiedRequest) refuseLate() *refusal {
+	if p.runs > 0 || p.gateway.drain.admits(time.Now(), p.deadline) {
+		return nil
+	}
+	p.gateway.metrics.Inc("refused-late-in-drain")
+	return drainingRefusal("it may outlast the shutdown")
+}
+
 // acquireEndpoint waits for an endpoint; callerGone is done when the caller leaves.
 func (p *proxiedRequest) acquireEndpoint(ctx, callerGone context.Context) (scheduler.Placed, *refusal) {
 	waitCtx, stop := context.WithCancel(ctx)
@@ -142,9 +152,7 @@
 			return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorCancelled, "the caller left")
 		}
 		if p.gateway.requests.Err() != nil {
-			refused := newRefusal(dotterelpulley.ErrorDraining, "the host ended")
-			refused.retryAfter = drainingRetryAfter
-			return scheduler.Placed{}, refused
+			return scheduler.Placed{}, drainingRefusal("the host ended")
 		}
 		return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorDeadlinePassed, "the deadline passed in the queue")
 	}
