Take a stream that ends with its connection before its first event for broken

A head that is cut is no answer here: TestAHeadThatIsCutIsNoAnswer cuts one at every byte, closed and reset, with a length, chunked, closed at its end, as an event stream, on fresh and kept connections; it held before this change too.

What did happen: an event stream without a length whose endpoint closed right after the head was passed on as a complete stream without events. The same after a resume: the stream ended as complete before its last event. A stream has events, so such an end is that of the endpoint; the stream goes on elsewhere or is broken off. A plain answer without a length may be empty; by the protocol it is whole.

Tests: TestAStreamThatEndsWithItsConnectionBeforeItsFirstEventIsBroken and TestAResumedStreamThatGetsNoEventIsBroken fail before.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -227,6 +227,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if timing.events == 0 && endsWithConnection(exchange) {
+		exchange.Abort()
+		return p.handleInterruptedRun(ctx, a, errors.New("the connection ended before the stream's first event"))
+	}
 	if timing.events == 0 {
 		p.response.sendHeaders(exchange)
 	}
@@ -240,6 +244,11 @@
 	return outcomeDone
 }
 
+// endsWithConnection reports whether nothing but the end of its connection shows that the answer is whole.
+func endsWithConnection(exchange *connector.Exchange) bool {
+	return exchange.ContentLength < 0 && len(exchange.TransferEncoding) == 0
+}
+
 // relayComment passes on a comment within a stream that has begun; before the first event it would commit this host to the
 // endpoint's answer.
 func (p *proxiedRequest) relayComment(exchange *connector.Exchange, e sseEvent) {
