--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -130,7 +130,6 @@
 	if p.runs > 0 || p.gateway.drain.admits(time.Now(), p.deadline) {
 		return nil
 	}
-	p.gateway.metrics.Inc("refused-late-in-drain")
 	return drainingRefusal("it may outlast the shutdown")
 }
 
