Serve no key on records that a copy of the store may lack, after a start too

Cause: a host that ran through the store's return mistrusts the operators' records for two seconds; to one that had just started the first era that it saw was never a return, so it took whatever it read for complete.

Change: the first reader to which an era's records are complete writes that era to a topic of ours. A host that starts trusts its own reading only if the store's record names the current era, or after two seconds in it; what other hosts vouch for counts as before. A copy holds an earlier era.

TestOperatorsRecordsOfACopyProveNothingForAWhile said that the first era a host sees is no return and its records are complete: that is the fault. It now asks for the two seconds there too, for every kind of record.

TestHostsThatStartAfterACopyServeNoKeyThatWasTakenAway fails if the first era counts as no return.

--- a/gateway/copy_guard.go
+++ b/gateway/copy_guard.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
 // rewriteGrace is how long after the store's return from a copy the operators' records may lack what the operators wrote
@@ -14,15 +16,18 @@
 const rewriteGrace = 2 * time.Second
 
 // copyGuard tells whether the operators' records in the store can be taken as complete. The store may return from a copy that
-// lacks a configuration which withdrew keys, so that reading it proves nothing until the operators have written again.
+// lacks a configuration which withdrew keys, so that reading it proves nothing until the operators have written again. A host that
+// has just started can't know whether the store has returned a moment ago, unless a record of another host in the store says so.
 type copyGuard struct {
 	mutex sync.Mutex
 	era   dotterelpulley.StoreEra
-	// returnedAt is when the store was first seen in a later era; zero if it never was.
-	returnedAt time.Time
+	// since is when this host first saw the era; zero once its records are known to be complete.
+	since time.Time
+	// recorded is the newest era that the store records as complete.
+	recorded dotterelpulley.StoreEra
 }
 
-// observe records the newest era and reports whether the store has returned from a copy.
+// observe records the newest era and reports whether the store has returned from a copy while this host runs.
 func (c *copyGuard) observe(now time.Time, era dotterelpulley.StoreEra) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -30,9 +35,9 @@
 		return false
 	}
 	returned := c.era != 0
-	c.era = era
-	if returned {
-		c.returnedAt = now
+	c.era, c.since = era, now
+	if c.recorded == era {
+		c.since = time.Time{}
 	}
 	return returned
 }
@@ -41,7 +46,58 @@
 func (c *copyGuard) complete(now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.returnedAt.IsZero() || now.Sub(c.returnedAt) >= rewriteGrace
+	return c.since.IsZero() || now.Sub(c.since) >= rewriteGrace
+}
+
+// vouch records that the store holds the record of a host to which the era's records were complete.
+func (c *copyGuard) vouch(era dotterelpulley.StoreEra) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.recorded = max(c.recorded, era)
+	if c.recorded == c.era {
+		c.since = time.Time{}
+	}
+}
+
+// unrecorded returns the era of which the store has no such record, as far as this host knows.
+func (c *copyGuard) unrecorded() (dotterelpulley.StoreEra, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.era, c.recorded < c.era
+}
+
+// checkEra finds out whether the operators' records are complete, and records once an era that they are.
+func (g *Gateway) checkEra() {
+	era, unrecorded := g.copyGuard.unrecorded()
+	if !unrecorded {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, storeAnswerTimeout)
+	defer cancel()
+	if g.copyGuard.complete(time.Now()) {
+		written, err := g.store.Append(ctx, platform.ErasTopic, platform.EncodeCompleteEra(era))
+		if err != nil || written != era {
+			g.event(log.InfoLevel, "era-unwritten").Uint64("era", uint64(era)).Err(err).Msg("")
+			return
+		}
+		g.copyGuard.vouch(era)
+		return
+	}
+	snapshot, err := g.store.Newest(ctx, platform.ErasTopic)
+	if err != nil {
+		g.event(log.InfoLevel, "eras-unread").Err(err).Msg("")
+		return
+	}
+	for _, r := range snapshot.Records {
+		recorded, err := platform.DecodeCompleteEra(r)
+		if err != nil {
+			g.event(log.WarnLevel, "era-unreadable").Str("key", r.Key).Err(err).Msg("")
+			continue
+		}
+		if recorded == snapshot.Era {
+			g.copyGuard.vouch(recorded)
+		}
+	}
 }
 
 // noteEra handles the store's return from a copy.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -133,6 +133,7 @@
 		}
 		g.storeAccess.succeeded()
 		g.applyOperatorsRecords(read)
+		g.checkEra()
 		if g.copyGuard.complete(time.Now()) {
 			g.freshness.confirm(startedAt)
 		}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -47,9 +47,17 @@
 func newSite(t *testing.T) *site {
 	s := &site{C: qt.New(t), store: standin.StartStore(), usedAddresses: map[dotterelpulley.Address]bool{}}
 	t.Cleanup(s.store.Close)
+	// Hosts that ran before have found the operators' records complete.
+	s.recordEra(1)
 	return s
 }
 
+// recordEra writes to the store that the operators' records of the era are complete.
+func (s *site) recordEra(era dotterelpulley.StoreEra) {
+	r := platform.EncodeCompleteEra(era)
+	s.store.Put(platform.ErasTopic, r.Key, r.Value)
+}
+
 const siteConfiguration = `{"version":%d,"routes":[
 	{"name":"call","host":"h.example","path_prefix":"/call/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":5000,"service":"plain","max_attempts":1},
 	{"name":"lookup","host":"h.example","path_prefix":"/lookup/","kind":"idempotent","timeout_ms":20000,"target_latency_ms":5000,"service":"plain","max_attempts":2},
--- a/gateway/store_copy_test.go
+++ b/gateway/store_copy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,7 +79,11 @@
 	c := qt.New(t)
 	var guard copyGuard
 	now := time.Unix(1_700_000_000, 0)
-	c.Assert(guard.observe(now, 3), qt.IsFalse, qt.Commentf("the first era that a host sees is no return"))
+	c.Assert(guard.complete(now), qt.IsTrue, qt.Commentf("a store that names no era returns from no copy"))
+	c.Assert(guard.observe(now, 3), qt.IsFalse, qt.Commentf("the first era that a host sees is no return that it has to act on"))
+	c.Assert(guard.complete(now.Add(rewriteGrace-1)), qt.IsFalse, qt.Commentf("the store may have returned just before"))
+	c.Assert(guard.complete(now.Add(rewriteGrace)), qt.IsTrue)
+	guard.vouch(3)
 	c.Assert(guard.complete(now), qt.IsTrue)
 	c.Assert(guard.observe(now, 4), qt.IsTrue)
 	c.Assert(guard.observe(now, 4), qt.IsFalse)
@@ -87,6 +92,42 @@
 	c.Assert(guard.observe(now.Add(time.Hour), 5), qt.IsTrue)
 	c.Assert(guard.complete(now.Add(time.Hour)), qt.IsFalse, qt.Commentf("a second return"))
 	c.Assert(guard.observe(now, 4), qt.IsFalse, qt.Commentf("an era that comes late"))
+	guard.vouch(4)
+	c.Assert(guard.complete(now.Add(time.Hour)), qt.IsFalse, qt.Commentf("the record of an earlier era"))
+	guard.vouch(6)
+	c.Assert(guard.complete(now.Add(time.Hour)), qt.IsFalse, qt.Commentf("this host's records are those of the era before"))
+	c.Assert(guard.observe(now.Add(time.Hour), 6), qt.IsTrue)
+	c.Assert(guard.complete(now.Add(time.Hour)), qt.IsTrue)
+}
+
+// A key that was taken away was served again by hosts that all started while the store, back from a copy, lacked the withdrawal.
+func TestHostsThatStartAfterACopyServeNoKeyThatWasTakenAway(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	e := s.endpoint("i-1", "plain", answerHello)
+	backup := s.store.Copy()
+	withdrawn := strings.Replace(fmt.Sprintf(siteConfiguration, 2, 1000, 1000), `"api_keys":["k1"]`, `"api_keys":["k2"]`, 1)
+	s.store.Put(platform.OperatorsTopic, platform.ConfigurationKey, []byte(withdrawn))
+	for _, g := range startHosts(s, 2) {
+		s.waitFor("the withdrawal is in force", func() bool { return s.get(g, "/lookup/").status == http.StatusUnauthorized })
+	}
+	for len(s.gateways) > 0 {
+		s.stopGateway(s.gateways[0])
+	}
+	s.store.Restore(backup)
+	g := s.startGateway()
+	s.waitFor("the host has the older configuration", func() bool { return g.configurationVersion() == 1 })
+	s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusServiceUnavailable)
+	s.store.Put(platform.OperatorsTopic, platform.ConfigurationKey, []byte(withdrawn))
+	s.waitFor("the host is ready", func() bool {
+		s.Assert(s.get(g, "/lookup/").status, qt.Not(qt.Equals), http.StatusOK)
+		return g.ready(time.Now())
+	})
+	s.Assert(s.get(g, "/lookup/").status, qt.Equals, http.StatusUnauthorized)
+	s.Assert(e.Received(), qt.HasLen, 0)
+	s.waitFor("the era is recorded for hosts that start later", func() bool {
+		return slices.ContainsFunc(s.store.Records(platform.ErasTopic), func(r platform.Record) bool { return string(r.Value) == "2" })
+	})
 }
 
 // Guards against hosts that stay behind as long as their readers can't reach the store (readers-lost on papanbilik-kl, seed
