Leave a roll-out that nobody can judge as it is while no other version runs

Cause: hosts that all started while the store, back from a copy, held the roll-out as in progress took the order back after 1.5 s because nobody knew its age, and wrote that. Whether another version could take the requests wasn't asked.

Change: an order of unknown age is taken back only once an endpoint of another version has written since the host learned of it; a copy holds entries of endpoints that have ended. Otherwise it stays as it is, and requests run on the target as no other version has a live endpoint. The next order doesn't bar its target. For held orders alone the other hosts aren't asked for evidence.

TestAnOrderOfUnknownAgeIsTakenBack has its endpoint write again, as endpoints of the platform do every second or so; its bounds are the same.

Before, TestAnOrderOfUnknownAgeIsNotTakenBackWhileNoOtherVersionRuns and TestHostsThatStartAfterACopyTakeNoOrderBackThatTheyCannotJudge fail.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
 	"github.com/dotterelpulley/dotterelpulley/promoter"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -197,12 +199,17 @@
 // decideRollouts advances the roll-outs by the evidence of all hosts.
 func (g *Gateway) decideRollouts(client *http.Client, unfinished []promoter.Change) {
 	asked := time.Now()
-	reports := g.gatherEvidence(client)
+	reports := [][]*assessor.Evidence{g.ownEvidence(asked)}
+	if slices.ContainsFunc(unfinished, promoter.Change.NeedsEvidence) {
+		reports = g.gatherEvidence(client)
+	}
 	now := time.Now()
+	othersRun := g.othersRun(unfinished)
 	p := &g.promotions
 	for _, c := range unfinished {
 		p.mutex.Lock()
 		proof := p.promoter.Prove(now, c.Service, reports)
+		proof.OthersRun = othersRun[c.Service]
 		if p.proofs == nil {
 			p.proofs = map[dotterelpulley.ServiceID]datedProof{}
 		}
@@ -216,3 +223,19 @@
 		}
 	}
 }
+
+// othersRun returns the services of which endpoints with another version than the target have written to the store since this host
+// learned of them.
+func (g *Gateway) othersRun(changes []promoter.Change) map[dotterelpulley.ServiceID]bool {
+	g.registry.mutex.Lock()
+	defer g.registry.mutex.Unlock()
+	found := map[dotterelpulley.ServiceID]bool{}
+	for _, e := range g.registry.Registrations() {
+		for _, c := range changes {
+			if e.Service == c.Service && e.Version != c.Target && e.State == dotterelpulley.EndpointLive && g.registry.Runs(e.ID) {
+				found[c.Service] = true
+			}
+		}
+	}
+	return found
+}
--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -136,6 +137,8 @@
 	s.endpoint("i-1", "plain", answerHello)
 	target := s.targetEndpoint("i-2", answerHello)
 	hosts := startHosts(s, 2)
+	s.waitForEndpoints(2)
+	s.writeAgain("i-1")
 	s.waitForStatus(dotterelpulley.RolloutRolledBack)
 	s.waitForStage(promoter.RolledBack)
 	for i := range 12 {
@@ -287,3 +290,40 @@
 	s.Assert(change.Target, qt.Equals, dotterelpulley.VersionID("v2"))
 	s.Assert(change.Stage, qt.Equals, promoter.Canary)
 }
+
+// A completed version was rolled back by hosts that all started while the store, back from a copy, held its roll-out as in
+// progress and the entries of the version before.
+func TestHostsThatStartAfterACopyTakeNoOrderBackThatTheyCannotJudge(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 100_000)
+	s.targetEndpoint("i-2", answerHello)
+	s.order()
+	inProgress := platform.EncodeRolloutStatus(dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutInProgress})
+	s.store.Put(platform.StatusTopic, inProgress.Key, inProgress.Value)
+	ended := s.endpoint("i-1", "plain", answerHello)
+	ended.Crash()
+	g := s.startGateway()
+	s.waitForStage(promoter.Held)
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	s.store.Put(platform.EndpointsTopic, "i-1", nil)
+	s.waitFor("requests run on the version that is left", func() bool { return s.post(g, "/call/", "book").status == http.StatusOK })
+	status, _ := s.status()
+	s.Assert(status.State, qt.Equals, dotterelpulley.RolloutInProgress)
+
+	// Once an endpoint of the version before is seen to run, no outcome has been acted on.
+	s.endpoint("i-3", "plain", answerHello)
+	s.waitFor("the endpoint is known", func() bool { return len(registrations(g)) == 2 })
+	s.writeAgain("i-3")
+	s.waitForStatus(dotterelpulley.RolloutRolledBack)
+}
+
+// writeAgain writes the endpoint's entry once more, as endpoints do every second or so while they run.
+func (s *site) writeAgain(id string) {
+	newest := ""
+	for _, r := range s.store.Records(platform.EndpointsTopic) {
+		if r.Key == id {
+			newest = string(r.Value)
+		}
+	}
+	s.store.Put(platform.EndpointsTopic, id, []byte(strings.Replace(newest, `"seq":1`, `"seq":2`, 1)))
+}
--- a/promoter/decide.go
+++ b/promoter/decide.go
@@ -16,6 +16,8 @@
 	Reports int
 	// Rate is the service's requests per second over all hosts.
 	Rate float64
+	// OthersRun means that endpoints of other versions are known to have run since the acting host learned of them.
+	OthersRun bool
 }
 
 // isQuorum reports whether no other host can have evidence from as many hosts.
@@ -35,7 +37,8 @@
 	}
 	advanced := false
 	switch {
-	case r.stage == Held && now.Sub(r.seenAt) >= heldTime:
+	case r.stage == Held && now.Sub(r.seenAt) >= heldTime && proof.OthersRun:
+		// Without them the store may have lost an outcome on which they were stopped.
 		advanced = r.advance(now, TakenBack, "no host knows the time that is left")
 	case !r.stage.running():
 	case proof.Bad:
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -79,6 +79,11 @@
 	perRoute map[dotterelpulley.RouteID]int
 }
 
+// NeedsEvidence reports whether the hosts' evidence can advance the roll-out.
+func (c Change) NeedsEvidence() bool {
+	return c.Stage.running()
+}
+
 // Change is a roll-out's new stage.
 type Change struct {
 	Order
@@ -132,7 +137,7 @@
 		p.rollouts = map[dotterelpulley.ServiceID]*rollout{}
 	}
 	r := &rollout{Order: o, reason: "of unknown age", seenAt: now, perRoute: map[dotterelpulley.RouteID]int{}}
-	if before := p.rollouts[o.Service]; before != nil && before.stage != Completed && before.Target != o.Target {
+	if before := p.rollouts[o.Service]; before != nil && before.stage != Completed && before.stage != Held && before.Target != o.Target {
 		r.barred = before.Target
 	}
 	p.rollouts[o.Service] = r
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -1,6 +1,7 @@
 package promoter_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -91,3 +92,39 @@
 	c.Assert(p.Settled(epoch.Add(orderDuration+time.Second), service), qt.IsFalse)
 	c.Assert(p.Settled(epoch.Add(orderDuration+time.Minute), service), qt.IsTrue)
 }
+
+// A completed version was rolled back by hosts that all started while the store, back from a copy, held the order as in progress:
+// its endpoints were the only ones left.
+func TestAnOrderOfUnknownAgeIsNotTakenBackWhileNoOtherVersionRuns(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), math.MaxInt64)
+	p.Stored(epoch, status(dotterelpulley.RolloutInProgress))
+	for after := time.Duration(0); after < 3*orderDuration; after += 100 * time.Millisecond {
+		now := epoch.Add(after)
+		_, advanced := p.Decide(now, service, promoter.Proof{Hosts: 8, Reports: 1})
+		c.Assert(advanced, qt.IsFalse)
+		c.Assert(p.Expire(now), qt.HasLen, 0)
+		_, wanted := p.Wanted(now, service, promoter.Proof{})
+		c.Assert(wanted, qt.IsFalse)
+	}
+	// The next order doesn't bar the version on which all requests run.
+	next := newOrder(9)
+	next.Target = "next"
+	c.Assert(p.ReceiveOrder(epoch.Add(3*orderDuration), next, 0), qt.IsTrue)
+	change, _ := p.Rollout(service)
+	c.Assert(change.Barred, qt.Equals, dotterelpulley.VersionID(""))
+}
+
+// Where another version runs, no outcome has been acted on that taking the order back would reverse.
+func TestAnOrderOfUnknownAgeIsTakenBackOnceAnotherVersionRuns(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), math.MaxInt64)
+	_, advanced := p.Decide(epoch.Add(time.Second), service, promoter.Proof{OthersRun: true})
+	c.Assert(advanced, qt.IsFalse, qt.Commentf("another host may tell the time that is left"))
+	_, advanced = p.Decide(epoch.Add(2*time.Second), service, promoter.Proof{OthersRun: true})
+	c.Assert(advanced, qt.IsTrue)
+	wanted, _ := p.Wanted(epoch.Add(2*time.Second), service, promoter.Proof{})
+	c.Assert(wanted.State, qt.Equals, dotterelpulley.RolloutRolledBack)
+}
--- a/promoter/stage.go
+++ b/promoter/stage.go
@@ -7,7 +7,7 @@
 
 // The stages of a roll-out.
 const (
-	// Held means that nothing is known of the time that is left; the target gets no requests.
+	// Held means that nothing is known of the time that is left; the target gets no requests while others can take them.
 	Held Stage = iota
 	// Canary means that the target gets a small share.
 	Canary
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -46,6 +46,8 @@
 	Record
 	// era is the era in which the record was read.
 	era dotterelpulley.StoreEra
+	// runs means that the endpoint has written since this host learned of it; a copy of the store may hold it though it has ended.
+	runs bool
 }
 
 type removal struct {
@@ -207,6 +209,11 @@
 	return d
 }
 
+// Runs reports whether the endpoint has written since this host learned of it.
+func (r *Registrar) Runs(id dotterelpulley.EndpointID) bool {
+	return r.known[id].runs
+}
+
 // Written returns the offset after the endpoint's latest record, which may have changed nothing but its sequence number.
 func (r *Registrar) Written(id dotterelpulley.EndpointID) int64 {
 	return r.known[id].Written
@@ -231,7 +238,8 @@
 		}
 		delete(r.pendingRemovals, record.ID)
 		delete(r.removed, record.ID)
-		r.known[record.ID] = entry{Record: record, era: b.Era}
+		runs := ok && (known.runs || record.replaces(known.Registration))
+		r.known[record.ID] = entry{Record: record, era: b.Era, runs: runs}
 		if !ok || known.changes(record.Registration) {
 			changes = append(changes, Change{Record: record})
 		}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -291,3 +291,18 @@
 		c.Assert(states(&r), qt.DeepEquals, states(&latest))
 	})
 }
+
+// A list, such as a copy of the store, holds endpoints that have ended; those that write after it was read run.
+func TestEndpointsRunOnceTheyHaveWrittenAgain(t *testing.T) {
+	c := qt.New(t)
+	var r Registrar
+	r.ApplyStore(start, Batch{Era: 2, Complete: true, Records: []Record{live("old", 1, 5), live("runs", 1, 5)}})
+	c.Assert(r.Runs("old") || r.Runs("runs"), qt.IsFalse)
+	r.ApplyStore(start.Add(time.Second), Batch{Era: 2, Records: []Record{live("runs", 1, 6), live("old", 1, 5)}})
+	r.ApplyStore(start.Add(2*time.Second), Batch{Era: 2, Records: []Record{leaving("runs", 7)}})
+	c.Assert(r.Runs("old"), qt.IsFalse)
+	c.Assert(r.Runs("runs"), qt.IsTrue)
+	r.ApplyStore(start.Add(3*time.Second), Batch{Era: 3, Complete: true, Records: []Record{live("old", 1, 5)}})
+	c.Assert(r.Runs("old"), qt.IsFalse)
+	c.Assert(r.Runs("none"), qt.IsFalse)
+}
