--- a/cmd/dotterel-soak/main.go
+++ b/cmd/dotterel-soak/main.go
@@ -46,6 +46,7 @@
 	}
 	f := c.Flags()
 	f.StringVar(&settings.Gateway, "gateway", "target/dotterel-gateway", "the program under test")
+	f.StringVar(&settings.Production, "production", "", "the program that runs at first and is replaced by --gateway during the soak")
 	f.StringVar(&settings.Directory, "directory", os.TempDir(), "where settings and the logs of failed seeds go")
 	f.Uint64Var(&settings.Seed, "first-seed", 0, "the first seed; 0 takes a fresh one")
 	f.IntVar(&seeds, "seeds", 1, "how many seeds to play, one after another")
--- a/internal/soaker/host.go
+++ b/internal/soaker/host.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -64,7 +65,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return nil, fmt.Errorf("settings of %s: %w", id, err)
 	}
-	h.program = prover.Program{Name: string(id), Path: s.Gateway, Environment: []string{platform.SettingsVariable + "=" + path}}
+	h.program = prover.Program{Name: string(id), Path: cmp.Or(s.Production, s.Gateway), Environment: []string{platform.SettingsVariable + "=" + path}}
 	return h, nil
 }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -35,9 +35,11 @@
 	// Gateway is the path of the gateway binary, Directory the directory for settings and logs.
 	Gateway   string
 	Directory string
-	Seed      uint64
-	Hosts     int
-	Callers   int
+	// Production is the path of the binary that all hosts run at first, until they are upgraded to Gateway; empty for no upgrade.
+	Production string
+	Seed       uint64
+	Hosts      int
+	Callers    int
 	// Faults is the number of faults, all of which begin within FaultWindow.
 	Faults      int
 	FaultWindow time.Duration
@@ -169,6 +171,9 @@
 func (s *site) injectFaults(ctx context.Context, report *Report, start time.Time) {
 	changesCtx, stopChanges := context.WithCancel(ctx)
 	var changes, injections conc.WaitGroup
+	if s.Production != "" {
+		injections.Go(func() { s.upgrade(ctx) })
+	}
 	changes.Go(func() { repeater.Every(changesCtx, configurationInterval, s.publishConfiguration) })
 	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleMore(storeCopied, s.Seed, 3, s.StoreCopies, s.FaultWindow)...)
 	planned = append(planned, scheduleMore(strayAnswers, s.Seed, 4, s.StrayAnswers, s.FaultWindow)...)
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -40,3 +41,31 @@
 		c.Check(report.Served > 0, qt.IsTrue)
 	}
 }
+
+// lastLanding is the commit that runs in production.
+const lastLanding = "e9e7562"
+
+// Hosts of the last landing and of this build run side by side, forth, back and forth again, and keep every promise.
+func TestSoakOfAnUpgrade(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes; the whole run has it")
+	}
+	c := qt.New(t)
+	dir := t.TempDir()
+	root := filepath.Join("..", "..")
+	if _, err := prover.Build(t.Context(), root, dir); err != nil {
+		t.Fatal(err)
+	}
+	production := filepath.Join(dir, "production")
+	build := exec.CommandContext(t.Context(), filepath.Join(root, "scripts", "build-commit"), lastLanding, filepath.Join(dir, "source"), production)
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build %s: %v: %s", lastLanding, err, output)
+	}
+	report, err := Run(t.Context(), Settings{
+		Seed: 37, Hosts: 3, Callers: 12, Faults: 6, Gateway: filepath.Join(dir, "dotterel-gateway"), Production: production, Directory: dir,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Logf("%d sent, %d served, %d starts of hosts, held up for %s, %v", report.Sent, report.Served, report.Starts, report.Stalled, report.Faults)
+	c.Check(report.Findings, qt.HasLen, 0)
+	c.Check(report.Starts >= 3+7, qt.IsTrue)
+}
