Relay no list of endpoints before it has been read

Cause: a reader that had just started had read the operators' records but not yet the endpoints', and relayed an empty list as complete. Its follower, which had read them itself, dropped all endpoints, and took none back before it had written again.

Change: until it has a complete list, a reader answers as one that has nothing confirmed; its followers ask another one or read the store.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -80,6 +80,13 @@
 	r.PauseReading()
 }
 
+// complete reports whether all registrations have been read once.
+func (r *endpointRegistry) complete() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Complete()
+}
+
 // position returns the offset up to which the endpoints' records are known.
 func (r *endpointRegistry) position() int64 {
 	r.mutex.Lock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -203,6 +203,8 @@
 			}
 		}
 		answer.Age, answer.AgeKnown = g.freshness.age()
+		// A list without the registrations that this host has yet to read would remove them at the other one.
+		answer.AgeKnown = answer.AgeKnown && g.registry.complete()
 		answer.Contact = g.toldContact()
 		return &answer
 	}
--- a/gateway/store_copy_test.go
+++ b/gateway/store_copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,8 +10,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/relayer"
 )
 
 // A store that returns from a copy lacks what was written last: the configuration in force is newer than the store's, and
@@ -165,3 +168,14 @@
 		return !slices.ContainsFunc(hosts[follower].otherReaders(time.Now()), isHost(hosts[reader]))
 	})
 }
+
+// A reader that had just started, and had read the operators' records alone, made its followers drop all endpoints.
+func TestAReaderThatHasYetToReadTheEndpointsTellsNoListOfThem(t *testing.T) {
+	c := qt.New(t)
+	g := New(platform.Settings{Host: "host-1", StoreAddress: "127.0.0.1:9"}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	defer func() { c.Assert(g.Close(), qt.IsNil) }()
+	g.freshness.confirm(sinceBoot())
+	c.Assert(g.answerFollower(t.Context(), relayer.FollowRequest{}).AgeKnown, qt.IsFalse)
+	g.applyStoreRecords(time.Now(), topicRecords{complete: true, era: 1, next: 1})
+	c.Assert(g.answerFollower(t.Context(), relayer.FollowRequest{}).AgeKnown, qt.IsTrue)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,6 +31,8 @@
 	pendingRemovals map[dotterelpulley.EndpointID]silence
 	// leaving holds the instances that said they were leaving, with the time of the first word.
 	leaving map[InstanceKey]time.Time
+	// complete means that all registrations have been read once, here or by another host.
+	complete bool
 	// contact is the latest contact of any host with the store that is known here.
 	contact Contact
 	// reading means that this host reads the store itself, so that a pause of its answers may be an outage.
@@ -150,6 +152,7 @@
 	if b.Era > r.era && len(r.known) > 0 {
 		r.silence = silence{until: now, lostRecords: true}
 	}
+	r.complete = r.complete || b.Complete
 	changes := r.put(b)
 	for _, id := range r.missing(b) {
 		e, ok := r.known[id]
@@ -181,6 +184,11 @@
 	return changes
 }
 
+// Complete reports whether all registrations have been read once; until then, one that is missing here isn't gone.
+func (r *Registrar) Complete() bool {
+	return r.complete
+}
+
 // Position returns the offset up to which the log of the newest era is known; zero if it isn't.
 func (r *Registrar) Position() int64 {
 	return r.position
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -43,7 +43,8 @@
 	StoreLost bool
 	// Position is the offset up to which the reader knows the endpoints' records, within Era; zero if it doesn't tell.
 	Position int64
-	// Age is the time since the operators' records were last known to be complete; AgeKnown is false if they never were.
+	// Age is the time since the operators' records were last known to be complete; AgeKnown is false if they never were, or if the
+	// reader has yet to read the endpoints' records.
 	Age      time.Duration
 	AgeKnown bool
 	// Contact is the latest contact of any host with the store that the reader knows of.
