--- a/internal/standin/proxy/stray.go
+++ b/internal/standin/proxy/stray.go
@@ -26,7 +26,7 @@
 }
 
 var (
-	// The headers are those of the users' platform; a proxy passes bytes on and knows no formats.
+	// Headers are known by the end of their names.
 	notExecuted = []byte("Not-Executed:")
 	attemptID   = regexp.MustCompile(`(?i)[a-z-]+-Attempt-Id: [^\r\n]*\r\n`)
 	answerBegin = []byte("HTTP/1.1 ")
