--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -68,7 +68,7 @@
 		if exchange.StatusCode == http.StatusMisdirectedRequest {
 			result = scheduler.ResultWrongInstance
 		}
-		p.finishAttempt(a, result, fmt.Errorf("the endpoint did not run the request: status %d, naming it: %t", exchange.StatusCode, metadata.AttemptID != ""))
+		p.finishAttempt(a, result, fmt.Errorf("the endpoint did not run the request: status %d, id echoed: %t", exchange.StatusCode, metadata.AttemptID != ""))
 		return p.retry()
 	case metadata.Encoded || success && !metadata.Signed:
 		exchange.Abort()
--- a/gateway/copy_guard.go
+++ b/gateway/copy_guard.go
@@ -49,8 +49,8 @@
 	return c.since.IsZero() || now.Sub(c.since) >= rewriteGrace
 }
 
-// vouch records that the store holds the record of a host to which the era's records were complete.
-func (c *copyGuard) vouch(era dotterelpulley.StoreEra) {
+// noteRecorded notes that the store records the era as complete.
+func (c *copyGuard) noteRecorded(era dotterelpulley.StoreEra) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.recorded = max(c.recorded, era)
@@ -59,15 +59,15 @@
 	}
 }
 
-// unrecorded returns the era of which the store has no such record, as far as this host knows.
+// unrecorded returns the current era, and true if the store isn't known to record it as complete.
 func (c *copyGuard) unrecorded() (dotterelpulley.StoreEra, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.era, c.recorded < c.era
 }
 
-// checkEra finds out whether the operators' records are complete, and records once an era that they are.
-func (g *Gateway) checkEra() {
+// verifyEra finds out whether the operators' records are complete, and writes once an era that they are.
+func (g *Gateway) verifyEra() {
 	era, unrecorded := g.copyGuard.unrecorded()
 	if !unrecorded {
 		return
@@ -75,14 +75,22 @@
 	ctx, cancel := context.WithTimeout(g.ctx, storeAnswerTimeout)
 	defer cancel()
 	if g.copyGuard.complete(time.Now()) {
-		written, err := g.store.Append(ctx, platform.ErasTopic, platform.EncodeCompleteEra(era))
-		if err != nil || written != era {
-			g.event(log.InfoLevel, "era-unwritten").Uint64("era", uint64(era)).Err(err).Msg("")
-			return
-		}
-		g.copyGuard.vouch(era)
+		g.writeCompleteEra(ctx, era)
+	} else {
+		g.readCompleteEra(ctx)
+	}
+}
+
+func (g *Gateway) writeCompleteEra(ctx context.Context, era dotterelpulley.StoreEra) {
+	written, err := g.store.Append(ctx, platform.ErasTopic, platform.EncodeCompleteEra(era))
+	if err != nil || written != era {
+		g.event(log.InfoLevel, "era-unwritten").Uint64("era", uint64(era)).Uint64("store-era", uint64(written)).Err(err).Msg("")
 		return
 	}
+	g.copyGuard.noteRecorded(era)
+}
+
+func (g *Gateway) readCompleteEra(ctx context.Context) {
 	snapshot, err := g.store.Newest(ctx, platform.ErasTopic)
 	if err != nil {
 		g.event(log.InfoLevel, "eras-unread").Err(err).Msg("")
@@ -95,7 +103,7 @@
 			continue
 		}
 		if recorded == snapshot.Era {
-			g.copyGuard.vouch(recorded)
+			g.copyGuard.noteRecorded(recorded)
 		}
 	}
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -16,29 +16,20 @@
 	minDrainTime = 3200 * time.Millisecond
 	// drainFraction is the fraction of the platform's shutdown grace after which requests still in flight are aborted.
 	drainFraction = 0.93
-	// drainAdmissionTime is how long after the signal all requests are passed on; later ones only if they surely end in time.
-	drainAdmissionTime = 2500 * time.Millisecond
 	// drainingRetryAfter makes a caller retry on another host at once.
 	drainingRetryAfter = 50 * time.Millisecond
 	// drainCheckInterval is the time between two checks for requests in flight.
 	drainCheckInterval = 50 * time.Millisecond
 )
 
-// drain is a planned stop of this host, by the steady clock.
-type drain struct {
-	startedAt time.Time
-	// endsAt is when the requests still in flight are ended.
-	endsAt time.Time
-}
-
 // drainState holds the host's drain once it has started; the zero value is a host that serves.
 type drainState struct {
-	drain atomic.Pointer[drain]
+	drain atomic.Pointer[drainer.Drain]
 }
 
 // start starts the drain unless it has started, and returns it.
-func (d *drainState) start(now time.Time, timeout time.Duration) drain {
-	d.drain.CompareAndSwap(nil, &drain{startedAt: now, endsAt: now.Add(timeout)})
+func (d *drainState) start(now time.Time, timeout time.Duration) drainer.Drain {
+	d.drain.CompareAndSwap(nil, &drainer.Drain{StartedAt: now, EndsAt: now.Add(timeout)})
 	return *d.drain.Load()
 }
 
@@ -46,11 +37,10 @@
 	return d.drain.Load() != nil
 }
 
-// admits reports whether a request with the deadline may be passed on: one that can outlast a drain would be cut at its end, with
-// an outcome that nobody knows.
+// admits reports whether a request with the deadline may be passed on to an endpoint.
 func (d *drainState) admits(now, deadline time.Time) bool {
-	drain := d.drain.Load()
-	return drain == nil || now.Sub(drain.startedAt) <= drainAdmissionTime || !deadline.After(drain.endsAt)
+	started := d.drain.Load()
+	return started == nil || started.Admits(now, deadline)
 }
 
 // drainingRefusal returns the refusal of a request that comes too late in a drain; its caller may try another host at once.
@@ -97,7 +87,7 @@
 func (g *Gateway) Drain(ctx context.Context) {
 	now := time.Now()
 	d := drainer.Drainer{Timeout: time.Duration(float64(g.bounds.Load().ShutdownGrace) * drainFraction)}
-	endsAt := g.drain.start(now, d.Timeout).endsAt
+	endsAt := g.drain.start(now, d.Timeout).EndsAt
 	g.peers.sendNow()
 	g.event(log.InfoLevel, "drain").Int64("in-flight", g.inFlight.Load()).Msg("")
 	d.Signal(now)
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley/drainer"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
@@ -20,11 +21,11 @@
 	c.Assert(d.admits(now, now.Add(time.Hour)), qt.IsTrue)
 	d.start(now, timeout)
 	c.Assert(d.started(), qt.IsTrue)
-	c.Assert(d.admits(now.Add(drainAdmissionTime), ends.Add(time.Hour)), qt.IsTrue)
-	c.Assert(d.admits(now.Add(drainAdmissionTime+1), ends.Add(1)), qt.IsFalse)
-	c.Assert(d.admits(now.Add(drainAdmissionTime+1), ends), qt.IsTrue)
+	c.Assert(d.admits(now.Add(drainer.AdmissionTime), ends.Add(time.Hour)), qt.IsTrue)
+	c.Assert(d.admits(now.Add(drainer.AdmissionTime+1), ends.Add(1)), qt.IsFalse)
+	c.Assert(d.admits(now.Add(drainer.AdmissionTime+1), ends), qt.IsTrue)
 	d.start(now.Add(time.Hour), timeout)
-	c.Assert(d.admits(now.Add(drainAdmissionTime+1), ends.Add(1)), qt.IsFalse, qt.Commentf("a second signal changes nothing"))
+	c.Assert(d.admits(now.Add(drainer.AdmissionTime+1), ends.Add(1)), qt.IsFalse, qt.Commentf("a second signal changes nothing"))
 }
 
 // Requests that came late in a planned stop were passed on and ended with the host, with an outcome that nobody knew.
@@ -34,7 +35,7 @@
 	plain, model := s.endpoint("i-1", "plain", answerHello), s.endpoint("i-2", "model", answerHello)
 	g := s.startReadyGateway()
 	s.waitForAllowance(g, 20)
-	g.drain.start(time.Now().Add(-drainAdmissionTime-time.Second), 7*time.Second)
+	g.drain.start(time.Now().Add(-drainer.AdmissionTime-time.Second), 7*time.Second)
 	for _, path := range []string{"/call/", "/lookup/", "/plan/", "/advice/"} {
 		a := s.post(g, path, "book")
 		s.Check(a.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", path))
@@ -61,7 +62,7 @@
 	r := s.request(t.Context(), g, http.MethodPost, "/call/", "book")
 	go func() { got <- s.send(r) }()
 	s.waitFor("the request waits", func() bool { return g.inFlight.Load() == 1 })
-	g.drain.start(time.Now().Add(-drainAdmissionTime-time.Second), 7*time.Second)
+	g.drain.start(time.Now().Add(-drainer.AdmissionTime-time.Second), 7*time.Second)
 	e := s.endpoint("i-1", "plain", answerHello)
 	a := <-got
 	s.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
@@ -77,7 +78,7 @@
 	for _, g := range hosts {
 		s.waitForAllowance(g, 20)
 	}
-	hosts[1].drain.start(time.Now().Add(-drainAdmissionTime-time.Second), 7*time.Second)
+	hosts[1].drain.start(time.Now().Add(-drainer.AdmissionTime-time.Second), 7*time.Second)
 	r := s.request(t.Context(), hosts[1], http.MethodPost, "/call/", "book")
 	r.URL.Host = string(hosts[1].peers.self().PeerAddress)
 	r.Header.Set(headerForwarded, "5")
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -49,11 +49,11 @@
 	r.NoteFailure()
 }
 
-// doubt returns the registrations that are kept although the store lacks them.
-func (r *endpointRegistry) doubt() registrar.Doubt {
+// pending returns the registrations that are kept although the store lacks them.
+func (r *endpointRegistry) pending() registrar.PendingRemovals {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.Doubt()
+	return r.Pending()
 }
 
 // contact returns the latest contact of any host with the store.
@@ -65,9 +65,9 @@
 
 // readDelay returns the time until the next read, the last of which comes just before a missing registration is removed.
 func (r *endpointRegistry) readDelay(now time.Time) time.Duration {
-	d := r.doubt()
-	last := d.Until.Add(-settleLead).Sub(now)
-	if len(d.Endpoints) == 0 || last <= 0 {
+	pending := r.pending()
+	last := pending.Until.Add(-lastReadLead).Sub(now)
+	if len(pending.Endpoints) == 0 || last <= 0 {
 		return endpointsReadInterval
 	}
 	return min(last, endpointsReadInterval)
@@ -128,9 +128,9 @@
 // changeEndpoints applies a change to the registrations and passes its consequences on.
 func (g *Gateway) changeEndpoints(change func() []registrar.Change) {
 	g.registry.mutex.Lock()
-	before := g.registry.Doubt()
+	before := g.registry.Pending()
 	changes := change()
-	g.logDoubt(before, g.registry.Doubt())
+	g.logPending(before, g.registry.Pending())
 	g.relayEndpointChanges(changes)
 	g.registry.mutex.Unlock()
 	if len(changes) > 0 {
@@ -138,8 +138,8 @@
 	}
 }
 
-// logDoubt logs that the store may have been out, and which endpoints are kept although it lacks them.
-func (g *Gateway) logDoubt(before, after registrar.Doubt) {
+// logPending logs that the store may have been out, and which endpoints are kept although it lacks them.
+func (g *Gateway) logPending(before, after registrar.PendingRemovals) {
 	if after.ReturnedAt.After(before.ReturnedAt) {
 		g.metrics.Inc("outages-suspected")
 		g.event(log.InfoLevel, "outage-suspected").Msg("")
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -133,7 +133,7 @@
 		}
 		g.storeAccess.succeeded()
 		g.applyOperatorsRecords(read)
-		g.checkEra()
+		g.verifyEra()
 		if g.copyGuard.complete(time.Now()) {
 			g.freshness.confirm(startedAt)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,7 +158,7 @@
 	g.supervise("follow-operators", g.followOperators)
 	g.supervise("follow-readers", g.followReaders)
 	g.supervise("follow-endpoints", g.followEndpoints)
-	g.supervise("settle-doubts", g.settleDoubts)
+	g.supervise("remove-expired", g.removeExpired)
 	g.supervise("refute-outages", g.refuteOutages)
 	g.supervise("register-host", g.registerHost)
 	g.supervise("keep-parts", func() { g.keepIsolated(&g.isolations[promptParts]) })
--- a/gateway/doubt.go
+++ b/gateway/pending_removals.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// settleLead is how long before the end of their grace missing registrations are read once more.
-	settleLead = 100 * time.Millisecond
+	// lastReadLead is how long before the end of their grace missing registrations are read once more.
+	lastReadLead = 100 * time.Millisecond
 	// maxContactQueries limits the hosts that are asked at a time for their contact with the store.
 	maxContactQueries = 4
 )
 
-// settleDoubts removes the registrations that the store still lacks when their grace ends.
-func (g *Gateway) settleDoubts() {
+// removeExpired removes the registrations that the store still lacks when their grace ends.
+func (g *Gateway) removeExpired() {
 	for g.ctx.Err() == nil {
 		wait := readCheckInterval
-		if d := g.registry.doubt(); len(d.Endpoints) > 0 {
-			wait = min(wait, time.Until(d.Until))
+		if pending := g.registry.pending(); len(pending.Endpoints) > 0 {
+			wait = min(wait, time.Until(pending.Until))
 		}
 		repeater.Sleep(g.ctx, wait)
-		g.changeEndpoints(func() []registrar.Change { return g.registry.Settle(time.Now()) })
+		g.changeEndpoints(func() []registrar.Change { return g.registry.RemoveExpired(time.Now()) })
 	}
 }
 
@@ -39,7 +39,7 @@
 	client, closeIdle := newRelayClient()
 	defer closeIdle()
 	repeater.Every(g.ctx, readCheckInterval, func() {
-		if g.registry.doubt().Refutable {
+		if g.registry.pending().Refutable {
 			g.askForContact(client)
 		}
 	})
@@ -78,18 +78,17 @@
 	return relayer.Contact{Since: time.Since(c.Since), Until: time.Since(c.Until), Known: true}
 }
 
-// applyContact applies the contact that another host told in answer to a call, and reports whether it refutes an outage. Of
-// the time that the call took it takes what makes the span shorter.
+// applyContact applies the contact that another host told in answer to a call, and reports whether it refutes an outage.
 func (g *Gateway) applyContact(calledAt time.Time, told relayer.Contact) (refuted bool) {
 	if !told.Known {
 		return false
 	}
 	now := time.Now()
-	contact := registrar.Contact{Since: now.Add(-told.Since), Until: calledAt.Add(-told.Until)}
+	contact := registrar.ToldContact(calledAt, now, told.Since, told.Until)
 	g.changeEndpoints(func() []registrar.Change {
-		before := g.registry.Doubt()
+		before := g.registry.Pending()
 		changes := g.registry.ApplyContact(now, contact)
-		refuted = !before.ReturnedAt.IsZero() && g.registry.Doubt().ReturnedAt.IsZero()
+		refuted = !before.ReturnedAt.IsZero() && g.registry.Pending().ReturnedAt.IsZero()
 		return changes
 	})
 	return refuted
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -167,9 +167,16 @@
 	s.rewriteRecords()
 }}
 
-// scheduleMore returns injections of one fault. The stream gives them random numbers of their own, so that a seed's other faults
-// stay the same.
-func scheduleMore(f fault, seed, stream uint64, count int, window time.Duration) []injection {
+// The streams of random numbers of a seed: each kind of fault has its own, so that the others stay the same without it. Streams 0
+// to 2 are those of the first faults and of endpoints.
+const (
+	copyNumbers uint64 = iota + 3
+	strayNumbers
+	upgradeNumbers
+)
+
+// scheduleFault returns injections of one fault by the seed's stream of random numbers.
+func scheduleFault(f fault, seed, stream uint64, count int, window time.Duration) []injection {
 	r := rand.New(rand.NewPCG(seed, stream))
 	injections := make([]injection, 0, count)
 	for range count {
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -175,8 +175,8 @@
 		injections.Go(func() { s.upgrade(ctx) })
 	}
 	changes.Go(func() { repeater.Every(changesCtx, configurationInterval, s.publishConfiguration) })
-	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleMore(storeCopied, s.Seed, 3, s.StoreCopies, s.FaultWindow)...)
-	planned = append(planned, scheduleMore(strayAnswers, s.Seed, 4, s.StrayAnswers, s.FaultWindow)...)
+	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleFault(storeCopied, s.Seed, copyNumbers, s.StoreCopies, s.FaultWindow)...)
+	planned = append(planned, scheduleFault(strayAnswers, s.Seed, strayNumbers, s.StrayAnswers, s.FaultWindow)...)
 	for _, planned := range planned {
 		report.Faults = append(report.Faults, fmt.Sprintf("%s at %s for %s", planned.fault.name, planned.start.Round(time.Millisecond), planned.duration.Round(time.Millisecond)))
 		injections.Go(func() {
--- a/internal/soaker/upgrade.go
+++ b/internal/soaker/upgrade.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// upgradeFault is the fault that replaces a host's program, after a planned stop; upgradeKill is the same after a kill.
-	upgradeFault = stopFault
-	upgradeKill  = "upgrade-kill"
+	// upgradeKill is the name of a replacement after a kill; one after a planned stop has that of the stop.
+	upgradeKill = "upgrade-kill"
 	// upgradeKillRate is the fraction of replaced hosts that are killed instead of stopped.
 	upgradeKillRate = 0.25
 )
@@ -19,7 +18,7 @@
 // upgrade replaces the production program of one host after another: on half of them, back again as if it was taken back, and
 // then on all.
 func (s *site) upgrade(ctx context.Context) {
-	r := rand.New(rand.NewPCG(s.Seed, 5))
+	r := rand.New(rand.NewPCG(s.Seed, upgradeNumbers))
 	half := s.hosts[:(len(s.hosts)+1)/2]
 	for _, step := range []struct {
 		hosts   []*host
@@ -36,7 +35,7 @@
 
 // replaceProgram makes the host run the program, and waits until it is ready as an operator would.
 func (s *site) replaceProgram(ctx context.Context, h *host, program string, r *rand.Rand) {
-	begin, name := time.Now(), upgradeFault
+	begin, name := time.Now(), stopFault
 	h.setProgram(program)
 	if r.Float64() < upgradeKillRate {
 		name = upgradeKill
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -79,11 +79,6 @@
 	perRoute map[dotterelpulley.RouteID]int
 }
 
-// NeedsEvidence reports whether the hosts' evidence can advance the roll-out.
-func (c Change) NeedsEvidence() bool {
-	return c.Stage.running()
-}
-
 // Change is a roll-out's new stage.
 type Change struct {
 	Order
@@ -93,6 +88,11 @@
 	Reason string
 }
 
+// NeedsEvidence reports whether the hosts' evidence can advance the roll-out.
+func (c Change) NeedsEvidence() bool {
+	return c.Stage.running()
+}
+
 func (r *rollout) change() Change {
 	return Change{Order: r.Order, Barred: r.barred, Stage: r.stage, Reason: r.reason}
 }
--- a/registrar/contact.go
+++ b/registrar/contact.go
@@ -9,6 +9,12 @@
 	Until time.Time
 }
 
+// ToldContact returns the contact that another host told in answer to a call, by the ages of its ends. Of the time of the call it
+// takes what makes the span shorter, so that a slow call, or a host frozen during one, can't make it cover an outage.
+func ToldContact(calledAt, answeredAt time.Time, sinceAge, untilAge time.Duration) Contact {
+	return Contact{Since: answeredAt.Add(-sinceAge), Until: calledAt.Add(-untilAge)}
+}
+
 // join returns the span of both contacts if they meet, else the later one.
 func (c Contact) join(other Contact) Contact {
 	switch {
@@ -28,8 +34,8 @@
 	return c
 }
 
-// silence is a time in which the store may not have answered anybody, so that registrations expired; the zero value is none.
-type silence struct {
+// possibleOutage is a time in which the store may have answered nobody, so that registrations expired; the zero value is none.
+type possibleOutage struct {
 	from  time.Time
 	until time.Time
 	// lostRecords means that the store returned from a copy, which lacks registrations whether it was silent or not.
@@ -37,6 +43,6 @@
 }
 
 // isRefutedBy reports whether the contact shows that the store answered other hosts meanwhile.
-func (s silence) isRefutedBy(c Contact) bool {
-	return !s.until.IsZero() && !s.lostRecords && !c.Since.IsZero() && c.Since.Sub(s.from) <= outageThreshold && s.until.Sub(c.Until) <= outageThreshold
+func (o possibleOutage) isRefutedBy(c Contact) bool {
+	return !o.until.IsZero() && !o.lostRecords && !c.Since.IsZero() && c.Since.Sub(o.from) <= outageThreshold && o.until.Sub(c.Until) <= outageThreshold
 }
--- a/registrar/contact_test.go
+++ b/registrar/contact_test.go
@@ -35,7 +35,7 @@
 	c := qt.New(t)
 	r := cutOff()
 	c.Assert(states(r), qt.DeepEquals, known{"a": "live", "left": "live"})
-	c.Assert(r.Doubt().Refutable, qt.IsTrue)
+	c.Assert(r.Pending().Refutable, qt.IsTrue)
 
 	changes := r.ApplyContact(back, Contact{Since: start.Add(-time.Hour), Until: start.Add(2500 * time.Millisecond)})
 	c.Assert(changes, qt.HasLen, 1)
@@ -61,6 +61,20 @@
 	}
 }
 
+// A host that was frozen during its question, and through the outage, would take the answer of before for one of now.
+func TestASlowAnswerExtendsNoContact(t *testing.T) {
+	c := qt.New(t)
+	// The other host answered at the start; its answer is read when the outage is over.
+	told := ToldContact(start, back, time.Hour, 0)
+	c.Assert(told.Until, qt.Equals, start)
+	r := cutOff()
+	r.ApplyContact(back, told)
+	c.Assert(states(r), qt.DeepEquals, known{"a": "live", "left": "live"})
+	// A contact that began within the call's time isn't known to have begun before it.
+	r.ApplyContact(back, ToldContact(start.Add(-time.Minute), back, 2*time.Second, 0))
+	c.Assert(states(r), qt.DeepEquals, known{"a": "live", "left": "live"})
+}
+
 // Contacts of several hosts cover a cut together.
 func TestHostsThatReadInTurnRefuteAnOutage(t *testing.T) {
 	c := qt.New(t)
@@ -76,9 +90,9 @@
 func TestTheGraceEndsWithoutARead(t *testing.T) {
 	c := qt.New(t)
 	r := cutOff()
-	c.Assert(r.Doubt().Until, qt.Equals, back.Add(expiryGrace))
-	c.Assert(r.Settle(back.Add(expiryGrace-1)), qt.HasLen, 0)
-	c.Assert(r.Settle(back.Add(expiryGrace)), qt.HasLen, 1)
+	c.Assert(r.Pending().Until, qt.Equals, back.Add(expiryGrace))
+	c.Assert(r.RemoveExpired(back.Add(expiryGrace-1)), qt.HasLen, 0)
+	c.Assert(r.RemoveExpired(back.Add(expiryGrace)), qt.HasLen, 1)
 	c.Assert(states(r), qt.DeepEquals, known{"a": "live"})
 }
 
@@ -111,7 +125,7 @@
 	var r Registrar
 	r.ApplyStore(start, Batch{Era: 1, Complete: true, Records: []Record{live("a", 1, 1)}})
 	r.ApplyStore(start.Add(time.Second), Batch{Era: 2, Complete: true})
-	c.Assert(r.Doubt().Refutable, qt.IsFalse)
+	c.Assert(r.Pending().Refutable, qt.IsFalse)
 	r.ApplyContact(start.Add(time.Second), Contact{Since: start.Add(-time.Hour), Until: start.Add(time.Second)})
 	c.Assert(states(&r), qt.DeepEquals, known{"a": "live"})
 }
@@ -175,11 +189,11 @@
 					all[i].ApplyStore(at, b)
 				}
 				for j := range all {
-					if all[i].Doubt().Refutable && i != j && !in(now, cuts[i], cuts[j]) {
+					if all[i].Pending().Refutable && i != j && !in(now, cuts[i], cuts[j]) {
 						all[i].ApplyContact(at, all[j].Contact())
 					}
 				}
-				all[i].Settle(at)
+				all[i].RemoveExpired(at)
 				_, live := states(&all[i])["a"]
 				reachable := max(leavesAt, lastReach[i])
 				switch {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,8 +27,8 @@
 	known map[dotterelpulley.EndpointID]entry
 	// removed holds the last registration of each endpoint that was removed.
 	removed map[dotterelpulley.EndpointID]removal
-	// pendingRemovals are registrations that disappeared, with the silence of the store or the copy that may be the reason.
-	pendingRemovals map[dotterelpulley.EndpointID]silence
+	// pendingRemovals are registrations that disappeared, with the outage or the copy that may be the reason.
+	pendingRemovals map[dotterelpulley.EndpointID]possibleOutage
 	// leaving holds the instances that said they were leaving, with the time of the first word.
 	leaving map[InstanceKey]time.Time
 	// complete means that all registrations have been read once, here or by another host.
@@ -37,8 +37,8 @@
 	contact Contact
 	// reading means that this host reads the store itself, so that a pause of its answers may be an outage.
 	reading bool
-	// silence is the last time in which registrations may have expired.
-	silence silence
+	// outage is the last time in which registrations may have expired.
+	outage possibleOutage
 	// era is the newest era of the records applied, position the offset up to which its log is known; zero if it isn't.
 	era      dotterelpulley.StoreEra
 	position int64
@@ -70,7 +70,7 @@
 	if r.known == nil {
 		r.known = map[dotterelpulley.EndpointID]entry{}
 		r.removed = map[dotterelpulley.EndpointID]removal{}
-		r.pendingRemovals = map[dotterelpulley.EndpointID]silence{}
+		r.pendingRemovals = map[dotterelpulley.EndpointID]possibleOutage{}
 		r.leaving = map[InstanceKey]time.Time{}
 	}
 }
@@ -99,7 +99,7 @@
 // noteAnswer records that the store answered this host.
 func (r *Registrar) noteAnswer(now time.Time) {
 	if pause := now.Sub(r.contact.Until); r.reading && !r.contact.Until.IsZero() && pause > outageThreshold {
-		r.silence = silence{from: r.contact.Until, until: now}
+		r.outage = possibleOutage{from: r.contact.Until, until: now}
 	}
 	r.reading = true
 	r.contact = r.contact.join(Contact{Since: now, Until: now})
@@ -124,8 +124,8 @@
 // consequence of an outage.
 func (r *Registrar) ApplyContact(now time.Time, told Contact) []Change {
 	r.contact = r.contact.join(told)
-	if r.silence.isRefutedBy(r.contact) {
-		r.silence = silence{}
+	if r.outage.isRefutedBy(r.contact) {
+		r.outage = possibleOutage{}
 	}
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(r.pendingRemovals)) {
@@ -150,7 +150,7 @@
 func (r *Registrar) apply(now time.Time, b Batch) []Change {
 	r.init()
 	if b.Era > r.era && len(r.known) > 0 {
-		r.silence = silence{until: now, lostRecords: true}
+		r.outage = possibleOutage{until: now, lostRecords: true}
 	}
 	r.complete = r.complete || b.Complete
 	changes := r.put(b)
@@ -160,21 +160,21 @@
 			// The other host hasn't read the registration yet.
 			continue
 		}
-		if e.State == dotterelpulley.EndpointLive && now.Sub(r.silence.until) < expiryGrace {
+		if e.State == dotterelpulley.EndpointLive && now.Sub(r.outage.until) < expiryGrace {
 			if _, pending := r.pendingRemovals[id]; !pending {
-				r.pendingRemovals[id] = r.silence
+				r.pendingRemovals[id] = r.outage
 			}
 			continue
 		}
 		changes = r.remove(now, id, b.Position, changes)
 	}
-	changes = append(changes, r.Settle(now)...)
+	changes = append(changes, r.RemoveExpired(now)...)
 	r.prune(now)
 	return changes
 }
 
-// Settle removes the registrations that are still missing at the end of their grace, and returns the changes.
-func (r *Registrar) Settle(now time.Time) []Change {
+// RemoveExpired removes the registrations that are still missing at the end of their grace, and returns the changes.
+func (r *Registrar) RemoveExpired(now time.Time) []Change {
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(r.pendingRemovals)) {
 		if now.Sub(r.pendingRemovals[id].until) >= expiryGrace {
@@ -194,8 +194,8 @@
 	return r.position
 }
 
-// Doubt is the state of the registrations that are kept for a while although the store lacks them.
-type Doubt struct {
+// PendingRemovals are the registrations that are kept for a while although the store lacks them.
+type PendingRemovals struct {
 	// ReturnedAt is when the store returned, as far as this host knows; zero if it wasn't away.
 	ReturnedAt time.Time
 	Endpoints  []dotterelpulley.EndpointID
@@ -205,16 +205,16 @@
 	Refutable bool
 }
 
-// Doubt returns the registrations that are kept although the store lacks them.
-func (r *Registrar) Doubt() Doubt {
-	d := Doubt{ReturnedAt: r.silence.until, Endpoints: slices.Sorted(maps.Keys(r.pendingRemovals))}
-	for _, s := range r.pendingRemovals {
-		if end := s.until.Add(expiryGrace); d.Until.IsZero() || end.Before(d.Until) {
-			d.Until = end
+// Pending returns the registrations that are kept although the store lacks them.
+func (r *Registrar) Pending() PendingRemovals {
+	pending := PendingRemovals{ReturnedAt: r.outage.until, Endpoints: slices.Sorted(maps.Keys(r.pendingRemovals))}
+	for _, o := range r.pendingRemovals {
+		if end := o.until.Add(expiryGrace); pending.Until.IsZero() || end.Before(pending.Until) {
+			pending.Until = end
 		}
-		d.Refutable = d.Refutable || !s.lostRecords
+		pending.Refutable = pending.Refutable || !o.lostRecords
 	}
-	return d
+	return pending
 }
 
 // Runs reports whether the endpoint has written since this host learned of it.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -190,7 +190,7 @@
 				acted[id] = sequences[id]
 				r.ApplyStore(now, Batch{Era: era, Records: []Record{store[id]}})
 			case "remove":
-				if _, ok := store[id]; !ok || now.Sub(r.silence.until) < expiryGrace {
+				if _, ok := store[id]; !ok || now.Sub(r.outage.until) < expiryGrace {
 					continue
 				}
 				delete(store, id)
