--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -278,8 +278,8 @@
 // writeRefusal sends the caller a refusal.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, q *request, refused *refusal) {
 	g.metrics.Inc("refused-" + refused.kind.String())
-	g.requestEvent(log.InfoLevel, "refused", q).Str("kind", refused.kind.String()).Int("status", refused.status).
-		Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
+	g.requestEvent(refusalLevel(q), "refused", q).Str("kind", refused.kind.String()).Int("status", refused.status).
+		Str("reached", q.arrivals.encode()).Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
 	if q.origin.forwarded {
 		w.Header().Set(headerRefusal, refused.kind.String())
 		w.Header().Set(headerArrivals, q.arrivals.encode())
@@ -292,6 +292,15 @@
 	}
 }
 
+// refusalLevel returns the level at which a refusal is logged: one of a request that has reached an endpoint must survive a flood
+// of refusals, as it tells what the caller was promised of it.
+func refusalLevel(q *request) log.Level {
+	if q.arrivals.count > 0 {
+		return log.WarnLevel
+	}
+	return log.InfoLevel
+}
+
 // requestEvent starts a log event about the request.
 func (g *Gateway) requestEvent(level log.Level, name string, q *request) *log.Entry {
 	e := g.event(level, name).Str("request", q.AttemptID).Int64("version", q.version).
