Promise that nothing ran only from a proof, never from a status

What callers saw: bookings that ran at two endpoints, and bookings that had run answered with 429 or 503, which promise the contrary; after such a promise a caller books again.

Cause: a promise was made from a status.

Change: each send counts as a run from its start, until a proof disproves it: no connection made, refused by the endpoint, refused by another host that has such a proof itself (Dotterel-Proof). A refusal with a promising status needs the proof and is logged with it; without one the caller gets outcome-unknown (502), without the endpoint's stamp. Runs that an endpoint ends with such a status are tried elsewhere where the route allows it.

Tests changed: that of the table of statuses asserts the same of hostProof; a deadline that passed at an earlier build's host now proves nothing. A bare 421 decodes as a misdirection, and no longer as not executed.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -49,6 +49,8 @@
 // Exchange is a response whose body has yet to be read; Release or Abort must be called.
 type Exchange struct {
 	*http.Response
+	// Reused means that the connection has carried earlier requests.
+	Reused bool
 
 	connector    *Connector
 	conn         *connection
@@ -90,6 +92,7 @@
 // send writes the headers with a small body; a large body is sent concurrently with the response.
 func (x *Exchange) send(r Request) error {
 	x.conn.requests++
+	x.Reused = x.conn.requests > 1
 	w := x.conn.writer
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
@@ -133,7 +136,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.MatchesResponse == nil || r.MatchesResponse(ResponseHead{StatusCode: response.StatusCode, Header: response.Header, Reused: x.conn.requests > 1}) {
+		if r.MatchesResponse == nil || r.MatchesResponse(ResponseHead{StatusCode: response.StatusCode, Header: response.Header, Reused: x.Reused}) {
 			x.Response = response
 			return nil
 		}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -61,31 +61,42 @@
 func (p *proxiedRequest) handleResponse(ctx context.Context, a attempt, exchange *connector.Exchange, metadata platform.ResponseMetadata) outcome {
 	p.response.onWrite = func(n int) { p.gateway.countZoneBytes("answers", a.Endpoint.Zone, n) }
 	success := isSuccess(exchange.StatusCode)
+	proof := p.endpointProof(exchange, metadata)
 	switch {
-	case metadata.NotExecuted:
+	case proof != nil && a.helper == "":
+		p.sends.disprove(proof)
 		p.drainBody(exchange)
-		result := scheduler.ResultRefused
-		if exchange.StatusCode == http.StatusMisdirectedRequest {
-			result = scheduler.ResultWrongInstance
-		}
-		p.finishAttempt(a, result, fmt.Errorf("the endpoint did not run the request: status %d, id echoed: %t", exchange.StatusCode, metadata.AttemptID != ""))
+		p.finishAttempt(a, refusalResult(exchange.StatusCode), fmt.Errorf("the endpoint did not run the request: %s", proofName(proof)))
 		return p.retry()
 	case metadata.Encoded || success && !metadata.Signed:
 		exchange.Abort()
-		p.runs++
 		return p.handleFailedRun(ctx, a, errors.New("the response is encoded or not signed by the endpoint"))
 	case success && p.route.Kind == router.Streaming && isEventStream(exchange.Header):
 		return p.relayEvents(ctx, a, exchange)
 	case p.response.headersSent:
 		// The caller has received part of a stream, which only further events of the stream can complete.
 		exchange.Abort()
-		p.runs++
 		return p.handleFailedRun(ctx, a, fmt.Errorf("the endpoint did not resume the stream: status %d", exchange.StatusCode))
+	case platform.PromisesNotRun(exchange.StatusCode):
+		// The caller would take the endpoint's status for a promise that nothing ran.
+		p.drainBody(exchange)
+		p.gateway.metrics.Inc("promises-unproved")
+		p.finishAttempt(a, scheduler.ResultFailed, fmt.Errorf("status %d without a proof that the endpoint did not run the request, id echoed: %t",
+			exchange.StatusCode, metadata.AttemptID != ""))
+		return p.runAgain()
 	default:
 		return p.relayBuffered(ctx, a, exchange)
 	}
 }
 
+// refusalResult returns the result of an attempt that an endpoint refused with the status.
+func refusalResult(status int) scheduler.Result {
+	if status == http.StatusMisdirectedRequest {
+		return scheduler.ResultWrongInstance
+	}
+	return scheduler.ResultRefused
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
@@ -109,7 +120,6 @@
 
 // relayBuffered relays a plain response, buffered completely unless it is large.
 func (p *proxiedRequest) relayBuffered(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
-	p.runs++
 	failed := exchange.StatusCode >= http.StatusInternalServerError
 	if failed && p.route.Repeatable() && p.canRunAgain() {
 		if next := p.retry(); next == outcomeNextEndpoint {
@@ -179,7 +189,6 @@
 
 // relayEvents relays complete events as they arrive; a broken stream is resumed on another endpoint if the route allows it.
 func (p *proxiedRequest) relayEvents(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
-	p.runs++
 	reader := newEventReader(&p.gateway.answers, exchange.Body)
 	defer reader.release()
 	// A stream that can't go on elsewhere needs no whole events.
@@ -275,12 +284,7 @@
 func (p *proxiedRequest) logAnswered(a attempt, status int, longestPause time.Duration, firstEventAt time.Time) {
 	p.gateway.metrics.Inc("answered")
 	p.gateway.metrics.recordLatency("answer-"+string(p.route.ID), time.Since(p.arrived))
-	level := log.InfoLevel
-	if platform.PromisesNotRun(status) {
-		level = log.WarnLevel
-		p.gateway.metrics.Inc("promises-relayed")
-	}
-	e := p.gateway.requestEvent(level, "answered", p.request).Int("status", status).Str("endpoint", string(a.Endpoint.ID)).
+	e := p.gateway.requestEvent(log.InfoLevel, "answered", p.request).Int("status", status).Str("endpoint", string(a.Endpoint.ID)).
 		Int("try", p.attempts).Int("load", a.Load).Dur("load-age", a.LoadAge).Dur("queued", a.startedAt.Sub(p.arrived)).
 		Int("priority", int(p.priority)).Int("rank", int(p.route.Priority))
 	if !firstEventAt.IsZero() {
--- a/gateway/arrivals.go
+++ b/gateway/arrivals.go
@@ -68,13 +68,14 @@
 	p.arrivals.endpoints = append(p.arrivals.endpoints, a.Endpoint.ID)
 }
 
-// markAnswer names the arrivals in the answer to a forwarded request, which carries no such header of the endpoint's.
+// markAnswer names the arrivals in the answer to a forwarded request, which carries no header of the endpoint's that only hosts send.
 func (p *proxiedRequest) markAnswer(exchange *connector.Exchange) {
 	if !p.origin.forwarded {
 		return
 	}
-	exchange.Header.Del(headerRefusal)
-	exchange.Header.Del(headerArrivals)
+	for _, name := range []string{headerRefusal, headerProof, headerArrivals} {
+		exchange.Header.Del(name)
+	}
 	p.response.writer.Header().Set(headerArrivals, p.arrivals.encode())
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -64,6 +64,8 @@
 	retryAfter time.Duration
 	// reason is the input that led to the refusal, for the log.
 	reason string
+	// proof is what proves that the request hasn't run; nil if it may have.
+	proof proof
 }
 
 func newRefusal(kind dotterelpulley.ErrorKind, reason string) *refusal {
@@ -101,6 +103,7 @@
 		refused = g.checkLimits(arrived, q)
 	}
 	if refused != nil {
+		refused.proof = neverSent{}
 		g.writeRefusal(w, q, refused)
 		return
 	}
@@ -275,13 +278,18 @@
 	g.rationer.Refund(time.Now(), q.arrived, q.organisation, q.usage)
 }
 
-// writeRefusal sends the caller a refusal.
+// writeRefusal sends the caller a refusal. One that promises that nothing ran needs a proof of it.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, q *request, refused *refusal) {
+	if refused.proof == nil && platform.PromisesNotRun(refused.status) {
+		g.metrics.Inc("promises-unproved")
+		refused = newRefusal(dotterelpulley.ErrorOutcomeUnknown, "unproved "+refused.kind.String()+": "+refused.reason)
+	}
 	g.metrics.Inc("refused-" + refused.kind.String())
 	g.requestEvent(refusalLevel(q), "refused", q).Str("kind", refused.kind.String()).Int("status", refused.status).
-		Str("reached", q.arrivals.encode()).Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
+		Str("proof", proofName(refused.proof)).Str("reached", q.arrivals.encode()).Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
 	if q.origin.forwarded {
 		w.Header().Set(headerRefusal, refused.kind.String())
+		w.Header().Set(headerProof, proofName(refused.proof))
 		w.Header().Set(headerArrivals, q.arrivals.encode())
 	}
 	platform.SetRefusalHeaders(w.Header(), q.AttemptID, refused.retryAfter)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -88,6 +88,7 @@
 		attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%s/%d", p.AttemptID, helper.ID, len(p.excludedHelpers))),
 	}
 	p.useRepeat()
+	p.sends.begin()
 	exchange, err := p.dispatchThrough(ctx, helper)
 	if err != nil {
 		p.excludeHelper(helper.ID)
@@ -124,28 +125,17 @@
 	})
 }
 
-// mayHaveRun reports whether a request may have run that a helper answered itself. Of a request that has run, the helper answers
-// some kinds under another status, such as a deadline that passed after the send.
-func mayHaveRun(status int, kind dotterelpulley.ErrorKind) bool {
-	switch status {
-	case http.StatusBadGateway, http.StatusGatewayTimeout:
-		return true
-	case http.StatusServiceUnavailable:
-		return kind == dotterelpulley.ErrorOutcomeUnknown
-	}
-	return kind.Answer().Truth != dotterelpulley.NotRun
-}
-
 // handleHelperRefusal decides how the request continues after the helper's own answer; arrived means that the helper has sent it
 // to an endpoint.
 func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind, arrived bool) outcome {
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.drainBody(exchange)
 	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
-	if mayHaveRun(exchange.StatusCode, kind) {
-		p.runs++
+	proof := hostProof(kind, exchange.Header)
+	if proof == nil {
 		return p.handleFailedRun(ctx, a, cause)
 	}
+	p.sends.disprove(proof)
 	p.finishAttempt(a, scheduler.ResultRefused, cause)
 	refused := newRefusal(kind, cause.Error())
 	refused.status, refused.retryAfter = http.StatusServiceUnavailable, metadata.Pause
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -273,16 +273,21 @@
 // A forwarded call that had run was refused as not run, as its deadline had passed at the other host.
 func TestAForwardedCallWhoseDeadlinePassesIsNotRefusedAsNotRun(t *testing.T) {
 	c := qt.New(t)
+	answerOf := func(proof string) http.Header { return http.Header{headerProof: {proof}} }
+	earlierBuild := http.Header{}
 	for _, kind := range dotterelpulley.ErrorKinds() {
-		for _, status := range []int{http.StatusBadGateway, http.StatusGatewayTimeout} {
-			c.Check(mayHaveRun(status, kind), qt.IsTrue, qt.Commentf("%s under %d", kind, status))
-		}
+		c.Check(hostProof(kind, answerOf(noProof)), qt.IsNil, qt.Commentf("%s", kind))
+		c.Check(hostProof(kind, answerOf("never-sent")), qt.Equals, proof(refusedByHost{theirs: "never-sent"}), qt.Commentf("%s", kind))
+	}
+	for _, kind := range []dotterelpulley.ErrorKind{
+		dotterelpulley.ErrorDeadlinePassed, dotterelpulley.ErrorOutcomeUnknown, dotterelpulley.ErrorCut, dotterelpulley.ErrorRunFailed,
+		dotterelpulley.ErrorCancelled, dotterelpulley.ParseErrorKind("unknown"),
+	} {
+		c.Check(hostProof(kind, earlierBuild), qt.IsNil, qt.Commentf("%s", kind))
+	}
+	for _, kind := range []dotterelpulley.ErrorKind{dotterelpulley.ErrorIsolated, dotterelpulley.ErrorUnknownService, dotterelpulley.ErrorDraining, dotterelpulley.ErrorNoEndpoint} {
+		c.Check(hostProof(kind, earlierBuild), qt.IsNotNil, qt.Commentf("%s", kind))
 	}
-	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ErrorDeadlinePassed), qt.IsFalse)
-	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ErrorIsolated), qt.IsFalse)
-	c.Check(mayHaveRun(http.StatusServiceUnavailable, dotterelpulley.ParseErrorKind("unknown")), qt.IsTrue)
-	c.Check(mayHaveRun(http.StatusNotFound, dotterelpulley.ErrorUnknownService), qt.IsFalse)
-	c.Check(mayHaveRun(499, dotterelpulley.ErrorCancelled), qt.IsTrue)
 
 	s, e := forwardingSite(t, "plain", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
 	for sent := 1; sent <= 3; sent++ {
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -77,7 +77,8 @@
 			return a
 		}
 		f.waitFor("the next crash is another incident", func() bool { return time.Since(*f.lastCrash.Load()) > 300*time.Millisecond })
-		f.Assert(f.ask(g, "/plan/", firstPart).status, qt.Equals, http.StatusOK)
+		sound := f.ask(g, "/plan/", firstPart)
+		f.Assert(sound.status, qt.Equals, http.StatusOK, qt.Commentf("%s", sound.body))
 	}
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -27,8 +27,8 @@
 	*request
 	gateway  *Gateway
 	response *responseWriter
-	// runs counts the endpoints that may have run the request; attempts counts all.
-	runs     int
+	// sends tells whether the request may have run; attempts counts the endpoints that it was sent to.
+	sends    sends
 	attempts int
 	repeats  repeats
 	excluded map[dotterelpulley.EndpointID]bool
@@ -127,7 +127,7 @@
 
 // refuseLate returns the refusal of a request that has not run and may outlast this host, nil if it may be passed on.
 func (p *proxiedRequest) refuseLate() *refusal {
-	if p.runs > 0 || p.gateway.drain.admits(time.Now(), p.deadline) {
+	if p.sends.runs() > 0 || p.gateway.drain.admits(time.Now(), p.deadline) {
 		return nil
 	}
 	return drainingRefusal("it may outlast the shutdown")
@@ -214,6 +214,7 @@
 		p.logNextTry(a.Endpoint.ID)
 	}
 	p.attempts++
+	p.sends.begin()
 	p.gateway.promotions.sent(p.service, p.route.ID)
 	return a, nil
 }
@@ -250,13 +251,13 @@
 	p.noteArrival(a)
 	p.markAnswer(exchange)
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
-	p.heedEndpoint(a, exchange.StatusCode, metadata)
+	p.heedEndpoint(a, metadata)
 	return p.handleResponse(ctx, a, exchange, metadata)
 }
 
 // heedEndpoint acts on what the endpoint says of itself beside its answer.
-func (p *proxiedRequest) heedEndpoint(a attempt, status int, metadata platform.ResponseMetadata) {
-	if status == http.StatusMisdirectedRequest {
+func (p *proxiedRequest) heedEndpoint(a attempt, metadata platform.ResponseMetadata) {
+	if metadata.Misdirected {
 		// Another instance answered at the endpoint's address.
 		return
 	}
@@ -281,7 +282,6 @@
 	} else {
 		p.noteArrivalsElsewhere(nil)
 	}
-	p.runs++
 	return p.handleInterruptedRun(ctx, a, err)
 }
 
@@ -291,6 +291,7 @@
 	if !errors.As(err, &failure) || failure.MaybeSent {
 		return false
 	}
+	p.sends.disprove(notConnected{})
 	if a.helper != "" {
 		p.finishAttempt(a, scheduler.ResultUnreachable, err)
 		return true
@@ -320,6 +321,11 @@
 // handleFailedRun decides how the request continues after a run that the endpoint did not complete.
 func (p *proxiedRequest) handleFailedRun(ctx context.Context, a attempt, err error) outcome {
 	p.finishFailedRun(ctx, a, err)
+	return p.runAgain()
+}
+
+// runAgain moves on to another endpoint after one that may have run the request, if the request may run again.
+func (p *proxiedRequest) runAgain() outcome {
 	if !p.route.Repeatable() || !p.canRunAgain() {
 		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
@@ -356,7 +362,7 @@
 	if p.origin.forwarded {
 		limit = min(limit, forwardedRuns)
 	}
-	return p.runs < limit && time.Until(p.deadline) > 0 && !p.gateway.without.Repeats
+	return p.sends.runs() < limit && time.Until(p.deadline) > 0 && !p.gateway.without.Repeats
 }
 
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
@@ -412,7 +418,7 @@
 // logNextTry logs to which endpoint the request goes after others, and why the last one before it is not the only one.
 func (p *proxiedRequest) logNextTry(id dotterelpulley.EndpointID) {
 	p.gateway.requestEvent(log.WarnLevel, "next-try", p.request).Str("endpoint", string(id)).Int("try", p.attempts+1).
-		Int("runs", p.runs).Str("reached", p.arrivals.encode()).Err(p.lastError).Msg("")
+		Int("runs", p.sends.runs()).Str("reached", p.arrivals.encode()).Err(p.lastError).Msg("")
 }
 
 var resultNames = map[scheduler.Result]string{
@@ -422,8 +428,8 @@
 
 // refuse refuses the request, or fails it if an endpoint may have run it.
 func (p *proxiedRequest) refuse(refused *refusal) {
-	if p.runs > 0 {
-		// Only a request that has certainly not run may be refused.
+	refused.proof = p.sends.notRun()
+	if refused.proof == nil {
 		p.notContinued = refused.kind.String() + ": " + refused.reason
 		p.fail(context.Background())
 		return
@@ -454,7 +460,7 @@
 		p.gateway.requestEvent(log.WarnLevel, "cut", p.request).Str("why", cutReason(ctx)).Int("events", p.events).
 			Str("not-continued", p.notContinued).Err(p.lastError).Msg("")
 		panic(http.ErrAbortHandler)
-	case p.runs == 0:
+	case p.sends.notRun() != nil:
 		refused := p.helperRefusal
 		if refused == nil {
 			refused = newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("%d endpoints did not take it", p.attempts))
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley/connector"
@@ -166,7 +165,7 @@
 		return false
 	}
 	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
-	return isSuccess(s.exchange.StatusCode) && metadata.Signed && !metadata.Encoded && !metadata.NotExecuted && isEventStream(s.exchange.Header)
+	return isSuccess(s.exchange.StatusCode) && metadata.Signed && !metadata.Encoded && isEventStream(s.exchange.Header)
 }
 
 // eventArrived ends the successor, as the endpoint is not silent any more.
@@ -214,18 +213,15 @@
 	w.noteArrival(s.attempt)
 	s.exchange.Abort()
 	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
-	w.heedEndpoint(s.attempt, s.exchange.StatusCode, metadata)
+	w.heedEndpoint(s.attempt, metadata)
 	result := scheduler.ResultFailed
+	proof := w.endpointProof(s.exchange, metadata)
 	switch {
-	case s.exchange.StatusCode == http.StatusMisdirectedRequest:
-		result = scheduler.ResultWrongInstance
-	case metadata.NotExecuted:
-		result = scheduler.ResultRefused
-	default:
-		w.runs++
-		if s.goesOn() {
-			result = scheduler.ResultCancelled
-		}
+	case proof != nil:
+		w.sends.disprove(proof)
+		result = refusalResult(s.exchange.StatusCode)
+	case s.goesOn():
+		result = scheduler.ResultCancelled
 	}
 	w.finishAttempt(s.attempt, result, fmt.Errorf("the stream went on at the silent endpoint: status %d", s.exchange.StatusCode))
 }
@@ -233,11 +229,14 @@
 // finishUnanswered finishes the attempt of a successor whose endpoint gave no answer.
 func (w *silenceWatch) finishUnanswered(s *successor) {
 	var failure *connector.ExchangeError
-	if !errors.As(s.err, &failure) || failure.MaybeSent {
+	unsent := errors.As(s.err, &failure) && !failure.MaybeSent
+	if !unsent {
 		w.noteArrival(s.attempt)
-		w.runs++
 	}
 	if s.cancelled || w.ctx.Err() != nil {
+		if unsent {
+			w.sends.disprove(notConnected{})
+		}
 		w.finishAttempt(s.attempt, scheduler.ResultCancelled, s.err)
 		return
 	}
--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -35,8 +35,21 @@
 	behaviourFail
 	behaviourReject
 	behaviourCount
+	// behaviourUnproved answers requests that have run with statuses that promise the contrary.
+	behaviourUnproved
 )
 
+// unprovedAnswers are the responses of behaviourUnproved. The last one is what a garbled response may look like.
+var unprovedAnswers = []struct {
+	status int
+	id     bool
+}{
+	{http.StatusServiceUnavailable, true},
+	{http.StatusTooManyRequests, true},
+	{http.StatusRequestTimeout, false},
+	{http.StatusMisdirectedRequest, false},
+}
+
 // endpoint is a stand-in endpoint behind a fault proxy.
 type endpoint struct {
 	*standin.Endpoint
@@ -86,6 +99,13 @@
 	return behaviourNormal
 }
 
+// draw returns a random number below n.
+func (e *endpoint) draw(n int) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.random.IntN(n)
+}
+
 func (e *endpoint) handle(w http.ResponseWriter, r *http.Request, _ int) {
 	metadata := standin.DecodeDispatchMetadata(r.Header)
 	a := AttemptID(metadata.AttemptID)
@@ -99,6 +119,9 @@
 	switch {
 	case b == behaviourReject:
 		standin.WriteNotExecuted(w)
+	case b == behaviourUnproved:
+		answer := unprovedAnswers[e.draw(len(unprovedAnswers))]
+		standin.WriteUnproved(w, answer.status, answer.id)
 	case b == behaviourFail:
 		standin.SignResponse(w)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -173,6 +173,7 @@
 	copyNumbers uint64 = iota + 3
 	strayNumbers
 	upgradeNumbers
+	unprovedNumbers
 )
 
 // scheduleFault returns injections of one fault by the seed's stream of random numbers.
@@ -200,3 +201,11 @@
 	e.proxy.WriteStrays(proxy.NoStray)
 	e.setBehaviour(behaviourNormal)
 }}
+
+// unprovedRefusals makes an endpoint answer some requests that have run with statuses that promise the contrary.
+var unprovedRefusals = fault{"unproved-refusals", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
+	e := s.troubledEndpoint(r)
+	e.setBehaviour(behaviourUnproved)
+	sleep(ctx, duration)
+	e.setBehaviour(behaviourNormal)
+}}
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -47,6 +47,8 @@
 	StoreCopies int
 	// StrayAnswers is how often an endpoint writes answers once more on kept connections, beside the other faults.
 	StrayAnswers int
+	// UnprovedRefusals is how often an endpoint answers runs with statuses that promise the contrary, beside the other faults.
+	UnprovedRefusals int
 }
 
 func (s Settings) withDefaults() (Settings, error) {
@@ -65,8 +67,9 @@
 	if s.Hosts < 1 || s.Hosts > maxHosts {
 		return s, fmt.Errorf("%d hosts: between 1 and %d are possible", s.Hosts, maxHosts)
 	}
-	if s.StoreCopies < 0 || s.StrayAnswers < 0 {
-		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers: there can't be fewer than none", s.StoreCopies, s.StrayAnswers)
+	if s.StoreCopies < 0 || s.StrayAnswers < 0 || s.UnprovedRefusals < 0 {
+		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers, %d of unproved refusals: there can't be fewer than none",
+			s.StoreCopies, s.StrayAnswers, s.UnprovedRefusals)
 	}
 	if s.Callers < 1 || s.Faults < 0 || s.FaultWindow < 0 {
 		return s, fmt.Errorf("%d callers, %d strikes within %s: there must be a caller, and none may be negative", s.Callers, s.Faults, s.FaultWindow)
@@ -177,6 +180,7 @@
 	changes.Go(func() { repeater.Every(changesCtx, configurationInterval, s.publishConfiguration) })
 	planned := append(schedule(s.Seed, s.Faults, s.FaultWindow), scheduleFault(storeCopied, s.Seed, copyNumbers, s.StoreCopies, s.FaultWindow)...)
 	planned = append(planned, scheduleFault(strayAnswers, s.Seed, strayNumbers, s.StrayAnswers, s.FaultWindow)...)
+	planned = append(planned, scheduleFault(unprovedRefusals, s.Seed, unprovedNumbers, s.UnprovedRefusals, s.FaultWindow)...)
 	for _, planned := range planned {
 		report.Faults = append(report.Faults, fmt.Sprintf("%s at %s for %s", planned.fault.name, planned.start.Round(time.Millisecond), planned.duration.Round(time.Millisecond)))
 		injections.Go(func() {
