Charge what a host used before its first report

Change: a host tells since when it counts, and what was used within the window if it counts for longer. The first report of a start is charged for the time that the receiver doesn't know: since its own start, or since the last report of the host's previous start, less what was assumed meanwhile. A host that counts as gone is charged from its last report on when it returns within a window. A host that has started less than a window ago and misses reports claims no history. Of a host of an earlier build, which doesn't tell, the unseen charge goes on until its second report.

Tests changed: reports carry the time; the checks are the same.

--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -163,10 +163,15 @@
 		d.BrittleServices = append(d.BrittleServices, announcer.BrittleService{Service: uint32(b.Service), Age: b.Age})
 	}
 	if h.run.Share == ShareByReports {
-		d.Usage = map[dotterelpulley.OrganisationID]float64{}
-		for id, usage := range h.rationer.LocalUsage() {
+		report := h.rationer.Report(now)
+		d.Counted = report.Counted
+		d.Usage, d.RecentUsage = map[dotterelpulley.OrganisationID]float64{}, map[dotterelpulley.OrganisationID]float64{}
+		for id, usage := range report.Usage {
 			d.Usage[id] = float64(usage)
 		}
+		for id, usage := range report.Recent {
+			d.RecentUsage[id] = float64(usage)
+		}
 	}
 	for _, to := range h.announcer.Targets(now, d) {
 		h.send(to, d)
@@ -215,11 +220,14 @@
 		h.scheduler.SetHostReport(now, d.ID, loads)
 	}
 	if h.run.Share == ShareByReports {
-		usage := map[dotterelpulley.OrganisationID]rationer.Amount{}
+		report := rationer.Report{Counted: d.Counted, Usage: map[dotterelpulley.OrganisationID]rationer.Amount{}, Recent: map[dotterelpulley.OrganisationID]rationer.Amount{}}
 		for id, u := range d.Usage {
-			usage[id] = rationer.Amount(u)
+			report.Usage[id] = rationer.Amount(u)
+		}
+		for id, u := range d.RecentUsage {
+			report.Recent[id] = rationer.Amount(u)
 		}
-		h.rationer.RecordPeerUsage(now, d.ID, d.Start, usage)
+		h.rationer.RecordPeerUsage(now, d.ID, d.Start, report)
 	}
 	var report apportioner.Report
 	for _, l := range d.Limits {
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/rationer"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
@@ -111,13 +112,27 @@
 func (g *Gateway) addUsageAndCrashes(now time.Time, d *announcer.Digest) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	d.Usage = make(map[dotterelpulley.OrganisationID]float64)
-	usageByOrganisation := g.rationer.LocalUsage()
 	if d.Brief {
-		usageByOrganisation = g.rationer.RecentUsage(now, recentUsageTime)
-	}
-	for id, usage := range usageByOrganisation {
-		d.Usage[id] = float64(usage)
+		d.Usage = announcedUsage(g.rationer.RecentUsage(now, recentUsageTime))
+	} else {
+		report := g.rationer.Report(now)
+		d.Usage, d.Counted, d.RecentUsage = announcedUsage(report.Usage), report.Counted, announcedUsage(report.Recent)
 	}
 	g.addIsolations(now, d)
 }
+
+func announcedUsage(usage map[dotterelpulley.OrganisationID]rationer.Amount) map[dotterelpulley.OrganisationID]float64 {
+	announced := make(map[dotterelpulley.OrganisationID]float64, len(usage))
+	for id, amount := range usage {
+		announced[id] = float64(amount)
+	}
+	return announced
+}
+
+func reportedUsage(announced map[dotterelpulley.OrganisationID]float64) map[dotterelpulley.OrganisationID]rationer.Amount {
+	usage := make(map[dotterelpulley.OrganisationID]rationer.Amount, len(announced))
+	for id, amount := range announced {
+		usage[id] = rationer.Amount(amount)
+	}
+	return usage
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -250,14 +250,10 @@
 	g.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.SetHostReport(now, d.ID, reportOf(d)) })
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	usageByOrganisation := make(map[dotterelpulley.OrganisationID]rationer.Amount, len(d.Usage))
-	for id, usage := range d.Usage {
-		usageByOrganisation[id] = rationer.Amount(usage)
-	}
 	if d.Brief {
-		g.rationer.RecordPeerChanges(now, d.ID, d.Start, usageByOrganisation)
+		g.rationer.RecordPeerChanges(now, d.ID, d.Start, reportedUsage(d.Usage))
 	} else {
-		g.rationer.RecordPeerUsage(now, d.ID, d.Start, usageByOrganisation)
+		g.rationer.RecordPeerUsage(now, d.ID, d.Start, rationer.Report{Usage: reportedUsage(d.Usage), Counted: d.Counted, Recent: reportedUsage(d.RecentUsage)})
 	}
 	if d.State == announcer.Left {
 		g.rationer.RemoveHost(d.ID)
--- a/rationer/account.go
+++ b/rationer/account.go
@@ -15,8 +15,11 @@
 	asked demand
 	// reported is the usage in the latest reports of the peers.
 	reported decayingSum
-	// admitted is the amount admitted by this host since its start.
+	// admitted is the amount admitted by this host since its start, own that within the window.
 	admitted Amount
+	own      window
+	// unseen is what was charged for each host that hadn't reported.
+	unseen Amount
 	// admittedAt is when admitted last changed.
 	admittedAt time.Time
 }
--- /dev/null
+++ b/rationer/first_report_test.go
@@ -0,0 +1,189 @@
+package rationer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// startingFleet plays an organisation that asks for ten times its cap, spread evenly over hosts which start one after the other or
+// together, and report to all others once an interval, staggered.
+type startingFleet struct {
+	hosts    int
+	interval time.Duration
+	// spread is the time between the starts of two hosts; restarts are when all hosts start again.
+	spread   time.Duration
+	restarts []time.Duration
+	// loweredAt is when the cap falls to loweredTo of its rate and burst; zero for never.
+	loweredAt time.Duration
+	loweredTo Amount
+	// earlier is the fraction of the hosts that don't tell since when they count.
+	earlier float64
+	span    time.Duration
+	load    Amount
+}
+
+// startingCap is the cap of the organisation.
+var startingCap = Cap{Rate: 1000, Burst: 500}
+
+const (
+	startingStep = 25 * time.Millisecond
+	// startingRequest is the amount of one request.
+	startingRequest = Amount(4)
+)
+
+// silenceTimeoutOf returns the time without a report after which hosts of a fleet count as silent.
+func silenceTimeoutOf(hosts int) time.Duration {
+	const base, fullMesh = 900 * time.Millisecond, 16
+	return base * time.Duration(max(hosts, fullMesh)) / fullMesh
+}
+
+// play returns what was admitted in each step.
+func (f startingFleet) play() []Amount {
+	random := rand.New(rand.NewPCG(1, uint64(f.hosts)))
+	hosts := make([]Rationer, f.hosts)
+	startedAt := make([]time.Duration, f.hosts)
+	incarnation := uint64(0)
+	capNow := startingCap
+	startHost := func(i int, at time.Duration) {
+		hosts[i] = Rationer{HostCount: f.hosts, SilenceTimeout: silenceTimeoutOf(f.hosts)}
+		hosts[i].SetCap(start.Add(at), organisation, capNow)
+		startedAt[i] = at
+	}
+	startAll := func(at time.Duration) {
+		incarnation++
+		for i := range hosts {
+			startedAt[i] = at + time.Duration(i)*f.spread
+		}
+	}
+	startAll(0)
+	up := make([]bool, f.hosts)
+	admitted := make([]Amount, int(f.span/startingStep))
+	pending := Amount(0)
+	interval := max(int(f.interval/startingStep), 1)
+	for step := range admitted {
+		at := time.Duration(step) * startingStep
+		now := start.Add(at)
+		for _, restart := range f.restarts {
+			if at == restart {
+				startAll(at)
+				clear(up)
+			}
+		}
+		if f.loweredAt > 0 && at == f.loweredAt {
+			capNow = Cap{Rate: capNow.Rate * f.loweredTo, Burst: capNow.Burst * f.loweredTo}
+			for i := range hosts {
+				if up[i] {
+					hosts[i].SetCap(now, organisation, capNow)
+				}
+			}
+		}
+		for i := range hosts {
+			if !up[i] && at >= startedAt[i] {
+				startHost(i, at)
+				up[i] = true
+			}
+		}
+		for pending += f.load * startingCap.Rate * Amount(startingStep.Seconds()); pending >= startingRequest; pending -= startingRequest {
+			i := random.IntN(f.hosts)
+			if !up[i] {
+				continue
+			}
+			if _, ok := hosts[i].Admit(now, organisation, startingRequest, 0); ok {
+				admitted[step] += startingRequest
+			}
+		}
+		for i := range hosts {
+			if !up[i] || (step+i)%interval != 0 {
+				continue
+			}
+			report := hosts[i].Report(now)
+			if float64(i) < f.earlier*float64(f.hosts) {
+				report = Report{Usage: report.Usage}
+			}
+			for j := range hosts {
+				if i != j && up[j] {
+					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnation, report)
+				}
+			}
+		}
+	}
+	return admitted
+}
+
+// busiestWindow returns the largest part of the limit that was admitted in a window that begins at or after the time.
+func busiestWindow(admitted []Amount, limit Cap, from time.Duration) Amount {
+	length := int(defaultWindow / startingStep)
+	highest := Amount(0)
+	for first := int(from / startingStep); first+length <= len(admitted); first++ {
+		sum := Amount(0)
+		for _, amount := range admitted[first : first+length] {
+			sum += amount
+		}
+		highest = max(highest, sum)
+	}
+	return highest / (limit.Rate*Amount(defaultWindow.Seconds()) + limit.Burst)
+}
+
+// The tolerance that the users' bounds allow for hosts that count separately.
+const startingOverrun = 0.1
+
+// startingGrid calls the function with sizes of fleets and times between the reports of a host that don't count as silence.
+func startingGrid(play func(hosts int, interval time.Duration)) {
+	for _, hosts := range []int{8, 59, 86, 295} {
+		for _, interval := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2750 * time.Millisecond} {
+			if interval < silenceTimeoutOf(hosts) && (hosts <= 86 || !testing.Short()) {
+				play(hosts, interval)
+			}
+		}
+	}
+}
+
+// Hosts that all started at once admitted up to three times the cap in their first window: what a host had used before its first
+// report was charged by nobody.
+func TestHostsThatStartTogetherExceedTheCap(t *testing.T) {
+	c := qt.New(t)
+	startingGrid(func(hosts int, interval time.Duration) {
+		admitted := startingFleet{hosts: hosts, interval: interval, span: defaultWindow, load: 10}.play()
+		got := busiestWindow(admitted, startingCap, 0)
+		c.Logf("%d hosts, a report every %s: %.2f of the cap", hosts, interval, float64(got))
+		c.Check(got <= 1+startingOverrun, qt.IsTrue, qt.Commentf("%d hosts, a report every %s: %.2f of the cap", hosts, interval, float64(got)))
+		// What is within the cap isn't refused for long.
+		c.Check(got >= 0.75, qt.IsTrue, qt.Commentf("%d hosts, a report every %s: %.2f of the cap", hosts, interval, float64(got)))
+	})
+}
+
+// The same where hosts start one after the other, twice within a window, beside a cap that falls, or beside earlier builds, which
+// don't tell since when they count.
+func TestHostsThatStartOneByOneOrTwiceExceedTheCap(t *testing.T) {
+	c := qt.New(t)
+	lowered := Cap{Rate: startingCap.Rate / 2, Burst: startingCap.Burst / 2}
+	for _, size := range []startingFleet{{hosts: 8, interval: 200 * time.Millisecond}, {hosts: 59, interval: 275 * time.Millisecond}, {hosts: 86, interval: 400 * time.Millisecond}} {
+		size.load, size.span = 10, 2*defaultWindow
+		for name, test := range map[string]struct {
+			change func(*startingFleet)
+			limit  Cap
+			from   time.Duration
+		}{
+			"one by one": {func(f *startingFleet) { f.spread = 3 * time.Second / time.Duration(f.hosts) }, startingCap, 0},
+			"rolling": {func(f *startingFleet) {
+				f.restarts, f.spread = []time.Duration{4 * time.Second}, 2*time.Second/time.Duration(f.hosts)
+			}, startingCap, 0},
+			"twice":                            {func(f *startingFleet) { f.restarts = []time.Duration{3 * time.Second, 5500 * time.Millisecond} }, startingCap, 0},
+			"a cap that fell":                  {func(f *startingFleet) { f.loweredAt, f.loweredTo = 3*time.Second, 0.5 }, lowered, 3 * time.Second},
+			"half of them of an earlier build": {func(f *startingFleet) { f.earlier = 0.5 }, startingCap, 0},
+			"all of an earlier build":          {func(f *startingFleet) { f.earlier = 1 }, startingCap, 0},
+		} {
+			f := size
+			test.change(&f)
+			got := busiestWindow(f.play(), test.limit, test.from)
+			c.Logf("%d hosts, %s: %.2f of the cap", f.hosts, name, float64(got))
+			c.Check(got <= 1+startingOverrun, qt.IsTrue, qt.Commentf("%d hosts, %s: %.2f of the cap", f.hosts, name, float64(got)))
+		}
+	}
+}
--- a/rationer/history.go
+++ b/rationer/history.go
@@ -20,6 +20,11 @@
 func (r *Rationer) History(now time.Time) History {
 	r.init(now)
 	h := History{Known: min(r.known(now), r.window()), Slot: r.window() / (slotCount - 1), Usage: map[dotterelpulley.OrganisationID][]Amount{}}
+	if h.Known < r.window() && r.missing() > 0 {
+		// What hosts that haven't reported yet have used is unknown.
+		h.Known = 0
+		return h
+	}
 	for id, a := range r.accounts {
 		if a.used(now) == 0 {
 			continue
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -64,7 +64,7 @@
 func (r *Rationer) account(id dotterelpulley.OrganisationID) *account {
 	a, ok := r.accounts[id]
 	if !ok {
-		a = &account{window: window{span: r.window(), origin: r.startedAt}}
+		a = &account{window: window{span: r.window(), origin: r.startedAt}, own: window{span: r.window(), origin: r.startedAt}}
 		r.accounts[id] = a
 	}
 	return a
@@ -100,7 +100,7 @@
 	}
 	k.reportedTime = r.reportedTime.decayed(now)
 	for _, p := range r.peers {
-		if age := now.Sub(p.lastReport); age < r.silenceTimeout() {
+		if age := now.Sub(p.lastReport); age < r.silenceTimeout() && !p.unmeasured {
 			// A silent host is charged its share of the cap instead.
 			k.peerTime += age
 		}
@@ -143,6 +143,7 @@
 		return Refusal{RetryAfter: a.retryAfter(now, k, amount+reserve), Used: a.total(now, k), Allowed: a.allowed(k.reach)}, false
 	}
 	a.add(now, now, amount)
+	a.own.add(now, now, amount)
 	a.asked.admitted.add(now, float64(amount))
 	a.admitted += amount
 	a.admittedAt = now
@@ -153,6 +154,7 @@
 func (r *Rationer) Refund(now, chargedAt time.Time, id dotterelpulley.OrganisationID, amount Amount) {
 	if a, ok := r.accounts[id]; ok && a.capped {
 		a.add(now, chargedAt, -amount)
+		a.own.add(now, chargedAt, -amount)
 		a.admitted -= amount
 		a.admittedAt = now
 	}
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -162,14 +162,14 @@
 	old.SetCap(start, organisation, limit)
 	now := start.Add(time.Minute)
 	old.Admit(now.Add(-4*time.Second), organisation, 250, 0)
-	old.RecordPeerUsage(now, "fresh", 1, nil)
+	old.RecordPeerUsage(now, "fresh", 1, Report{})
 	fresh.SetCap(now, organisation, limit)
-	fresh.RecordPeerUsage(now, "old", 1, old.LocalUsage())
+	fresh.RecordPeerUsage(now, "old", 1, old.Report(now))
 	later := now.Add(time.Second)
-	fresh.RecordPeerUsage(later, "old", 1, old.LocalUsage())
+	fresh.RecordPeerUsage(later, "old", 1, old.Report(later))
 	_, ok := fresh.Admit(later, organisation, 50, 0)
 	c.Assert(ok, qt.IsTrue)
-	old.RecordPeerUsage(later, "fresh", 1, fresh.LocalUsage())
+	old.RecordPeerUsage(later, "fresh", 1, fresh.Report(later))
 	fresh.AdoptHistory(later, old.History(later))
 	remaining, _ := fresh.Remaining(later, organisation)
 	c.Assert(remaining >= 1000-300-50 && remaining <= 1000-300, qt.IsTrue, qt.Commentf("%v", remaining))
@@ -196,13 +196,13 @@
 	var r Rationer
 	r.SetCap(start, organisation, Cap{Rate: 100, Burst: 200})
 	now := start.Add(time.Minute)
-	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	r.RecordPeerUsage(now, "b", 1, Report{Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 7}})
 	now = now.Add(2 * time.Second)
 	_, ok := r.Admit(now, organisation, 200, 0)
 	c.Assert(ok, qt.IsTrue)
 	remaining, _ := r.Remaining(now, organisation)
 	c.Assert(remaining, qt.Equals, Amount(1000-200-125), qt.Commentf("the silent host is charged half of 125 a second"))
-	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	r.RecordPeerUsage(now, "b", 1, Report{Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 7}})
 	remaining, _ = r.Remaining(now, organisation)
 	c.Assert(remaining, qt.Equals, Amount(1000-200), qt.Commentf("the assumed usage is refunded when the host reports none"))
 }
@@ -214,13 +214,13 @@
 	r.SetCap(start, organisation, Cap{Rate: 100, Burst: 200})
 	// Times are counted from the start of a slot.
 	now := start.Add(500 * (defaultWindow / (slotCount - 1)))
-	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	r.RecordPeerUsage(now, "b", 1, Report{Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 7}})
 	_, ok := r.Admit(now, organisation, 200, 0)
 	c.Assert(ok, qt.IsTrue)
 	now = now.Add(2 * time.Second)
 	_, ok = r.Admit(now, organisation, 245, 0)
 	c.Assert(ok, qt.IsFalse)
-	r.RecordPeerUsage(now, "b", 1, map[dotterelpulley.OrganisationID]Amount{organisation: 7})
+	r.RecordPeerUsage(now, "b", 1, Report{Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 7}})
 	_, ok = r.Admit(now, organisation, 245, 0)
 	c.Assert(ok, qt.IsTrue)
 }
@@ -250,7 +250,7 @@
 			for i := range hosts {
 				for j := range hosts {
 					if i != j {
-						hosts[i].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(j)), 1, hosts[j].LocalUsage())
+						hosts[i].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(j)), 1, hosts[j].Report(now))
 					}
 				}
 			}
@@ -320,7 +320,7 @@
 			for i := range hosts {
 				for j := range hosts {
 					if at%lag == 0 && i != j {
-						hosts[i].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(j)), 1+uint64(at/restart), hosts[j].LocalUsage())
+						hosts[i].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(j)), 1+uint64(at/restart), hosts[j].Report(now))
 					}
 				}
 			}
@@ -409,7 +409,7 @@
 			}
 			for _, j := range random.Perm(count)[:receivers] {
 				if i != j {
-					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnation, hosts[i].LocalUsage())
+					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnation, hosts[i].Report(now))
 				}
 			}
 		}
@@ -518,7 +518,7 @@
 		c.Assert(ok, qt.IsTrue)
 	}
 	c.Assert(receiver.RecordPeerChanges(start, "a", 1, sender.LocalUsage()), qt.IsFalse, qt.Commentf("no complete report came before"))
-	receiver.RecordPeerUsage(start, "a", 1, sender.LocalUsage())
+	receiver.RecordPeerUsage(start, "a", 1, sender.Report(start))
 	admit(start, organisation, 5)
 	later := start.Add(3 * time.Second)
 	admit(later, "other", 7)
@@ -574,7 +574,7 @@
 		for i := range hosts {
 			for j := range hosts {
 				if i != j && (at/every+time.Duration(i))%15 == 0 {
-					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), 1, hosts[i].LocalUsage())
+					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), 1, hosts[i].Report(now))
 				}
 			}
 		}
