Estimate what peers use between reports by this host's own usage, too

What callers saw: beside a surge an organisation was admitted up to a quarter over its cap, window after window; after restarts of all hosts more.

Cause: what peers use between two reports was estimated by their reports' recent rate alone. When room becomes free at one moment on all hosts, as a surge leaves the window or reports show that little was used, that rate is low, and each host uses the room as if alone.

Change: peers are taken to use as much beside this host's own usage, since their reports, as in the window. A single request tells no rate and doesn't count.

TestHostsThatFindRoomAtTheSameMomentExceedTheCap failed before.

--- a/rationer/account.go
+++ b/rationer/account.go
@@ -18,6 +18,8 @@
 	// admitted is the amount admitted by this host since its start, own that within the window.
 	admitted Amount
 	own      window
+	// lastAdmitted is the amount of the last request that this host admitted.
+	lastAdmitted Amount
 	// unseen is what was charged for each host that hadn't reported.
 	unseen Amount
 	// admittedAt is when admitted last changed.
@@ -63,8 +65,6 @@
 	unreported
 	// reach is the time before now for which usage is known.
 	reach time.Duration
-	// age is the mean age of what the peers have reported.
-	age time.Duration
 	// wholeWindow means that only the limit of the whole window counts.
 	wholeWindow bool
 }
--- a/rationer/first_report_test.go
+++ b/rationer/first_report_test.go
@@ -1,6 +1,7 @@
 package rationer
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -24,8 +25,10 @@
 	loweredTo Amount
 	// earlier is the fraction of the hosts that don't tell since when they count.
 	earlier float64
-	span    time.Duration
-	load    Amount
+	// used is how many of the hosts get requests; all if zero.
+	used int
+	span time.Duration
+	load Amount
 }
 
 // startingCap is the cap of the organisation.
@@ -90,7 +93,7 @@
 			}
 		}
 		for pending += f.load * startingCap.Rate * Amount(startingStep.Seconds()); pending >= startingRequest; pending -= startingRequest {
-			i := random.IntN(f.hosts)
+			i := random.IntN(cmp.Or(f.used, f.hosts))
 			if !up[i] {
 				continue
 			}
@@ -187,3 +190,18 @@
 		}
 	}
 }
+
+// Room that a surge left in the window was found by all hosts at the same moment, and each used it before it heard of the others.
+func TestHostsThatFindRoomAtTheSameMomentExceedTheCap(t *testing.T) {
+	c := qt.New(t)
+	for _, hosts := range []int{8, 59, 86} {
+		for _, used := range []int{0, 1, 3} {
+			admitted := startingFleet{hosts: hosts, interval: 500 * time.Millisecond, span: 3 * defaultWindow, load: 10, used: used}.play()
+			comment := qt.Commentf("%d hosts, %d of them used", hosts, used)
+			c.Check(busiestWindow(admitted, startingCap, 0) <= 1+startingOverrun, qt.IsTrue, comment)
+			last := busiestWindow(admitted, startingCap, 2*defaultWindow)
+			c.Logf("%d hosts, %d of them used: %.2f of the cap, %.2f at last", hosts, used, float64(busiestWindow(admitted, startingCap, 0)), float64(last))
+			c.Check(last >= 0.9, qt.IsTrue, comment)
+		}
+	}
+}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -144,6 +144,7 @@
 	}
 	a.add(now, now, amount)
 	a.own.add(now, now, amount)
+	a.lastAdmitted = amount
 	a.asked.admitted.add(now, float64(amount))
 	a.admitted += amount
 	a.admittedAt = now
--- a/rationer/unreported.go
+++ b/rationer/unreported.go
@@ -28,18 +28,35 @@
 }
 
 // unreported estimates what peers have used since their last reports: on average as much in a time as those that have
-// reported lately. In a large fleet a single peer's reports come too seldom to tell its own rate.
+// reported lately, or as much beside this host's own usage as in the window, whichever is more. In a large fleet a single peer's
+// reports come too seldom to tell its own rate; and they tell nothing of room that all hosts find at the same moment, as when a
+// surge leaves the window.
 type unreported struct {
 	// peerTime is the sum of the ages of all peers' last reports.
 	peerTime time.Duration
 	// reportedTime is the sum of the times that recent reports cover, in seconds.
 	reportedTime float64
+	// age is the mean age of what the peers have reported.
+	age time.Duration
 }
 
 // usage returns the organisation's estimated usage on the peers.
 func (u unreported) usage(now time.Time, a *account) Amount {
-	if u.reportedTime <= 0 {
+	byRate := Amount(0)
+	if u.reportedTime > 0 {
+		byRate = Amount(max(a.reported.decayed(now), 0) / u.reportedTime * u.peerTime.Seconds())
+	}
+	return max(byRate, a.besideOwn(now, u.age))
+}
+
+// besideOwn returns what peers have used since the time before now if their usage has kept its ratio to this host's own. The last
+// admitted request doesn't count, as a single one tells no rate.
+func (a *account) besideOwn(now time.Time, since time.Duration) Amount {
+	a.own.advance(now)
+	if a.own.sum <= 0 {
 		return 0
 	}
-	return Amount(max(a.reported.decayed(now), 0) / u.reportedTime * u.peerTime.Seconds())
+	a.advance(now)
+	others := a.sum - a.own.sum
+	return max(0, others/a.own.sum*(a.own.usedWithin(now, since)-a.lastAdmitted))
 }
--- a/rationer/window.go
+++ b/rationer/window.go
@@ -125,6 +125,21 @@
 	return sum
 }
 
+// usedWithin returns the usage in the time before now; the window must be up to date.
+func (w *window) usedWithin(now time.Time, since time.Duration) Amount {
+	sum := Amount(0)
+	end, left := now, since
+	for n := 0; n < slotCount && left > 0; n++ {
+		begin := w.startOf(w.newest - n)
+		length := end.Sub(begin)
+		if length > 0 {
+			sum += *w.slot(w.newest - n) * Amount(min(1, left.Seconds()/length.Seconds()))
+		}
+		end, left = begin, left-length
+	}
+	return sum
+}
+
 // expiring returns the usage in the slots that the next steps of the window leave behind; the window must be up to date.
 func (w *window) expiring(steps int) Amount {
 	sum := Amount(0)
