Try more endpoints before a host takes its links for lost

What callers saw: after crashes of several endpoints, requests that sound endpoints could run were refused no-endpoint, or took a hop through another host.

Cause: three connections to other endpoints of the service decided. Crashed endpoints stay registered for a while; with four of nine crashed, three tried ones were all crashed 1 time in 56, with half of ninety 1 in 8.

Change: if none of the three is made, up to twelve more are tried; only if all fail are the links lost.

TestCrashesOfHalfTheEndpointsAreNoLostLinks, which replays the draw, failed before at all three sizes.

--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -388,7 +388,11 @@
 	for _, other := range h.run.endpoints {
 		addresses = append(addresses, other.Address)
 	}
-	h.probed(h.pathfinder.Candidates(addresses, e.Address))
+	first, more := h.pathfinder.Candidates(addresses, e.Address)
+	if h.unreachable {
+		first = append(first, more...)
+	}
+	h.probed(first)
 	h.take(q)
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -115,18 +115,23 @@
 func (g *Gateway) probeLinks(service dotterelpulley.ServiceID, failed dotterelpulley.Address) {
 	byService := g.liveAddresses()
 	g.paths.mutex.Lock()
-	addresses := g.paths.Candidates(byService[service], failed)
-	if len(addresses) == 0 {
+	first, more := g.paths.Candidates(byService[service], failed)
+	if len(first) == 0 {
 		var all []dotterelpulley.Address
 		for _, list := range byService {
 			all = append(all, list...)
 		}
-		addresses = g.paths.Candidates(all, failed)
+		first, more = g.paths.Candidates(all, failed)
 	}
+	wasLost := g.paths.Lost(service)
 	g.paths.mutex.Unlock()
-	made := g.countReachable(addresses)
+	tried, made := len(first), g.countReachable(first)
+	if made == 0 && !wasLost {
+		tried += len(more)
+		made = g.countReachable(more)
+	}
 	g.paths.mutex.Lock()
-	changed := g.paths.Probed(time.Now(), service, len(addresses), made)
+	changed := g.paths.Probed(time.Now(), service, tried, made)
 	lost := g.paths.Lost(service)
 	if changed && lost {
 		g.paths.noticeLoss(service)
@@ -137,7 +142,7 @@
 	}
 	if lost {
 		g.metrics.Inc("endpoints-unreachable")
-		g.event(log.WarnLevel, "endpoints-unreachable").Str("service", string(service)).Int("tried", len(addresses)).Msg("")
+		g.event(log.WarnLevel, "endpoints-unreachable").Str("service", string(service)).Int("tried", tried).Msg("")
 	} else {
 		g.metrics.Inc("endpoints-reached")
 		g.event(log.InfoLevel, "endpoints-reached").Str("service", string(service)).Int("made", made).Msg("")
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// ProbeCount is the number of endpoints to which a connection is tried to tell lost links from a failed endpoint.
-	ProbeCount = 3
+	// firstProbes is the number of endpoints to which a connection is tried to tell lost links from a failed endpoint; moreProbes is
+	// how many more are tried if none is made, as many endpoints may have failed at once.
+	firstProbes = 3
+	moreProbes  = 12
 	// verdictTTL is how long links that were seen to work are taken to do so, which bounds the connections that are tried.
 	verdictTTL = 100 * time.Millisecond
 )
@@ -53,12 +55,14 @@
 	return !p.lost[id] && now.Sub(p.seenUp[id]) > verdictTTL
 }
 
-// Candidates returns up to ProbeCount of the addresses in random order, without those of the failed endpoint.
-func (p *Pathfinder) Candidates(addresses []dotterelpulley.Address, failed dotterelpulley.Address) []dotterelpulley.Address {
+// Candidates returns the addresses to try, without those of the failed endpoint, in random order: those to try first, and those
+// to try if no connection to them is made.
+func (p *Pathfinder) Candidates(addresses []dotterelpulley.Address, failed dotterelpulley.Address) (first, more []dotterelpulley.Address) {
 	p.init()
 	others := slices.DeleteFunc(slices.Clone(addresses), func(a dotterelpulley.Address) bool { return a == failed })
 	p.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(len(others), ProbeCount)]
+	first = others[:min(len(others), firstProbes)]
+	return first, others[len(first):min(len(others), firstProbes+moreProbes)]
 }
 
 // Probed records how many of the connections to a service's endpoints that were tried were made, and reports whether the state
--- a/pathfinder/pathfinder_test.go
+++ b/pathfinder/pathfinder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,8 +39,38 @@
 func TestCandidatesLeaveOutTheFailedEndpoint(t *testing.T) {
 	c := qt.New(t)
 	var p Pathfinder
-	c.Assert(p.Candidates([]dotterelpulley.Address{"a", "b"}, "a"), qt.DeepEquals, []dotterelpulley.Address{"b"})
-	c.Assert(p.Candidates([]dotterelpulley.Address{"a", "b", "c", "d", "e"}, "a"), qt.HasLen, ProbeCount)
+	first, more := p.Candidates([]dotterelpulley.Address{"a", "b"}, "a")
+	c.Assert(first, qt.DeepEquals, []dotterelpulley.Address{"b"})
+	c.Assert(more, qt.HasLen, 0)
+	first, more = p.Candidates([]dotterelpulley.Address{"a", "b", "c", "d", "e"}, "a")
+	c.Assert(first, qt.HasLen, firstProbes)
+	c.Assert(more, qt.HasLen, 1)
+	c.Assert(append(first, more...), qt.Not(qt.Contains), dotterelpulley.Address("a"))
+}
+
+// Where several endpoints had crashed, a host that tried three others took its links for lost and refused requests.
+func TestCrashesOfHalfTheEndpointsAreNoLostLinks(t *testing.T) {
+	for _, endpoints := range []int{9, 18, 90} {
+		t.Run(fmt.Sprintf("%d endpoints", endpoints), func(t *testing.T) {
+			c := qt.New(t)
+			const probes = 10_000
+			var addresses []dotterelpulley.Address
+			crashed := map[dotterelpulley.Address]bool{}
+			for i := range endpoints {
+				addresses = append(addresses, dotterelpulley.Address(fmt.Sprint(i)))
+				crashed[addresses[i]] = i < endpoints/2
+			}
+			p := Pathfinder{Seed: 1}
+			wrong := 0
+			for range probes {
+				first, more := p.Candidates(addresses, addresses[0])
+				if !slices.ContainsFunc(append(first, more...), func(a dotterelpulley.Address) bool { return !crashed[a] }) {
+					wrong++
+				}
+			}
+			c.Assert(wrong <= probes/1000, qt.IsTrue, qt.Commentf("%d of %d", wrong, probes))
+		})
+	}
 }
 
 // When many hosts of a large fleet are cut off at once, their requests spread evenly over all others.
