Judge what a host used before its first report by its next second, not by a second number in each report

Telling what was used within the window beside the sum since the start cost 95 bytes a complete report with 5 organisations and 293 with 16, to all hosts, for what only a host that has just started needs. Now reports tell only since when they count (5 bytes). A host that has counted for longer than a window is charged for the receiver's gap at the rate of its next reports, and counts as unseen until the second; so is one of an earlier build, which was not charged at all before.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -22,9 +22,9 @@
 	d := Digest{
 		Host:  Host{ID: "h", Zone: "z", PeerAddress: "p:1", CallerAddress: "c:1"},
 		Start: 16, Incarnation: 1, Sequence: 2, State: Draining, Configuration: 3, StoreUnreachable: true,
-		Loads:   []Load{{Key: 4, Running: 5, PromptTokens: 6}, {Key: 7}},
-		Usage:   map[dotterelpulley.OrganisationID]float64{"t1": 8.5, "t2": -1},
-		Counted: 12345 * time.Millisecond, RecentUsage: map[dotterelpulley.OrganisationID]float64{"t1": 7.5},
+		Loads:    []Load{{Key: 4, Running: 5, PromptTokens: 6}, {Key: 7}},
+		Usage:    map[dotterelpulley.OrganisationID]float64{"t1": 8.5, "t2": -1},
+		Counted:  12345 * time.Millisecond,
 		Parts:    []PartFact{{Part: 1 << 63, Incident: 1 << 31, Evidence: 7, Age: 20 * time.Minute}, {Part: 21}},
 		Requests: []PartFact{{Part: 22, Incident: 23, Evidence: 1, Age: time.Second}}, TellsRequests: true,
 		Crashes:       []Crash{{Fingerprint: 9, Attempt: 10, Endpoint: 11}},
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -68,8 +68,6 @@
 	Usage map[dotterelpulley.OrganisationID]float64
 	// Counted is the time since that start, sent in whole milliseconds; zero if the host doesn't tell, as builds up to de590f6.
 	Counted time.Duration
-	// RecentUsage is what each organisation has used on the host within the window of its cap, once it has counted for longer.
-	RecentUsage map[dotterelpulley.OrganisationID]float64
 	// Waiting counts the host's queued requests that can still be answered on time.
 	Waiting []Waiting
 	// DeadEndpoints lists the id hashes of endpoints that refuse the host's connections.
@@ -193,7 +191,6 @@
 	fieldRequestFact
 	fieldTellsRequests
 	fieldCounted
-	fieldRecentUsage
 )
 
 // Encode returns the digest in the protocol buffers wire format.
@@ -237,8 +234,10 @@
 	for _, key := range d.LeavingInstances {
 		b = fields.AppendNumber(b, fieldLeavingInstances, uint64(key))
 	}
-	b = appendUsage(b, fieldUsage, d.Usage)
-	b = appendUsage(b, fieldRecentUsage, d.RecentUsage)
+	for id, usage := range d.Usage {
+		encoded := protowire.AppendFixed64(nil, math.Float64bits(usage))
+		b = fields.AppendBytes(b, fieldUsage, append(encoded, id...))
+	}
 	for _, u := range d.Updates {
 		encoded := protowire.AppendVarint(nil, u.Incarnation)
 		encoded = protowire.AppendVarint(encoded, protowire.EncodeBool(u.Suspected))
@@ -265,14 +264,6 @@
 	return b
 }
 
-func appendUsage(b []byte, field fields.Number, usage map[dotterelpulley.OrganisationID]float64) []byte {
-	for id, amount := range usage {
-		encoded := protowire.AppendFixed64(nil, math.Float64bits(amount))
-		b = fields.AppendBytes(b, field, append(encoded, id...))
-	}
-	return b
-}
-
 func (l Load) append(b []byte, field fields.Number) []byte {
 	return appendNumbers(b, field, uint64(l.Key), uint64(l.Running), uint64(l.PromptTokens))
 }
@@ -410,15 +401,6 @@
 			return err
 		}
 		d.Usage[id] = used
-	case fieldRecentUsage:
-		id, used, err := decodeUsage(value)
-		if err != nil {
-			return err
-		}
-		if d.RecentUsage == nil {
-			d.RecentUsage = map[dotterelpulley.OrganisationID]float64{}
-		}
-		d.RecentUsage[id] = used
 	case fieldUpdate:
 		incarnation, n := protowire.ConsumeVarint(value)
 		if n < 0 {
--- a/emulator/limited_host.go
+++ b/emulator/limited_host.go
@@ -165,13 +165,10 @@
 	if h.run.Share == ShareByReports {
 		report := h.rationer.Report(now)
 		d.Counted = report.Counted
-		d.Usage, d.RecentUsage = map[dotterelpulley.OrganisationID]float64{}, map[dotterelpulley.OrganisationID]float64{}
+		d.Usage = map[dotterelpulley.OrganisationID]float64{}
 		for id, usage := range report.Usage {
 			d.Usage[id] = float64(usage)
 		}
-		for id, usage := range report.Recent {
-			d.RecentUsage[id] = float64(usage)
-		}
 	}
 	for _, to := range h.announcer.Targets(now, d) {
 		h.send(to, d)
@@ -220,13 +217,10 @@
 		h.scheduler.SetHostReport(now, d.ID, loads)
 	}
 	if h.run.Share == ShareByReports {
-		report := rationer.Report{Counted: d.Counted, Usage: map[dotterelpulley.OrganisationID]rationer.Amount{}, Recent: map[dotterelpulley.OrganisationID]rationer.Amount{}}
+		report := rationer.Report{Counted: d.Counted, Usage: map[dotterelpulley.OrganisationID]rationer.Amount{}}
 		for id, u := range d.Usage {
 			report.Usage[id] = rationer.Amount(u)
 		}
-		for id, u := range d.RecentUsage {
-			report.Recent[id] = rationer.Amount(u)
-		}
 		h.rationer.RecordPeerUsage(now, d.ID, d.Start, report)
 	}
 	var report apportioner.Report
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -116,7 +116,7 @@
 		d.Usage = announcedUsage(g.rationer.RecentUsage(now, recentUsageTime))
 	} else {
 		report := g.rationer.Report(now)
-		d.Usage, d.Counted, d.RecentUsage = announcedUsage(report.Usage), report.Counted, announcedUsage(report.Recent)
+		d.Usage, d.Counted = announcedUsage(report.Usage), report.Counted
 	}
 	g.addIsolations(now, d)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -253,7 +253,7 @@
 	if d.Brief {
 		g.rationer.RecordPeerChanges(now, d.ID, d.Start, reportedUsage(d.Usage))
 	} else {
-		g.rationer.RecordPeerUsage(now, d.ID, d.Start, rationer.Report{Usage: reportedUsage(d.Usage), Counted: d.Counted, Recent: reportedUsage(d.RecentUsage)})
+		g.rationer.RecordPeerUsage(now, d.ID, d.Start, rationer.Report{Usage: reportedUsage(d.Usage), Counted: d.Counted})
 	}
 	if d.State == announcer.Left {
 		g.rationer.RemoveHost(d.ID)
--- a/rationer/first_report_test.go
+++ b/rationer/first_report_test.go
@@ -20,6 +20,8 @@
 	// spread is the time between the starts of two hosts; restarts are when all hosts start again.
 	spread   time.Duration
 	restarts []time.Duration
+	// alone is when the first host alone starts again; zero for never.
+	alone time.Duration
 	// loweredAt is when the cap falls to loweredTo of its rate and burst; zero for never.
 	loweredAt time.Duration
 	loweredTo Amount
@@ -51,7 +53,7 @@
 	random := rand.New(rand.NewPCG(1, uint64(f.hosts)))
 	hosts := make([]Rationer, f.hosts)
 	startedAt := make([]time.Duration, f.hosts)
-	incarnation := uint64(0)
+	incarnations := make([]uint64, f.hosts)
 	capNow := startingCap
 	startHost := func(i int, at time.Duration) {
 		hosts[i] = Rationer{HostCount: f.hosts, SilenceTimeout: silenceTimeoutOf(f.hosts)}
@@ -59,8 +61,8 @@
 		startedAt[i] = at
 	}
 	startAll := func(at time.Duration) {
-		incarnation++
 		for i := range hosts {
+			incarnations[i]++
 			startedAt[i] = at + time.Duration(i)*f.spread
 		}
 	}
@@ -78,6 +80,10 @@
 				clear(up)
 			}
 		}
+		if f.alone > 0 && at == f.alone {
+			startedAt[0], up[0] = at, false
+			incarnations[0]++
+		}
 		if f.loweredAt > 0 && at == f.loweredAt {
 			capNow = Cap{Rate: capNow.Rate * f.loweredTo, Burst: capNow.Burst * f.loweredTo}
 			for i := range hosts {
@@ -111,7 +117,7 @@
 			}
 			for j := range hosts {
 				if i != j && up[j] {
-					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnation, report)
+					hosts[j].RecordPeerUsage(now, dotterelpulley.HostID(fmt.Sprint(i)), incarnations[i], report)
 				}
 			}
 		}
@@ -205,3 +211,24 @@
 		}
 	}
 }
+
+// A host that starts beside others which have run for long must not charge what they have used since their start, nor leave out what they
+// use until it hears of it.
+func TestAHostThatStartsAloneKeepsTheCap(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []startingFleet{{hosts: 8, interval: 100 * time.Millisecond}, {hosts: 59, interval: 275 * time.Millisecond}} {
+		size.alone, size.span = 20*time.Second, 36*time.Second
+		size.load = 10
+		beyond := busiestWindow(size.play(), startingCap, 16*time.Second)
+		c.Check(beyond <= 1+startingOverrun, qt.IsTrue, qt.Commentf("%d hosts: %.2f of the cap", size.hosts, float64(beyond)))
+		size.load = 0.8
+		admitted := size.play()
+		sum := Amount(0)
+		for _, amount := range admitted[int(size.alone/startingStep):] {
+			sum += amount
+		}
+		asked := size.load * startingCap.Rate * Amount((size.span - size.alone).Seconds())
+		c.Logf("%d hosts: %.2f of the cap at ten times, %.3f of 0.8 of it admitted", size.hosts, float64(beyond), float64(sum/asked))
+		c.Check(sum >= 0.97*asked, qt.IsTrue, qt.Commentf("%d hosts: %.3f admitted", size.hosts, float64(sum/asked)))
+	}
+}
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -6,6 +6,9 @@
 	"github.com/dotterelpulley/dotterelpulley"
 )
 
+// maxGapJudged is the longest time of reports from which a peer's usage before its first report is judged.
+const maxGapJudged = time.Second
+
 // peer is what this host knows of another host's usage.
 type peer struct {
 	incarnation uint64
@@ -15,7 +18,12 @@
 	usage map[dotterelpulley.OrganisationID]Amount
 	// assumedUsage is the amount charged on the peer's behalf while it was silent.
 	assumedUsage map[dotterelpulley.OrganisationID]Amount
-	// unmeasured means that its only report doesn't tell since when it counts, so that the peer still counts as unseen.
+	// gap is the time before the first report for which the usage isn't charged yet, as the report tells too little of it.
+	gap time.Duration
+	// firstReport and firstUsage are those from which the usage in the gap is judged.
+	firstReport time.Time
+	firstUsage  map[dotterelpulley.OrganisationID]Amount
+	// unmeasured means that the peer still counts as unseen.
 	unmeasured bool
 	// gone means that the peer has been silent for so long that it counts as ended.
 	gone bool
@@ -33,10 +41,25 @@
 		r.charge(now, p.lastReport, organisation, reported-p.usage[organisation], p.assumedUsage[organisation])
 	}
 	r.reportedTime.add(now, now.Sub(p.lastReport).Seconds())
+	r.chargeGap(now, p, report)
 	clear(p.assumedUsage)
 	p.usage, p.lastReport, p.lastCharged, p.unmeasured, p.gone = report.Usage, now, now, false, false
 }
 
+// chargeGap charges what a peer used before its first report as if it had gone on alike, once its later reports tell enough of that.
+func (r *Rationer) chargeGap(now time.Time, p *peer, report Report) {
+	seen := now.Sub(p.firstReport)
+	if p.gap == 0 || seen < min(p.gap, maxGapJudged) {
+		return
+	}
+	for organisation, reported := range report.Usage {
+		before := p.firstUsage[organisation]
+		amount := min((reported-before)*Amount(p.gap.Seconds()/seen.Seconds()), before)
+		r.account(organisation).addSince(p.firstReport.Add(-p.gap), now, max(amount, 0))
+	}
+	p.gap, p.firstUsage = 0, nil
+}
+
 // charge counts what an organisation has used on a peer since the time, less what has been assumed of it.
 func (r *Rationer) charge(now, since time.Time, id dotterelpulley.OrganisationID, amount, assumed Amount) {
 	a := r.account(id)
@@ -45,7 +68,7 @@
 }
 
 // meet processes the first report of a host's start; before is what is known of its previous start, if anything. What the host has
-// used since this one began to count, or since its last report, is charged now: no other report tells it.
+// used since this one began to count, or since its last report, is charged: no other report tells it.
 func (r *Rationer) meet(now time.Time, before *peer, incarnation uint64, report Report) *peer {
 	p := &peer{incarnation: incarnation, lastReport: now, lastCharged: now, usage: report.Usage, assumedUsage: map[dotterelpulley.OrganisationID]Amount{}}
 	unknownSince := r.startedAt
@@ -55,34 +78,41 @@
 	unknown := min(now.Sub(unknownSince), r.window())
 	counted := report.Counted
 	switch {
-	case counted <= 0 && before == nil:
-		p.unmeasured = r.known(now) < r.window()
-		return p
-	case counted <= 0:
+	case counted <= 0 && before != nil:
 		// A restarted host of an earlier build has used all of it since its restart.
-		for organisation, amount := range report.Usage {
-			r.charge(now, now.Add(-unknown), organisation, amount, 0)
-		}
-		r.reportedTime.add(now, unknown.Seconds())
+		counted, before = unknown, &peer{}
+	case counted <= 0 || counted > r.window():
+		p.gap, p.firstReport, p.firstUsage = unknown, now, report.Usage
+		p.unmeasured = r.known(now) < r.window()
 		return p
 	}
 	part := min(unknown, counted)
-	wasMissing := before == nil && r.missing() > 0
-	for organisation := range report.Usage {
-		assumed := Amount(0)
-		switch {
-		case before != nil:
-			assumed = before.assumedUsage[organisation]
-		case wasMissing && now.Sub(r.startedAt) < r.window():
-			assumed = r.account(organisation).unseen
-		}
-		assumed *= Amount(part.Seconds() / max(unknown, 1).Seconds())
-		r.charge(now, now.Add(-part), organisation, report.usedSince(organisation, part, r.window()), assumed)
+	for organisation, used := range report.Usage {
+		r.charge(now, now.Add(-part), organisation, used*fraction(part, counted), r.assumed(now, before, organisation)*fraction(part, unknown))
 	}
 	r.reportedTime.add(now, part.Seconds())
 	return p
 }
 
+// fraction returns the part of the whole; all of it if there is none.
+func fraction(part, whole time.Duration) Amount {
+	if whole <= 0 {
+		return 1
+	}
+	return Amount(part.Seconds() / whole.Seconds())
+}
+
+// assumed returns what has been charged for a host that now reports for the first time since its start.
+func (r *Rationer) assumed(now time.Time, before *peer, id dotterelpulley.OrganisationID) Amount {
+	switch {
+	case before != nil:
+		return before.assumedUsage[id]
+	case r.missing() > 0 && now.Sub(r.startedAt) < r.window():
+		return r.account(id).unseen
+	}
+	return 0
+}
+
 // RecordPeerChanges processes another host's report that leaves out organisations whose usage has not changed lately. It
 // reports false for a start of the host that has sent no complete report yet.
 func (r *Rationer) RecordPeerChanges(now time.Time, id dotterelpulley.HostID, incarnation uint64, changes map[dotterelpulley.OrganisationID]Amount) bool {
