Close a connection after an answer that has no body

What callers saw: 502 for a request whose endpoint had answered the one before it with 304 or 204, or a HEAD, and sent a body all the same.

Cause: the connection was kept, and looked quiet until the next request had been sent; then the body's bytes came before its answer.

Change: such a connection isn't reused, as nothing in the answer shows whether its endpoint thinks that it has ended.

TestAConnectionIsNotReusedAfterAnAnswerWithoutABody failed before.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -99,6 +99,27 @@
 	c.Assert(connections, qt.HasLen, 1)
 }
 
+// A body that an endpoint sent after a 304 came before the answer to the next request, which failed though the endpoint ran it.
+func TestAConnectionIsNotReusedAfterAnAnswerWithoutABody(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ method, answer string }{
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 7\r\n\r\n"},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 7\r\n\r\n"},
+	} {
+		address, connections := startScriptedServer(c, test.answer, completeResponse("2", "two"))
+		var p Connector
+		first := newRequest("1")
+		first.Method, first.Body = test.method, nil
+		got, err := exchange(&p, address, first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, "")
+		c.Assert(p.idle, qt.HasLen, 0)
+		c.Assert(connections, qt.HasLen, 1)
+		p.Close()
+	}
+}
+
 func TestUnsolicitedResponseIsDiscarded(t *testing.T) {
 	c := qt.New(t)
 	for _, first := range []string{
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -181,7 +181,7 @@
 
 // reusable reports whether the whole request was sent and nothing but its response was received.
 func (x *Exchange) reusable() bool {
-	if x.Close || x.conn.reader.Buffered() > 0 {
+	if x.Close || x.conn.reader.Buffered() > 0 || x.bodyless() {
 		return false
 	}
 	if x.bodySent == nil {
@@ -195,6 +195,12 @@
 	}
 }
 
+// bodyless reports whether the response has no body whatever its headers say. An endpoint that sends one all the same may still be
+// sending it, which would come before the next response.
+func (x *Exchange) bodyless() bool {
+	return x.StatusCode == http.StatusNoContent || x.StatusCode == http.StatusNotModified || x.Request.Method == http.MethodHead
+}
+
 // SetReadTimeout limits how long the following reads of the body may take in total; zero removes the limit.
 func (x *Exchange) SetReadTimeout(limit time.Duration) error {
 	if limit <= 0 {
