--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -18,7 +18,7 @@
 	usage map[dotterelpulley.OrganisationID]Amount
 	// assumedUsage is the amount charged on the peer's behalf while it was silent.
 	assumedUsage map[dotterelpulley.OrganisationID]Amount
-	// gap is the time before the first report for which the usage isn't charged yet, as the report tells too little of it.
+	// gap is the time before the first report for which the usage isn't charged yet, as that report tells only a sum since long ago.
 	gap time.Duration
 	// firstReport and firstUsage are those from which the usage in the gap is judged.
 	firstReport time.Time
@@ -46,7 +46,7 @@
 	p.usage, p.lastReport, p.lastCharged, p.unmeasured, p.gone = report.Usage, now, now, false, false
 }
 
-// chargeGap charges what a peer used before its first report as if it had gone on alike, once its later reports tell enough of that.
+// chargeGap charges what a peer used in the gap before its first report, at the rate that its reports have shown since then.
 func (r *Rationer) chargeGap(now time.Time, p *peer, report Report) {
 	seen := now.Sub(p.firstReport)
 	if p.gap == 0 || seen < min(p.gap, maxGapJudged) {
