--- a/gateway/faulty_endpoint_test.go
+++ b/gateway/faulty_endpoint_test.go
@@ -138,6 +138,10 @@
 		return fmt.Sprintf("HTTP/1.1 %d Failed\r\n%sContent-Length: 0\r\n\r\n", status, fields)
 	}
 	whole := "HTTP/1.1 200 OK\r\nDotterelpulley-Response-Stamp: s\r\n" + named + "Content-Length: 5\r\n\r\nhello"
+	if strings.HasPrefix(r.URL.Path, "/plan/") {
+		body := events(&http.Request{}, 3)
+		whole = fmt.Sprintf("HTTP/1.1 200 OK\r\nDotterelpulley-Response-Stamp: s\r\n%sContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", named, len(body), body)
+	}
 	write := func(text string) bool {
 		_, err := io.WriteString(conn, text)
 		return err == nil
@@ -184,10 +188,12 @@
 	return "", write(whole)
 }
 
-// register writes the endpoint's registration to the store.
+// register writes the endpoint's registrations to the store: it serves calls and streams, each as an endpoint of its own.
 func (e *faultyEndpoint) register(s *site, sequence int) {
-	s.store.Put(platform.EndpointsTopic, string(e.id), fmt.Appendf(nil,
-		`{"service":"plain","address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":%d}`, e.address, sequence))
+	for _, service := range []string{"plain", "model"} {
+		s.store.Put(platform.EndpointsTopic, service+"-"+string(e.id), fmt.Appendf(nil,
+			`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":%d}`, service, e.address, sequence))
+	}
 }
 
 // startFaultyEndpoints starts endpoints that share a ledger and draw from the seed.
--- a/gateway/promise_rig_test.go
+++ b/gateway/promise_rig_test.go
@@ -60,9 +60,13 @@
 	return l.hosts[r.IntN(len(l.hosts))]
 }
 
-// book sends the booking until an answer promises nothing.
+// book sends the booking until an answer promises nothing; each third one is a stream that can't be resumed.
 func (c *rigCaller) book(number int) {
-	booking := fmt.Sprintf("/call/%s-%d", c.name, number)
+	route := "/call/"
+	if number%3 == 0 {
+		route = "/plan/"
+	}
+	booking := fmt.Sprintf("%s%s-%d", route, c.name, number)
 	for try := range rigRetries + 1 {
 		attempt := fmt.Sprintf("%s-%d-%d", c.name, number, try)
 		status := c.send(attempt, booking)
@@ -121,7 +125,7 @@
 	ledger := endpoints[0].runLedger
 	hosts := &rigHostList{hosts: append([]*Gateway(nil), startHosts(s, rigHosts)...)}
 	for _, g := range hosts.hosts {
-		s.waitFor("the host knows all endpoints", func() bool { return len(registrations(g)) == rigEndpoints })
+		s.waitFor("the host knows all endpoints", func() bool { return len(registrations(g)) == 2*rigEndpoints })
 		s.waitForAllowance(g, 1000)
 	}
 
