Tests of a host that misses reports and of one that returns after it counted as gone

Each fails without its mechanism: with the history told all the same, and with a host that counts as gone forgotten at once.

--- a/rationer/first_report_test.go
+++ b/rationer/first_report_test.go
@@ -232,3 +232,32 @@
 		c.Check(sum >= 0.97*asked, qt.IsTrue, qt.Commentf("%d hosts: %.3f admitted", size.hosts, float64(sum/asked)))
 	}
 }
+
+// A host that had just started told others that it knew all usage since its start, while hosts that it hadn't heard used the cap.
+func TestAHostThatMissesReportsTellsNoHistory(t *testing.T) {
+	c := qt.New(t)
+	r := Rationer{HostCount: 3}
+	r.SetCap(start, organisation, startingCap)
+	now := start.Add(2 * time.Second)
+	r.RecordPeerUsage(now, "b", 1, Report{Counted: time.Second})
+	c.Assert(r.History(now).Known, qt.Equals, time.Duration(0))
+	r.RecordPeerUsage(now, "c", 1, Report{Counted: time.Second})
+	c.Assert(r.History(now).Known, qt.Equals, 2*time.Second)
+	c.Assert((&Rationer{HostCount: 3}).History(now).Known, qt.Equals, time.Duration(0))
+}
+
+// What a host used while it was out of reach for so long that it counted as gone was charged by nobody when it returned.
+func TestAHostThatReturnsIsChargedFromItsLastReport(t *testing.T) {
+	c := qt.New(t)
+	var r Rationer
+	r.SetCap(start, organisation, startingCap)
+	now := start.Add(time.Minute)
+	r.RecordPeerUsage(now, "b", 1, Report{Counted: time.Minute, Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 100}})
+	now = now.Add(forgetAfter + time.Second)
+	_, ok := r.Admit(now, organisation, 1, 0)
+	c.Assert(ok, qt.IsTrue)
+	before, _ := r.Remaining(now, organisation)
+	r.RecordPeerUsage(now, "b", 1, Report{Counted: time.Minute + forgetAfter, Usage: map[dotterelpulley.OrganisationID]Amount{organisation: 2600}})
+	after, _ := r.Remaining(now, organisation)
+	c.Assert(before-after >= 2000, qt.IsTrue, qt.Commentf("%.0f before, %.0f after", float64(before), float64(after)))
+}
