--- a/cmd/dotterel-gateway/main_test.go
+++ b/cmd/dotterel-gateway/main_test.go
@@ -26,6 +26,8 @@
 	*prover.Process
 	settingsPath string
 	settings     []byte
+	// output, if set, gets the process's log.
+	output *os.File
 }
 
 // startHost starts the command with a settings file that prepare creates.
@@ -45,6 +47,7 @@
 	h.Assert(err, qt.IsNil)
 	h.Process, err = prover.Program{
 		Name: "host-1", Path: filepath.Join(dir, "dotterel-gateway"), Environment: []string{platform.SettingsVariable + "=" + h.settingsPath},
+		Output: h.output,
 	}.Start()
 	h.Assert(err, qt.IsNil)
 	t.Cleanup(func() { h.Check(h.Close(), qt.IsNil) })
--- a/internal/prover/process.go
+++ b/internal/prover/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,8 @@
 	Args []string
 	// Environment holds additional variables as NAME=value.
 	Environment []string
+	// Output, if set, gets the standard output instead of the process's log.
+	Output *os.File
 }
 
 // startProcess starts the program without additional environment variables.
@@ -45,6 +48,9 @@
 	process := &Process{Name: name, cmd: exec.Command(program.Path, program.Args...), exited: make(chan struct{})}
 	process.cmd.Env = append(os.Environ(), program.Environment...)
 	process.cmd.Stdout = &process.log
+	if program.Output != nil {
+		process.cmd.Stdout = program.Output
+	}
 	process.cmd.Stderr = &process.log
 	if err := process.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
@@ -64,6 +70,21 @@
 	return nil
 }
 
+// PeakMemory returns the largest number of bytes of memory that the process has held so far.
+func (p *Process) PeakMemory() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("peak memory of %s: %w", p.Name, err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
+			return kilobytes << 10, err
+		}
+	}
+	return 0, fmt.Errorf("peak memory of %s: no such line", p.Name)
+}
+
 // Exited is closed when the process has exited.
 func (p *Process) Exited() <-chan struct{} {
 	return p.exited
