Limit the log's buffers in bytes, and what a line quotes of others

An endpoint that answered with 60 KB that can't be parsed filled the memory of a host whose log was taken slowly; the host was killed, and all its requests with it.

Cause: the parser's error quotes what it read, four bytes for each; the lines try-ended, next-try and the request's last one each carry it, and the log's two buffers were limited to 4,096 lines, whatever their size. The class: a buffer limited by a number of things whose size another party chooses.

Now the buffers hold 2 MB each, a line 16 KB, and an error or a caller's id is kept and logged by its first 512 bytes and its size. A line that comes after the end is dropped; it ended the process. What is dropped is counted, and told once there is room. Characters that JSON doesn't allow, which the logger writes as they are, become spaces. The entry host and the mover log the same way; they wrote each line before they went on, so a blocked output held up requests.

--- /dev/null
+++ b/abbreviator/doc.go
@@ -0,0 +1,2 @@
+// Package abbreviator shortens texts whose size another party chooses, before they are kept or logged.
+package abbreviator
--- a/cmd/dotterel-entry/main.go
+++ b/cmd/dotterel-entry/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/dotterelpulley/dotterelpulley/entry"
+	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
 func main() {
@@ -41,11 +43,12 @@
 	if err != nil {
 		return err
 	}
-	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
+	writer := &spooler.Writer{Output: os.Stderr}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	e := entry.New(settings, logger)
 	e.Counters().Publish("dotterel")
 	if err := e.Start(); err != nil {
-		return err
+		return errors.Join(err, writer.Close())
 	}
 	first, stopFirst := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stopFirst()
@@ -57,5 +60,5 @@
 	second, stopSecond := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stopSecond()
 	e.Drain(second)
-	return e.Close()
+	return errors.Join(e.Close(), writer.Close())
 }
--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley/gateway"
 	"github.com/dotterelpulley/dotterelpulley/platform"
+	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
 func main() {
@@ -51,12 +53,12 @@
 	if err != nil {
 		return err
 	}
-	writer := gateway.NewLogWriter(os.Stdout)
+	writer := &spooler.Writer{Output: os.Stdout}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	g := gateway.New(settings, logger)
 	g.SwitchOff(mechanisms)
 	if err := g.Start(); err != nil {
-		return err
+		return errors.Join(err, writer.Close())
 	}
 	for serving := true; serving; {
 		select {
@@ -69,10 +71,7 @@
 	interrupted, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT)
 	defer cancel()
 	g.Drain(interrupted)
-	if err := g.Close(); err != nil {
-		return err
-	}
-	return writer.Close()
+	return errors.Join(g.Close(), writer.Close())
 }
 
 // notify returns a channel with the signals that have come since.
--- a/cmd/dotterel-mover/main.go
+++ b/cmd/dotterel-mover/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley/controller"
 	"github.com/dotterelpulley/dotterelpulley/mover"
+	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
 func main() {
@@ -46,14 +48,15 @@
 	if err != nil {
 		return err
 	}
-	logger := &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
+	writer := &spooler.Writer{Output: os.Stderr}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	c := controller.New(settings, logger)
 	c.Counters().Publish("dotterel-mover")
 	if err := c.Start(); err != nil {
-		return err
+		return errors.Join(err, writer.Close())
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	<-ctx.Done()
-	return c.Close()
+	return errors.Join(c.Close(), writer.Close())
 }
--- a/connector/head.go
+++ b/connector/head.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+
+	"github.com/dotterelpulley/dotterelpulley/abbreviator"
 )
 
 const (
@@ -66,5 +68,7 @@
 			return nil, errNoResponse
 		}
 	}
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	// The parser quotes what it couldn't read.
+	return response, abbreviator.Error(err)
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/abbreviator"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/rationer"
@@ -286,7 +287,7 @@
 	}
 	g.metrics.Inc("refused-" + refused.kind.String())
 	g.requestEvent(refusalLevel(q), "refused", q).Str("kind", refused.kind.String()).Int("status", refused.status).
-		Str("proof", proofName(refused.proof)).Str("reached", q.arrivals.encode()).Str("why", refused.reason).Dur("retry-after", refused.retryAfter).Msg("")
+		Str("proof", proofName(refused.proof)).Str("reached", q.arrivals.encode()).Str("why", abbreviator.Text(refused.reason)).Dur("retry-after", refused.retryAfter).Msg("")
 	if q.origin.forwarded {
 		w.Header().Set(headerRefusal, refused.kind.String())
 		w.Header().Set(headerProof, proofName(refused.proof))
@@ -311,7 +312,7 @@
 
 // requestEvent starts a log event about the request.
 func (g *Gateway) requestEvent(level log.Level, name string, q *request) *log.Entry {
-	e := g.event(level, name).Str("request", q.AttemptID).Int64("version", q.version).
+	e := g.event(level, name).Str("request", abbreviator.Text(q.AttemptID)).Int64("version", q.version).
 		Dur("after", time.Since(q.arrived))
 	if age, ok := g.freshness.age(); ok {
 		e = e.Dur("configuration-age", age)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/counter"
+	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
 const (
@@ -72,6 +73,9 @@
 		out := bufio.NewWriter(w)
 		g.metrics.counts.Do(func(kv expvar.KeyValue) { fmt.Fprintf(out, "%s %s\n", kv.Key, kv.Value) })
 		fmt.Fprintf(out, "in-flight %d\n", g.inFlight.Load())
+		if w, ok := g.logger.Writer.(*spooler.Writer); ok {
+			fmt.Fprintf(out, "log-lines-dropped %d\n", w.Dropped())
+		}
 		if age, ok := g.freshness.age(); ok {
 			fmt.Fprintf(out, "configuration-age-ms %d\n", age.Milliseconds())
 		}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/abbreviator"
 	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
@@ -407,6 +408,7 @@
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
 	if result != scheduler.ResultCompleted {
 		p.excluded[a.Endpoint.ID] = true
+		err = abbreviator.Error(err)
 		p.lastError = err
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
 		p.gateway.requestEvent(log.WarnLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
