Limit the accounts of organisations that only other hosts know

A host that names ever new organisations in its reports, as a faulty one or one of another format may, filled the memory of all others: each name got an account that was never removed, and stayed in what is kept of the peer.

Found as another instance of the class of the log's buffers: a map without a limit, whose keys another party chooses. Such accounts are now limited to 1,024 and forgotten once they are idle; the usage of further names isn't counted until there is room.

Evidence: TestOrganisationsThatAFaultyHostNamesFillTheMemory, 100 reports of 1,000 names each: 100,002 accounts before, at most 1,025 now.

--- a/rationer/history.go
+++ b/rationer/history.go
@@ -52,7 +52,7 @@
 	if h.Known < known+slot || h.Slot/time.Microsecond != slot/time.Microsecond {
 		return false
 	}
-	for id, slots := range h.Usage {
+	for id, slots := range withRoom(r, now, h.Usage) {
 		a := r.account(id)
 		a.advance(now)
 		// The slot in which this host's knowledge begins holds usage of both.
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -32,6 +32,7 @@
 // RecordPeerUsage processes another host's complete report.
 func (r *Rationer) RecordPeerUsage(now time.Time, id dotterelpulley.HostID, incarnation uint64, report Report) {
 	r.init(now)
+	report.Usage = withRoom(r, now, report.Usage)
 	p, ok := r.peers[id]
 	if !ok || p.incarnation != incarnation {
 		r.peers[id] = r.meet(now, p, incarnation, report)
