Resume no stream after an event whose id is too long to be kept

A caller got events twice: an id beyond 4 KB was ignored, and when the stream broke after that event, the next endpoint was asked to go on at the one before.

Cause: a line is read in parts of 4 KB, and only the last part of a longer one was looked at for an id. Now such a stream counts as one that can't go on elsewhere until an event with a shorter id has come.

Evidence: TestAStreamWithALongIDGoesOnAtAnEarlierEvent failed before: piece 2 came twice, and the stream ended as whole.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -274,6 +274,8 @@
 	if e.id != "" {
 		p.lastEventID = e.id
 	}
+	// To go on after an earlier event would send the later ones twice.
+	p.unresumable = e.idTooLong || p.unresumable && e.id == ""
 	if _, err := p.response.writer.Write(e.data); err != nil {
 		return false
 	}
--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -103,3 +103,26 @@
 	s.Assert(a.err, qt.IsNil)
 	s.Assert(a.body, qt.Equals, events(&http.Request{}, 3))
 }
+
+// An id too long to be kept was ignored, so that a stream which broke after it went on at an earlier event, and sent some twice.
+func TestAStreamWithALongIDGoesOnAtAnEarlierEvent(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	handler := func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.Header.Get("Last-Event-Id") == "1" {
+			standin.WriteEvents(w, 2, 3)
+			return
+		}
+		standin.WriteEvents(w, 1, 1)
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: piece-2\n\n", strings.Repeat("2", 2*lineChunk))
+		_ = http.NewResponseController(w).Flush()
+		standin.AbortResponse()
+	}
+	s.endpoint("i-1", "model", handler)
+	s.endpoint("i-2", "model", handler)
+	g := s.startReadyGateway()
+	s.waitFor("both endpoints are known", func() bool { return len(registrations(g)) == 2 })
+	a := s.post(g, "/advice/", "prompt")
+	s.Check(a.err, qt.IsNotNil)
+	s.Check(strings.Count(a.body, "data: piece-2"), qt.Equals, 1)
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -11,6 +11,8 @@
 type sseEvent struct {
 	data []byte
 	id   string
+	// idTooLong is true if the event has an id beyond lineChunk, which isn't kept.
+	idTooLong bool
 	// comment is true if the event has no field at all, so that it is no part of the answer.
 	comment bool
 	// continued is true if the data goes on with the event before, which came in parts.
@@ -70,6 +72,7 @@
 		text := bytes.TrimRight(line, "\r\n")
 		e.comment = e.comment && (!atStart || len(text) == 0 || text[0] == ':')
 		if r.inLine {
+			e.idTooLong = e.idTooLong || atStart && bytes.HasPrefix(text, []byte("id:"))
 			continue
 		}
 		if errors.Is(err, io.EOF) && r.eventBytes > 0 {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -38,6 +38,8 @@
 	helperRefusal   *refusal
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// unresumable means that the last event's id couldn't be kept.
+	unresumable bool
 	// lastError is why the last attempt ended, notContinued why no other endpoint got the request after it.
 	lastError    error
 	notContinued string
@@ -363,7 +365,7 @@
 	if p.origin.forwarded {
 		limit = min(limit, forwardedRuns)
 	}
-	return p.sends.runs() < limit && time.Until(p.deadline) > 0 && !p.gateway.without.Repeats
+	return !p.unresumable && p.sends.runs() < limit && time.Until(p.deadline) > 0 && !p.gateway.without.Repeats
 }
 
 // tryNextEndpoint moves on to another endpoint after one that has certainly not run the request.
