--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -27,6 +27,8 @@
 	troubleTime = maxFaultDuration + routeTimeout
 	// answerTime is the part of the time limit within which a request may not end without an answer.
 	answerTime = routeTimeout * 7 / 10
+	// workOverlapLimit is how long an endpoint may work on a request after another one has got it.
+	workOverlapLimit = 400 * time.Millisecond
 	// minServedFraction is the fraction of requests that must be served after the recovery.
 	minServedFraction = 0.25
 )
@@ -58,6 +60,7 @@
 
 var checks = []check{
 	{"at-most-once", executedAtMostOnce},
+	{"one-endpoint-at-work", oneEndpointAtWork},
 	{"refusals-are-true", refusalsNotExecuted},
 	{"whole-answers", answersComplete},
 	{"own-answers", answersMatchRequests},
@@ -112,6 +115,21 @@
 	}
 }
 
+// oneEndpointAtWork checks that no endpoint goes on with a request after another one has got it, unless its host can't reach it.
+func oneEndpointAtWork(v view, report func(AttemptID, string, ...any)) {
+	for id, arrivals := range v.arrivalsByID {
+		arrivals = slices.SortedFunc(slices.Values(arrivals), func(a, b Arrival) int { return a.At.Compare(b.At) })
+		for i, next := range arrivals[min(1, len(arrivals)):] {
+			before := arrivals[i]
+			overlap := before.EndedAt.Sub(next.At)
+			if before.Executed && next.Executed && overlap > workOverlapLimit && !v.troubled(before) &&
+				v.undisturbed(next.At.Add(-disturbanceMargin), next.At.Add(workOverlapLimit)) {
+				report(id, "endpoint %s was at work for %s after %s had got the request", before.Endpoint, overlap, next.Endpoint)
+			}
+		}
+	}
+}
+
 // impliesNotExecuted reports whether the status promises that the request was not executed.
 func impliesNotExecuted(status int) bool {
 	switch status {
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -69,6 +69,13 @@
 			_, a := o.find("letter")
 			o.Arrivals = append(o.Arrivals, *a)
 		}},
+		{"one-endpoint-at-work", "two endpoints work on a stream", func(o *Observations) {
+			_, a := o.find("advice")
+			next := *a
+			next.Endpoint, next.At = "f", a.At.Add(100*time.Millisecond)
+			a.EndedAt = next.At.Add(workOverlapLimit + time.Millisecond)
+			o.Arrivals = append(o.Arrivals, next)
+		}},
 		{"refusals-are-true", "a booking was refused and ran", func(o *Observations) {
 			s, _ := o.find("booking")
 			s.Status, s.Signed, s.Body = http.StatusServiceUnavailable, false, ""
--- a/internal/soaker/configuration.go
+++ b/internal/soaker/configuration.go
@@ -20,6 +20,8 @@
 	modelService     = dotterelpulley.ServiceID("model")
 	// soleService has one endpoint, which no fault strikes.
 	soleService = dotterelpulley.ServiceID("sole")
+	// resumableRoute is a route of streams that can go on at another endpoint.
+	resumableRoute = dotterelpulley.RouteID("advice")
 )
 
 // route is a route of the soak with the properties that the checks need.
@@ -46,7 +48,7 @@
 	newRoute("booking", router.NonIdempotent, plainService, 1, false),
 	newRoute("lookup", router.Idempotent, plainService, 2, false),
 	newRoute("letter", router.Streaming, modelService, 1, false),
-	newRoute("advice", router.Streaming, modelService, 2, true),
+	newRoute(resumableRoute, router.Streaming, modelService, 2, true),
 	newRoute("counsel", router.Streaming, soleService, 2, true),
 }
 
--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	eventInterval  = 8 * time.Millisecond
 	// silence is how long the endpoint of soleService falls silent in the middle of half of its streams.
 	silence = 1400 * time.Millisecond
+	// promptTime is how long a stream that has reached an endpoint before takes to its first event.
+	promptTime = 900 * time.Millisecond
 	// misbehaviourRate is the fraction of requests that a misbehaving endpoint handles wrongly.
 	misbehaviourRate = 0.4
 )
@@ -37,6 +40,8 @@
 	behaviourCount
 	// behaviourUnproved answers requests that have run with statuses that promise the contrary.
 	behaviourUnproved
+	// behaviourSilent falls silent in streams that can be resumed, until the connection is closed.
+	behaviourSilent
 )
 
 // unprovedAnswers are the responses of behaviourUnproved. The last one is what a garbled response may look like.
@@ -115,7 +120,8 @@
 		AttemptID: a, Endpoint: e.ID, Service: e.Service, Organisation: organisation, Version: version, At: time.Now(),
 		Executed: b != behaviourReject, KeyForwarded: metadata.Key != "",
 	}
-	e.ledger.record(func(o *Observations) { o.Arrivals = append(o.Arrivals, arrival) })
+	repeated, end := e.ledger.recordArrival(arrival)
+	defer end()
 	switch {
 	case b == behaviourReject:
 		standin.WriteNotExecuted(w)
@@ -126,6 +132,9 @@
 		standin.SignResponse(w)
 		w.WriteHeader(http.StatusInternalServerError)
 	case e.Service != plainService:
+		if repeated && !sleepWhileOpen(r, promptTime) {
+			return
+		}
 		e.stream(w, r, metadata, b)
 	default:
 		sleepWhileOpen(r, processingTime)
@@ -146,9 +155,16 @@
 		lastEvent = 0
 	}
 	count := expectedEvents(AttemptID(metadata.AttemptID))
+	resumable := strings.HasPrefix(r.URL.Path, routeByID(resumableRoute).Prefix)
+	silentFrom := lastEvent + 1 + e.draw(2)*count/2
 	standin.SignResponse(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for number := lastEvent + 1; number <= count; number++ {
+		if b == behaviourSilent && number == silentFrom && resumable {
+			_ = http.NewResponseController(w).Flush() // The host may have left.
+			<-r.Context().Done()
+			return
+		}
 		interval := eventInterval
 		if number == count/2 && e.Service == soleService && count%2 == 0 {
 			interval = silence
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -174,6 +174,7 @@
 	strayNumbers
 	upgradeNumbers
 	unprovedNumbers
+	silentNumbers
 )
 
 // scheduleFault returns injections of one fault by the seed's stream of random numbers.
@@ -209,3 +210,12 @@
 	sleep(ctx, duration)
 	e.setBehaviour(behaviourNormal)
 }}
+
+// silentStreams makes an endpoint fall silent in some streams that can be resumed; it works on them until their connections are closed.
+// This excuses nothing: its host reaches it, and may go on at another endpoint.
+var silentStreams = fault{"silent-streams", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
+	e := s.randomEndpoint(r)
+	e.setBehaviour(behaviourSilent)
+	sleep(ctx, duration)
+	e.setBehaviour(behaviourNormal)
+}}
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	// Executed reports whether the endpoint executed the request; KeyForwarded whether it received the caller's key.
 	Executed     bool
 	KeyForwarded bool
+	// EndedAt is when the endpoint stopped working on the request; zero if it hadn't by the soak's end.
+	EndedAt time.Time
 }
 
 // Revocation is the removal of a key from the configuration.
@@ -89,6 +92,8 @@
 type ledger struct {
 	mutex        sync.Mutex
 	observations Observations
+	// arrived holds the requests that have reached an endpoint.
+	arrived map[AttemptID]bool
 }
 
 // record adds to the observations.
@@ -98,6 +103,25 @@
 	add(&l.observations)
 }
 
+// recordArrival adds an arrival and returns the function that records the end of the endpoint's work on it. repeated reports whether
+// the request had arrived before.
+func (l *ledger) recordArrival(a Arrival) (repeated bool, end func()) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	repeated = l.arrived[a.AttemptID]
+	if l.arrived == nil {
+		l.arrived = map[AttemptID]bool{}
+	}
+	l.arrived[a.AttemptID] = true
+	index := len(l.observations.Arrivals)
+	l.observations.Arrivals = append(l.observations.Arrivals, a)
+	return repeated, func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.observations.Arrivals[index].EndedAt = time.Now()
+	}
+}
+
 // count returns the number of finished requests.
 func (l *ledger) count() int {
 	l.mutex.Lock()
@@ -110,5 +134,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.observations.Recovered = recovered
-	return l.observations
+	o := l.observations
+	// Runs that go on are recorded in the original.
+	o.Arrivals = slices.Clone(o.Arrivals)
+	return o
 }
