Give a silent stream's endpoint up before another one has worked on it for 400 ms

Cause: since the silent endpoint was given up only when the other one's first bytes had come, and that takes as long as it needs to read the prompt. Before it was given up before any other endpoint had been found, which lost answers.

Now the other endpoint has 200 ms from the request to refuse it or to fail; meanwhile the silent one is read on, and goes on if it sends an event. After that the other one counts as at work, and the silent one's connection is closed. A refusal that comes later lets a third endpoint go on.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -36,6 +36,8 @@
 	Chunked bool
 	// MatchesResponse reports whether a response belongs to the request; nil accepts all.
 	MatchesResponse func(ResponseHead) bool
+	// OnSent is called when the head of the request is on its way, before the response is awaited; nil if nobody needs to know.
+	OnSent func()
 }
 
 // ResponseHead is what tells whether a response belongs to a request.
@@ -76,6 +78,9 @@
 		x.closeConnection()
 		return nil, &ExchangeError{MaybeSent: true, Cause: fmt.Errorf("send to %s: %w", address, err)}
 	}
+	if r.OnSent != nil {
+		r.OnSent()
+	}
 	if err := x.receive(r); err != nil {
 		x.closeConnection()
 		return nil, &ExchangeError{MaybeSent: true, Cause: fmt.Errorf("receive from %s: %w", address, err)}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -211,7 +211,8 @@
 			}
 			// The end of this attempt must not wait for the successor's answer.
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				p.finishAttempt(a, scheduler.ResultFailed, err)
+				p.gateway.metrics.Inc("silences-handed-over")
+				p.finishAttempt(a, scheduler.ResultFailed, errors.New("silent, and another endpoint goes on"))
 			} else {
 				p.finishFailedRun(ctx, a, err)
 			}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -157,7 +157,7 @@
 // may run again no longer waits for its response.
 func (p *proxiedRequest) dispatchUnlessSilent(ctx context.Context, a attempt) (*connector.Exchange, error) {
 	if !p.route.Repeatable() || p.origin.forwarded {
-		return p.dispatch(ctx, a)
+		return p.dispatch(ctx, a, nil)
 	}
 	// The parent ends with the request, and this context with it.
 	ctx, cancel := context.WithCancel(ctx)
@@ -167,7 +167,7 @@
 		}
 	})
 	defer stop()
-	return p.dispatch(ctx, a)
+	return p.dispatch(ctx, a, nil)
 }
 
 // endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -51,7 +51,6 @@
 func TestTwoEndpointsWorkOnOneStream(t *testing.T) {
 	for name, events := range map[string]int{"before the first event": 0, "after three events": 3} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			s := newSite(t)
 			s.publishConfiguration(1, 1000)
 			var work workSpans
@@ -84,3 +83,38 @@
 		})
 	}
 }
+
+// A stream that was handed over to an endpoint which refuses it late must go on at a third one.
+func TestALateRefusalEndsAStreamThatWasHandedOver(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var work workSpans
+	handler := func(w http.ResponseWriter, r *http.Request, _ int) {
+		n, end := work.begin()
+		defer end()
+		switch n {
+		case 0:
+			standin.WriteEvents(w, 1, 1)
+			<-r.Context().Done()
+		case 1:
+			select {
+			case <-time.After(3 * refusalTime):
+				standin.WriteNotExecuted(w)
+			case <-r.Context().Done():
+			}
+		default:
+			standin.WriteEvents(w, 2, 2)
+		}
+	}
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.endpoint(id, "model", handler)
+	}
+	g := s.startReadyGateway()
+	s.waitFor("all endpoints are known", func() bool { return len(registrations(g)) == 3 })
+	a := s.post(g, "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+	s.Check(work.overlap() < maxOverlap, qt.IsTrue, qt.Commentf("%s", work.overlap()))
+	s.Check(g.metrics.counts.Get("silences-handed-over"), qt.Equals, int64(1))
+	s.waitFor("no slot is held", func() bool { return slotsHeld(g) == 0 })
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -222,8 +222,9 @@
 	return a, nil
 }
 
-// dispatch sends the request to the attempt's endpoint and waits for the response's headers; it changes nothing of p.
-func (p *proxiedRequest) dispatch(ctx context.Context, a attempt) (*connector.Exchange, error) {
+// dispatch sends the request to the attempt's endpoint and waits for the response's headers; it changes nothing of p. onSent, if
+// not nil, is called in between.
+func (p *proxiedRequest) dispatch(ctx context.Context, a attempt, onSent func()) (*connector.Exchange, error) {
 	header := p.header.Clone()
 	platform.Dispatch{
 		Endpoint: a.Endpoint.ID, Organisation: p.organisation,
@@ -232,7 +233,7 @@
 	p.gateway.countZoneBytes("requests", a.Endpoint.Zone, len(p.body))
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
-		MatchesResponse: p.matchesResponse,
+		MatchesResponse: p.matchesResponse, OnSent: onSent,
 	})
 }
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -21,12 +24,16 @@
 	nextEventTimeout  = 1200 * time.Millisecond
 	// successorRetryInterval is the time between two searches for another endpoint while the stream is silent.
 	successorRetryInterval = 300 * time.Millisecond
+	// refusalTime is how long an endpoint that was asked to go on with a stream may take to refuse it. After that it counts as at work,
+	// and the silent one must stop, as no two endpoints may work on one request for long.
+	refusalTime = 200 * time.Millisecond
 	// expireNow is a time limit that ends a read at once.
 	expireNow = time.Nanosecond
 )
 
 // silenceWatch asks another endpoint to go on with a stream whose endpoint is silent. Silence alone doesn't end the stream:
-// its endpoint is given up only when the other one has begun to answer, and it goes on if it sends an event before that.
+// its endpoint is given up only when the other one has got the request and hasn't refused it, and it goes on if it sends an event
+// before that.
 type silenceWatch struct {
 	*proxiedRequest
 	ctx      context.Context
@@ -44,10 +51,15 @@
 	cancel  context.CancelFunc
 	// cancelled reports whether this host ended the attempt before its answer.
 	cancelled bool
-	// done is closed when exchange and err are set.
-	done     chan struct{}
-	exchange *connector.Exchange
-	err      error
+	// sent is closed when the request is on its way, done when exchange and err are set.
+	sent chan struct{}
+	done chan struct{}
+	// atWork is set when the endpoint has had the request for long enough to refuse it.
+	atWork atomic.Bool
+	// goroutines end soon after the attempt's context or its answer.
+	goroutines conc.WaitGroup
+	exchange   *connector.Exchange
+	err        error
 }
 
 // expectEvent sets the time limit of the next event.
@@ -74,8 +86,7 @@
 // silent endpoint.
 func (w *silenceWatch) onSilence() bool {
 	if w.successor != nil {
-		<-w.successor.done
-		if w.successor.goesOn() {
+		if w.successor.takesOver() {
 			return false
 		}
 		w.finishSuccessor()
@@ -122,7 +133,7 @@
 	return placed, true
 }
 
-// start sends the rest of the stream's request to another endpoint; its answer ends the read of the silent one.
+// start sends the rest of the stream's request to another endpoint, which ends the read of the silent one once it takes over.
 func (w *silenceWatch) start(placed scheduler.Placed) {
 	a, refused := w.startAttempt(placed)
 	if refused != nil {
@@ -130,16 +141,49 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
-	s := &successor{attempt: a, cancel: cancel, done: make(chan struct{})}
+	s := &successor{attempt: a, cancel: cancel, sent: make(chan struct{}), done: make(chan struct{})}
 	w.successor = s
-	go func() {
+	s.goroutines.Go(func() {
 		defer close(s.done)
-		s.exchange, s.err = w.dispatch(ctx, s.attempt)
+		s.exchange, s.err = w.dispatch(ctx, s.attempt, func() { close(s.sent) })
 		if s.goesOn() {
 			s.awaitEvent()
 		}
+	})
+	s.goroutines.Go(func() {
+		s.awaitWork()
 		w.setLimit(expireNow)
-	}()
+	})
+}
+
+// awaitWork waits until the endpoint has answered or counts as at work.
+func (s *successor) awaitWork() {
+	select {
+	case <-s.sent:
+	case <-s.done:
+		return
+	}
+	limit := time.NewTimer(refusalTime)
+	defer limit.Stop()
+	select {
+	case <-limit.C:
+		s.atWork.Store(true)
+	case <-s.done:
+	}
+}
+
+// takesOver reports whether the endpoint goes on with the stream or is at work on it, after awaitWork.
+func (s *successor) takesOver() bool {
+	select {
+	case <-s.done:
+		return s.goesOn()
+	default:
+	}
+	if s.atWork.Load() {
+		return true
+	}
+	<-s.done
+	return s.goesOn()
 }
 
 // awaitEvent waits until the answer's body has begun, as an endpoint may send its headers long before.
@@ -184,7 +228,7 @@
 	}
 	w.successor.cancelled = true
 	w.successor.cancel()
-	<-w.successor.done
+	w.successor.goroutines.Wait()
 	w.finishSuccessor()
 }
 
@@ -196,7 +240,7 @@
 // takeSuccessor waits for the successor's answer and hands it over.
 func (w *silenceWatch) takeSuccessor() *successor {
 	s := w.successor
-	<-s.done
+	s.goroutines.Wait()
 	w.successor = nil
 	return s
 }
