--- a/cmd/dotterel-soak/main.go
+++ b/cmd/dotterel-soak/main.go
@@ -57,6 +57,7 @@
 	f.IntVar(&settings.StoreCopies, "store-copies", 0, "how often the store returns from a copy, beside the other strikes")
 	f.IntVar(&settings.UnprovedRefusals, "unproved-refusals", 0, "how often an endpoint answers runs with statuses that promise the contrary, beside the other strikes")
 	f.IntVar(&settings.SilentStreams, "silent-streams", 0, "how often an endpoint falls silent in streams that can be resumed, beside the other strikes")
+	f.IntVar(&settings.HeldBytes, "held-bytes", 0, "how often bytes to and from an endpoint are held up and delivered later, beside the other strikes")
 	f.IntVar(&settings.StrayAnswers, "stray-answers", 0, "how often an endpoint writes answers once more, beside the other strikes")
 	f.DurationVar(&settings.FaultWindow, "span", 0, "the time within which all faults begin (12s)")
 	return c
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -108,11 +108,12 @@
 	if route.Kind == router.Idempotent {
 		method, body = http.MethodGet, ""
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(target.settings.CallerAddress)+route.Prefix+"x", strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(target.settings.CallerAddress)+route.Prefix+"x", c.bodyReader(body))
 	if err != nil {
 		panic(fmt.Sprintf("request %s: %v", sent.AttemptID, err))
 	}
 	request.Host = siteHost
+	request.ContentLength = int64(len(body))
 	// With GetBody set, the HTTP transport may resend a request by itself.
 	request.GetBody = nil
 	standin.RequestHeaders{AttemptID: string(sent.AttemptID), Key: sent.Key, Timeout: routeTimeout}.Apply(request.Header)
@@ -125,6 +126,30 @@
 	}
 }
 
+// halfTime is the time between the two halves of a large body.
+const halfTime = 300 * time.Millisecond
+
+// bodyReader returns a reader of the body; a large one comes in two halves.
+func (c *caller) bodyReader(body string) io.Reader {
+	if len(body) < maxWholeBody {
+		return strings.NewReader(body)
+	}
+	first, second := strings.NewReader(body[:len(body)/2]), strings.NewReader(body[len(body)/2:])
+	return io.MultiReader(first, &pause{length: halfTime}, second)
+}
+
+// maxWholeBody is the size from which a body comes in two halves.
+const maxWholeBody = 16 << 10
+
+// pause is an empty reader whose end comes after the time.
+type pause struct{ length time.Duration }
+
+// Read waits.
+func (p *pause) Read([]byte) (int, error) {
+	<-time.After(p.length)
+	return 0, io.EOF
+}
+
 // bodyOf returns a request's body, of some bytes, some KB, or more than a host sends before it reads the answer.
 func bodyOf(id AttemptID) string {
 	sizes := []int{0, 0, 0, 0, 3 << 10, 3 << 10, 3 << 10, 20 << 10}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -175,6 +175,7 @@
 	upgradeNumbers
 	unprovedNumbers
 	silentNumbers
+	heldNumbers
 )
 
 // scheduleFault returns injections of one fault by the seed's stream of random numbers.
@@ -219,3 +220,12 @@
 	sleep(ctx, duration)
 	e.setBehaviour(behaviourNormal)
 }}
+
+// heldBytes holds up what is on the way to an endpoint and back, and delivers it later, as a machine that is frozen or a way that is
+// congested does. Requests whose hosts have given them up arrive all the same.
+var heldBytes = fault{"held-bytes", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
+	e := s.troubledEndpoint(r)
+	e.proxy.Hold()
+	sleep(ctx, duration)
+	e.proxy.Release()
+}}
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -51,6 +51,8 @@
 	UnprovedRefusals int
 	// SilentStreams is how often an endpoint falls silent in streams that can be resumed, beside the other faults.
 	SilentStreams int
+	// HeldBytes is how often the bytes to and from an endpoint are held up and delivered later, beside the other faults.
+	HeldBytes int
 }
 
 func (s Settings) withDefaults() (Settings, error) {
@@ -69,9 +71,9 @@
 	if s.Hosts < 1 || s.Hosts > maxHosts {
 		return s, fmt.Errorf("%d hosts: between 1 and %d are possible", s.Hosts, maxHosts)
 	}
-	if s.StoreCopies < 0 || s.StrayAnswers < 0 || s.UnprovedRefusals < 0 || s.SilentStreams < 0 {
-		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers, %d of unproved refusals, %d of silent streams: there can't be fewer than none",
-			s.StoreCopies, s.StrayAnswers, s.UnprovedRefusals, s.SilentStreams)
+	if s.StoreCopies < 0 || s.StrayAnswers < 0 || s.UnprovedRefusals < 0 || s.SilentStreams < 0 || s.HeldBytes < 0 {
+		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers, %d of unproved refusals, %d of silent streams, %d of held bytes: there can't be fewer than none",
+			s.StoreCopies, s.StrayAnswers, s.UnprovedRefusals, s.SilentStreams, s.HeldBytes)
 	}
 	if s.Callers < 1 || s.Faults < 0 || s.FaultWindow < 0 {
 		return s, fmt.Errorf("%d callers, %d strikes within %s: there must be a caller, and none may be negative", s.Callers, s.Faults, s.FaultWindow)
@@ -184,6 +186,7 @@
 	planned = append(planned, scheduleFault(strayAnswers, s.Seed, strayNumbers, s.StrayAnswers, s.FaultWindow)...)
 	planned = append(planned, scheduleFault(unprovedRefusals, s.Seed, unprovedNumbers, s.UnprovedRefusals, s.FaultWindow)...)
 	planned = append(planned, scheduleFault(silentStreams, s.Seed, silentNumbers, s.SilentStreams, s.FaultWindow)...)
+	planned = append(planned, scheduleFault(heldBytes, s.Seed, heldNumbers, s.HeldBytes, s.FaultWindow)...)
 	for _, planned := range planned {
 		report.Faults = append(report.Faults, fmt.Sprintf("%s at %s for %s", planned.fault.name, planned.start.Round(time.Millisecond), planned.duration.Round(time.Millisecond)))
 		injections.Go(func() {
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -31,6 +31,8 @@
 		{Seed: 50002, Hosts: 3, Callers: 16, Faults: 2, FaultWindow: 6 * time.Second, UnprovedRefusals: 8},
 		// Two endpoints worked on one stream for 0.9 s, on f885380 and before.
 		{Seed: 90003, Hosts: 3, Callers: 24, Faults: 2, FaultWindow: 6 * time.Second, SilentStreams: 8},
+		// What hosts have given up arrives late.
+		{Seed: 91003, Hosts: 3, Callers: 16, Faults: 4, FaultWindow: 6 * time.Second, HeldBytes: 6},
 		// These seeds failed with none of 4 requests served after the recovery, and with a host not ready after 12 s. The
 		// logs of all five hosts stop over the same periods of 3 to 9 s: all processes stalled, which the soak did not detect yet.
 		{Seed: 1000},
--- a/internal/standin/proxy/faults.go
+++ b/internal/standin/proxy/faults.go
@@ -97,3 +97,32 @@
 	}
 	return p.listen(p.boundAddress)
 }
+
+// Hold holds up all data, in both directions, until Release; what has been sent arrives then, even if its sender has left meanwhile.
+func (p *Proxy) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = make(chan struct{})
+	}
+}
+
+// Release delivers the data that Hold has held up.
+func (p *Proxy) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held != nil {
+		close(p.held)
+		p.held = nil
+	}
+}
+
+// waitRelease waits while data is held up.
+func (p *Proxy) waitRelease() {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -31,8 +31,10 @@
 	loseAnswers  int
 	lostAnswers  int
 	stray        Stray
-	accepted     int
-	tasks        conc.WaitGroup
+	// held is closed when data that is held up may go on; nil if none is.
+	held     chan struct{}
+	accepted int
+	tasks    conc.WaitGroup
 }
 
 // Start listens on the address; port 0 selects a free port.
@@ -138,6 +140,7 @@
 		if !p.waitDelay(l) {
 			return
 		}
+		p.waitRelease()
 		if l.silent.Load() {
 			<-l.done
 			return
@@ -186,6 +189,7 @@
 // Close closes the listener and all connections and waits for the proxy's tasks.
 func (p *Proxy) Close() error {
 	p.Refuse()
+	p.Release()
 	p.tasks.Wait()
 	return nil
 }
--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -200,3 +200,24 @@
 		c.Assert(conn.Close(), qt.IsNil)
 	}
 }
+
+// What was sent before its sender left arrives once it is no longer held up.
+func TestHeldBytesArriveAfterTheirSenderHasLeft(t *testing.T) {
+	c := qt.New(t)
+	p, received := start(c)
+	conn := dial(c, p)
+	c.Assert(exchange(conn, 1), qt.IsNil)
+	c.Assert(<-received, qt.Equals, byte(1))
+	p.Hold()
+	_, err := conn.Write([]byte{2})
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	select {
+	case b := <-received:
+		c.Fatalf("byte %d arrived while it was held up", b)
+	default:
+	}
+	p.Release()
+	c.Assert(<-received, qt.Equals, byte(2))
+	c.Assert(conn.Close(), qt.IsNil)
+}
