Limit the hosts that are known by their own digests alone

A host that told ever new ids of itself, as a faulty one may, filled the memory of all others for 20 s of ids. The same class as the log's buffers: a map without a limit, whose keys another party chooses.

The zone of an address that a host has left is forgotten with it.

Evidence: TestIDsThatAFaultyHostMakesUpFillTheMemory, 12,289 members without the limit.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -33,6 +33,8 @@
 	// rememberFor is how long a removed host that didn't say that it left still counts as one that may be running, beyond the
 	// reach of this one.
 	rememberFor = 10 * time.Minute
+	// maxMembers limits the hosts that are known by their own digests, many times the hosts of a large site.
+	maxMembers = 4096
 	// retryInterval is the minimum time between two digests to a silent host.
 	retryInterval = time.Second
 )
@@ -126,6 +128,9 @@
 		// Brief digests lack the addresses; the next full digest has them.
 		return false, false
 	}
+	if !ok && len(a.members) >= maxMembers {
+		return false, false
+	}
 	if !ok {
 		m = &Member{addedAt: now}
 		a.members[d.ID] = m
@@ -141,6 +146,9 @@
 	if d.Start != m.Start {
 		m.lastChange = 0
 	}
+	if d.PeerAddress != m.PeerAddress {
+		delete(a.zones, m.PeerAddress)
+	}
 	m.Digest, m.LastHeard = d, now
 	a.zones[d.PeerAddress] = d.Zone
 	return true, appeared
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -291,3 +291,21 @@
 	c.Assert(a.PossibleCount(now), qt.Equals, 3)
 	c.Assert(a.PossibleCount(cutFor(11*time.Minute)), qt.Equals, 1)
 }
+
+// A faulty host that told ever new ids of itself filled the memory of the others.
+func TestIDsThatAFaultyHostMakesUpFillTheMemory(t *testing.T) {
+	c := qt.New(t)
+	a := Announcer{Self: Host{ID: "self", PeerAddress: "10.0.0.1:1"}}
+	now := time.Unix(1000, 0)
+	known := Digest{Host: Host{ID: "known", PeerAddress: "10.0.0.2:1"}, Sequence: 1}
+	fresh, _ := a.Receive(now, known)
+	c.Assert(fresh, qt.IsTrue)
+	for n := range 3 * maxMembers {
+		a.Receive(now, Digest{Host: Host{ID: dotterelpulley.HostID(fmt.Sprint(n)), PeerAddress: dotterelpulley.Address(fmt.Sprintf("10.0.0.3:%d", n))}, Sequence: 1})
+	}
+	c.Assert(len(a.members) <= maxMembers, qt.IsTrue, qt.Commentf("%d members", len(a.members)))
+	c.Assert(len(a.zones) <= maxMembers, qt.IsTrue, qt.Commentf("%d zones", len(a.zones)))
+	known.Sequence++
+	fresh, _ = a.Receive(now, known)
+	c.Assert(fresh, qt.IsTrue)
+}
