--- a/rationer/unreported.go
+++ b/rationer/unreported.go
@@ -115,6 +115,7 @@
 	}
 	ratio := others / a.own.sum
 	if heard > 0 {
+		// A little that was heard tells no ratio beyond an equal share.
 		ratio = max(ratio, min(others/heard, count))
 	}
 	ratio /= count
