--- a/rationer/account.go
+++ b/rationer/account.go
@@ -37,8 +37,7 @@
 }
 
 // total returns the usage in the window, with what peers have used since their last reports.
-func (a *account) total(now time.Time, k *knowledge) Amount {
-	unreported := k.usage(now, a)
+func (a *account) total(now time.Time, unreported *estimate) Amount {
 	return a.used(now) + unreported.sum()
 }
 
@@ -76,19 +75,20 @@
 
 // fits reports whether the amount is within the cap and leaves the reserve. One above the limit fits if nothing is used.
 func (a *account) fits(now time.Time, k *knowledge, amount, reserve Amount) bool {
-	used := a.total(now, k)
+	unreported := k.usage(now, a)
+	used := a.total(now, unreported)
 	tolerance := roundingError * a.limit()
-	return used+amount+reserve <= a.allowed(k.reach)+tolerance && a.excess(now, k, amount+reserve) <= tolerance || used <= 0
+	return used+amount+reserve <= a.allowed(k.reach)+tolerance && a.excess(now, k, unreported, amount+reserve) <= tolerance || used <= 0
 }
 
 // excess returns by how much the usage in any latest part of the window would exceed the burst and the rate. Without this bound,
 // hosts that all restart after a surge would grant again what the surge has used just before, and all hosts of a large fleet
 // would use what they see left of the window at the same moment.
-func (a *account) excess(now time.Time, k *knowledge, amount Amount) Amount {
+func (a *account) excess(now time.Time, k *knowledge, unreported *estimate, amount Amount) Amount {
 	if k.wholeWindow {
 		return 0
 	}
-	sum, unreported := amount, k.usage(now, a)
+	sum := amount
 	highest := -a.limit()
 	for n := range slotCount - 1 {
 		sum += a.counted(a.newest-n) + unreported[n]
@@ -103,8 +103,9 @@
 	if a.Rate <= 0 {
 		return a.span
 	}
-	used := a.total(now, k)
-	untilRateHas := time.Duration(float64(a.excess(now, k, amount)/a.Rate) * float64(time.Second))
+	unreported := k.usage(now, a)
+	used := a.total(now, unreported)
+	untilRateHas := time.Duration(float64(a.excess(now, k, unreported, amount)/a.Rate) * float64(time.Second))
 	return min(max(a.untilWindowHas(k, used, amount), untilRateHas), a.span)
 }
 
--- a/rationer/cap_status.go
+++ b/rationer/cap_status.go
@@ -21,7 +21,7 @@
 	k := r.knowledge(now)
 	for id, a := range r.accounts {
 		if a.capped {
-			statuses = append(statuses, CapStatus{Organisation: id, Used: a.total(now, k), Allowed: a.allowed(k.reach)})
+			statuses = append(statuses, CapStatus{Organisation: id, Used: a.total(now, k.usage(now, a)), Allowed: a.allowed(k.reach)})
 		}
 	}
 	slices.SortFunc(statuses, func(a, b CapStatus) int {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -139,7 +139,7 @@
 		reserve = a.asked.reserve(now, rank, amount, a.recentRate(now, k))
 	}
 	if !a.fits(now, k, amount, reserve) {
-		return Refusal{RetryAfter: a.retryAfter(now, k, amount+reserve), Used: a.total(now, k), Allowed: a.allowed(k.reach)}, false
+		return Refusal{RetryAfter: a.retryAfter(now, k, amount+reserve), Used: a.total(now, k.usage(now, a)), Allowed: a.allowed(k.reach)}, false
 	}
 	a.add(now, now, amount)
 	a.own.add(now, now, amount)
@@ -167,7 +167,7 @@
 		return 0, false
 	}
 	k := r.knowledge(now)
-	return a.allowed(k.reach) - a.total(now, k), true
+	return a.allowed(k.reach) - a.total(now, k.usage(now, a)), true
 }
 
 // LocalUsage returns this host's report to its peers: what each organisation has used on it under a cap since its start.
--- a/rationer/unreported.go
+++ b/rationer/unreported.go
@@ -71,7 +71,7 @@
 }
 
 // usage returns the organisation's estimated usage on the peers.
-func (u *unreported) usage(now time.Time, a *account) estimate {
+func (u *unreported) usage(now time.Time, a *account) *estimate {
 	byRate, besideOwn := u.byRate(now, a), a.besideOwn(now, u)
 	// All hosts may have found room at the same moment since a time; before that, the rate tells more.
 	latest, more, most := 0, Amount(0), Amount(0)
@@ -81,7 +81,7 @@
 		}
 	}
 	copy(byRate[:latest], besideOwn[:latest])
-	return byRate
+	return &byRate
 }
 
 // byRate returns what peers have used since their last reports if that is as much as those that have reported lately.
