Log on which connection an endpoint answered, and what it had carried

The lines of a request didn't tell on which connection an answer had come, whether that connection had carried the request's id before, or how many answers had been skipped, so that a refusal of this send couldn't be told from one of an earlier send. try-ended and answered now say so; ids-carried-again and stray-answers count both.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -31,8 +31,10 @@
 	address dotterelpulley.Address
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// requests counts those sent on the connection.
-	requests int
+	// number tells the connection from the others of its connector.
+	number ConnectionNumber
+	// carried are the requests that were sent on the connection.
+	carried carriedIDs
 	// usableUntil is when the idle connection expires.
 	usableUntil time.Time
 	// heard, if set, is called when bytes have arrived.
@@ -41,9 +43,10 @@
 	onReadTimeout func() bool
 }
 
-func newConnection(address dotterelpulley.Address, conn net.Conn) *connection {
+func newConnection(number ConnectionNumber, address dotterelpulley.Address, conn net.Conn) *connection {
 	c := &connection{
 		headLimiter: headLimiter{Conn: conn},
+		number:      number,
 		address:     address,
 		writer:      bufio.NewWriterSize(conn, writeBuffer),
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -28,6 +28,7 @@
 	MaybeSent bool
 	// ConnectionRefused reports whether nothing listens at the address.
 	ConnectionRefused bool
+	Carrier           Carrier
 	Cause             error
 }
 
@@ -54,6 +55,8 @@
 	maxIdleConnections atomic.Int64
 
 	activity activity
+	// opened counts the connections that were made.
+	opened atomic.Uint64
 
 	mutex  sync.Mutex
 	idle   map[dotterelpulley.Address][]*connection
@@ -130,7 +133,7 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	c := newConnection(address, conn)
+	c := newConnection(ConnectionNumber(p.opened.Add(1)), address, conn)
 	c.heard = p.activity.heard
 	return c, nil
 }
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -30,6 +30,8 @@
 	// Target is the unchanged path and query.
 	Target string
 	Host   string
+	// ID names the request in its responses.
+	ID     string
 	Header http.Header
 	Body   []byte
 	// Chunked reports whether the caller sent a chunked body, for which a length is sent even if it is empty.
@@ -48,9 +50,24 @@
 	Reused bool
 }
 
+// ConnectionNumber tells the connections of one connector apart; the first is 1.
+type ConnectionNumber uint64
+
+// Carrier is what a connection has carried beside an exchange; the zero value is no connection.
+type Carrier struct {
+	Connection ConnectionNumber
+	// Earlier counts the requests before the exchange's own.
+	Earlier int
+	// SameID reports whether one of them had the same id.
+	SameID bool
+	// Strays counts the responses to other requests that were skipped.
+	Strays int
+}
+
 // Exchange is a response whose body has yet to be read; Release or Abort must be called.
 type Exchange struct {
 	*http.Response
+	Carrier
 	// Reused means that the connection has carried earlier requests.
 	Reused bool
 
@@ -76,14 +93,14 @@
 	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
 		x.closeConnection()
-		return nil, &ExchangeError{MaybeSent: true, Cause: fmt.Errorf("send to %s: %w", address, err)}
+		return nil, &ExchangeError{MaybeSent: true, Carrier: x.Carrier, Cause: fmt.Errorf("send to %s: %w", address, err)}
 	}
 	if r.OnSent != nil {
 		r.OnSent()
 	}
 	if err := x.receive(r); err != nil {
 		x.closeConnection()
-		return nil, &ExchangeError{MaybeSent: true, Cause: fmt.Errorf("receive from %s: %w", address, err)}
+		return nil, &ExchangeError{MaybeSent: true, Carrier: x.Carrier, Cause: fmt.Errorf("receive from %s: %w", address, err)}
 	}
 	return x, nil
 }
@@ -96,8 +113,9 @@
 
 // send writes the headers with a small body; a large body is sent concurrently with the response.
 func (x *Exchange) send(r Request) error {
-	x.conn.requests++
-	x.Reused = x.conn.requests > 1
+	x.Carrier = Carrier{Connection: x.conn.number, Earlier: len(x.conn.carried), SameID: x.conn.carried.has(r.ID)}
+	x.conn.carried.add(r.ID)
+	x.Reused = x.Earlier > 0
 	w := x.conn.writer
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
@@ -145,6 +163,7 @@
 			x.Response = response
 			return nil
 		}
+		x.Strays++
 		if err := x.skipStray(response); err != nil {
 			return err
 		}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -287,7 +287,7 @@
 func (p *proxiedRequest) logAnswered(a attempt, status int, longestPause time.Duration, firstEventAt time.Time) {
 	p.gateway.metrics.Inc("answered")
 	p.gateway.metrics.recordLatency("answer-"+string(p.route.ID), time.Since(p.arrived))
-	e := p.gateway.requestEvent(log.InfoLevel, "answered", p.request).Int("status", status).Str("endpoint", string(a.Endpoint.ID)).
+	e := logCarrier(p.gateway.requestEvent(log.InfoLevel, "answered", p.request), a.carrier).Int("status", status).Str("endpoint", string(a.Endpoint.ID)).
 		Int("try", p.attempts).Int("load", a.Load).Dur("load-age", a.LoadAge).Dur("queued", a.startedAt.Sub(p.arrived)).
 		Int("priority", int(p.priority)).Int("rank", int(p.route.Priority))
 	if !firstEventAt.IsZero() {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -90,6 +90,7 @@
 	p.useRepeat()
 	p.sends.begin()
 	exchange, err := p.dispatchThrough(ctx, helper)
+	p.noteCarrier(&a, carrierOf(exchange, err))
 	if err != nil {
 		p.excludeHelper(helper.ID)
 		return p.handleExchangeError(ctx, a, err)
@@ -121,7 +122,7 @@
 	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
 	header.Set(headerArrivals, p.arrivals.encode())
 	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
-		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
+		Method: p.method, Target: p.target, Host: p.host, ID: p.AttemptID, Header: header, Body: p.body,
 	})
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -54,6 +54,8 @@
 	startedAt time.Time
 	// helper is the host that the request goes through; empty if it goes to an endpoint.
 	helper dotterelpulley.HostID
+	// carrier is the connection that it was made on.
+	carrier connector.Carrier
 }
 
 // outcome says how the request continues after an attempt.
@@ -233,7 +235,7 @@
 	p.gateway.countZoneBytes("requests", a.Endpoint.Zone, len(p.body))
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
-		MatchesResponse: p.matchesResponse, OnSent: onSent,
+		ID: p.AttemptID, MatchesResponse: p.matchesResponse, OnSent: onSent,
 	})
 }
 
@@ -249,6 +251,7 @@
 
 // handleExchange relays the response of the attempt's endpoint, or decides how the request continues without one.
 func (p *proxiedRequest) handleExchange(ctx context.Context, a attempt, exchange *connector.Exchange, err error) outcome {
+	p.noteCarrier(&a, carrierOf(exchange, err))
 	if err != nil {
 		return p.handleExchangeError(ctx, a, err)
 	}
@@ -414,7 +417,7 @@
 		err = abbreviator.Error(err)
 		p.lastError = err
 		p.gateway.metrics.Inc("tries-" + resultNames[result])
-		p.gateway.requestEvent(log.WarnLevel, "try-ended", p.request).Str("endpoint", string(a.Endpoint.ID)).
+		logCarrier(p.gateway.requestEvent(log.WarnLevel, "try-ended", p.request), a.carrier).Str("endpoint", string(a.Endpoint.ID)).
 			Str("result", resultNames[result]).Int("load", a.Load).Dur("load-age", a.LoadAge).
 			Dur("took", now.Sub(a.startedAt)).Int("try", p.attempts).Int("events", p.events).Str("parts", partNames(p.suspects[promptParts])).Err(err).Msg("")
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -250,6 +250,7 @@
 	s := w.successor
 	w.successor = nil
 	defer s.cancel()
+	w.noteCarrier(&s.attempt, carrierOf(s.exchange, s.err))
 	if s.err != nil {
 		w.finishUnanswered(s)
 		return
