Send no request on a connection that has carried its id

Callers were told 503 of requests that ran, or a second endpoint ran them: an endpoint wrote the refusal of an earlier send once more while the same id was under way again on the same connection, and the copy names the request as the true answer does. It happened with callers who send an id twice, at the host or through another one, and without them where an endpoint is listed under two ids at one address.

Cause: a proof was bound to a name that may come again, not to the send that it is to disprove. A connection now remembers the ids that it has carried, as hashes, and a request goes on one that hasn't carried its id, so that an answer that names the request is that to this send. A copy, and the true answer that follows it, name a request that is not the one under way, and are skipped.

--- /dev/null
+++ b/connector/carried_test.go
@@ -0,0 +1,95 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+)
+
+// startNamingServer starts an endpoint that serves connections at once and answers with the id of each request.
+func startNamingServer(c *qt.C) dotterelpulley.Address {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.TB.(*testing.T).Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, completeResponse(r.Header.Get("Id"), "whole")); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return dotterelpulley.Address(l.Addr().String())
+}
+
+// carry sends a request with the id and returns its connection.
+func carry(c *qt.C, p *Connector, address dotterelpulley.Address, id string) Carrier {
+	r := newRequest(id)
+	r.Header.Set("Id", id)
+	x, err := p.Do(context.Background(), address, r)
+	c.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, x.Body)
+	c.Assert(err, qt.IsNil)
+	x.Release()
+	return x.Carrier
+}
+
+// An id that had come before proved nothing of the answers on a connection that had carried it.
+func TestAConnectionCarriesAnIDOnce(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	c.Assert(carry(c, &p, address, "a"), qt.Equals, Carrier{Connection: 1})
+	c.Assert(carry(c, &p, address, "b"), qt.Equals, Carrier{Connection: 1, Earlier: 1})
+	c.Assert(carry(c, &p, address, "a"), qt.Equals, Carrier{Connection: 2, PassedOver: true})
+	c.Assert(carry(c, &p, address, "b"), qt.Equals, Carrier{Connection: 2, Earlier: 1})
+	c.Assert(carry(c, &p, address, "a"), qt.Equals, Carrier{Connection: 3, PassedOver: true})
+	c.Assert(carry(c, &p, address, "c"), qt.Equals, Carrier{Connection: 3, Earlier: 1})
+}
+
+func TestARequestWithoutAnIDGetsANewConnection(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	c.Assert(p.Reaches(context.Background(), address), qt.IsTrue)
+	c.Assert(carry(c, &p, address, "a"), qt.Equals, Carrier{Connection: 1})
+	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 2})
+	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 3})
+}
+
+func TestAConnectionEndsOnceItCanRememberNoMoreIDs(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	for n := range maxCarried {
+		c.Assert(carry(c, &p, address, strconv.Itoa(n)), qt.Equals, Carrier{Connection: 1, Earlier: n})
+	}
+	c.Assert(carry(c, &p, address, "next"), qt.Equals, Carrier{Connection: 2})
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,25 +64,40 @@
 	closed bool
 }
 
-// takeIdle returns a usable idle connection to the address, nil if there is none.
-func (p *Connector) takeIdle(address dotterelpulley.Address) *connection {
+// takeIdle returns a usable idle connection to the address that hasn't carried the id, nil if there is none; passedOver reports
+// whether there was one that has.
+func (p *Connector) takeIdle(address dotterelpulley.Address, id string) (c *connection, passedOver bool) {
+	if id == "" {
+		// Any response that comes again could be taken for one to a request without an id.
+		return nil, false
+	}
 	for {
-		p.mutex.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mutex.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mutex.Unlock()
-		if c.usable(time.Now()) {
-			return c
+		var carried bool
+		c, carried = p.popIdle(address, id)
+		passedOver = passedOver || carried
+		if c == nil || c.usable(time.Now()) {
+			return c, passedOver
 		}
 		c.Close()
 	}
 }
 
+// popIdle removes the connection that became idle last of those that haven't carried the id.
+func (p *Connector) popIdle(address dotterelpulley.Address, id string) (c *connection, passedOver bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if !list[i].carried.has(id) {
+			c = list[i]
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c, passedOver
+		}
+		passedOver = true
+	}
+	return nil, passedOver
+}
+
 // putIdle keeps a connection for the next exchange.
 func (p *Connector) putIdle(c *connection, idleTimeout time.Duration) {
 	c.usableUntil = time.Now().Add(idleTimeout)
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -30,7 +30,8 @@
 	// Target is the unchanged path and query.
 	Target string
 	Host   string
-	// ID names the request in its responses.
+	// ID names the request in its responses. A connection carries it once, because an earlier response with it may come again;
+	// a request without an id gets a new connection.
 	ID     string
 	Header http.Header
 	Body   []byte
@@ -58,8 +59,8 @@
 	Connection ConnectionNumber
 	// Earlier counts the requests before the exchange's own.
 	Earlier int
-	// SameID reports whether one of them had the same id.
-	SameID bool
+	// PassedOver reports whether an idle connection wasn't used because it had carried a request of the same id.
+	PassedOver bool
 	// Strays counts the responses to other requests that were skipped.
 	Strays int
 }
@@ -82,14 +83,14 @@
 //
 // The exchange ends when the context is done, even while the body is read.
 func (p *Connector) Do(ctx context.Context, address dotterelpulley.Address, r Request) (*Exchange, error) {
-	c := p.takeIdle(address)
+	c, passedOver := p.takeIdle(address, r.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
 			return nil, err
 		}
 	}
-	x := &Exchange{connector: p, conn: c, stopWatching: context.AfterFunc(ctx, c.reset)}
+	x := &Exchange{connector: p, conn: c, Carrier: Carrier{Connection: c.number, Earlier: len(c.carried), PassedOver: passedOver}, stopWatching: context.AfterFunc(ctx, c.reset)}
 	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
 		x.closeConnection()
@@ -113,7 +114,6 @@
 
 // send writes the headers with a small body; a large body is sent concurrently with the response.
 func (x *Exchange) send(r Request) error {
-	x.Carrier = Carrier{Connection: x.conn.number, Earlier: len(x.conn.carried), SameID: x.conn.carried.has(r.ID)}
 	x.conn.carried.add(r.ID)
 	x.Reused = x.Earlier > 0
 	w := x.conn.writer
@@ -205,7 +205,7 @@
 
 // reusable reports whether the whole request was sent and nothing but its response was received.
 func (x *Exchange) reusable() bool {
-	if x.Close || x.conn.reader.Buffered() > 0 || x.bodyless() {
+	if x.Close || x.conn.reader.Buffered() > 0 || x.bodyless() || x.conn.carried.full() {
 		return false
 	}
 	if x.bodySent == nil {
--- a/gateway/carrier.go
+++ b/gateway/carrier.go
@@ -26,12 +26,12 @@
 	if c.Strays > 0 {
 		p.gateway.metrics.Add("stray-answers", c.Strays)
 	}
-	if c.SameID {
-		p.gateway.metrics.Inc("ids-carried-again")
+	if c.PassedOver {
+		p.gateway.metrics.Inc("connections-passed-over")
 	}
 }
 
 // logCarrier adds the connection of an attempt to a line of the log.
 func logCarrier(e *log.Entry, c connector.Carrier) *log.Entry {
-	return e.Uint64("connection", uint64(c.Connection)).Int("carried", c.Earlier).Bool("same-id", c.SameID).Int("strays", c.Strays)
+	return e.Uint64("connection", uint64(c.Connection)).Int("carried", c.Earlier).Bool("passed-over", c.PassedOver).Int("strays", c.Strays)
 }
