Believe no refusal that an earlier build passes on

A host that has lost its links forwards requests, and takes another host's proof that nothing ran. The proofs of this build have names of their own, send-refused-STATUS, which earlier builds accept as they do any name; endpoint-refused-STATUS proves nothing any more, nor does a kind alone, as of builds before, once the request has arrived at an endpoint.

Cost: while builds are mixed, a forwarded request that an endpoint refuses at an earlier build ends as outcome-unknown. By reading; TestTheProofOfAnEarlierBuildRestsOnACopy holds both directions of the names.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -132,7 +132,7 @@
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.drainBody(exchange)
 	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
-	proof := hostProof(kind, exchange.Header)
+	proof := hostProof(kind, exchange.Header, arrived)
 	if proof == nil {
 		return p.handleFailedRun(ctx, a, cause)
 	}
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -276,17 +276,17 @@
 	answerOf := func(proof string) http.Header { return http.Header{headerProof: {proof}} }
 	earlierBuild := http.Header{}
 	for _, kind := range dotterelpulley.ErrorKinds() {
-		c.Check(hostProof(kind, answerOf(noProof)), qt.IsNil, qt.Commentf("%s", kind))
-		c.Check(hostProof(kind, answerOf("never-sent")), qt.Equals, proof(refusedByHost{theirs: "never-sent"}), qt.Commentf("%s", kind))
+		c.Check(hostProof(kind, answerOf(noProof), false), qt.IsNil, qt.Commentf("%s", kind))
+		c.Check(hostProof(kind, answerOf("never-sent"), false), qt.Equals, proof(refusedByHost{theirs: "never-sent"}), qt.Commentf("%s", kind))
 	}
 	for _, kind := range []dotterelpulley.ErrorKind{
 		dotterelpulley.ErrorDeadlinePassed, dotterelpulley.ErrorOutcomeUnknown, dotterelpulley.ErrorCut, dotterelpulley.ErrorRunFailed,
 		dotterelpulley.ErrorCancelled, dotterelpulley.ParseErrorKind("unknown"),
 	} {
-		c.Check(hostProof(kind, earlierBuild), qt.IsNil, qt.Commentf("%s", kind))
+		c.Check(hostProof(kind, earlierBuild, false), qt.IsNil, qt.Commentf("%s", kind))
 	}
 	for _, kind := range []dotterelpulley.ErrorKind{dotterelpulley.ErrorIsolated, dotterelpulley.ErrorUnknownService, dotterelpulley.ErrorDraining, dotterelpulley.ErrorNoEndpoint} {
-		c.Check(hostProof(kind, earlierBuild), qt.IsNotNil, qt.Commentf("%s", kind))
+		c.Check(hostProof(kind, earlierBuild, false), qt.IsNotNil, qt.Commentf("%s", kind))
 	}
 
 	s, e := forwardingSite(t, "plain", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
--- a/gateway/proof.go
+++ b/gateway/proof.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/connector"
@@ -14,6 +15,8 @@
 	headerProof = "Dotterel-Proof"
 	// noProof is the value of headerProof if nothing does.
 	noProof = "none"
+	// unboundProof begins the proofs of earlier builds from an endpoint's refusal, which may be that of an earlier send with the same id.
+	unboundProof = "endpoint-refused-"
 )
 
 // proof is what proves that one send of a request has not run and never will.
@@ -51,9 +54,9 @@
 		return "not-connected"
 	case refusedByEndpoint:
 		if !p.named {
-			return fmt.Sprintf("endpoint-refused-%d-unnamed", p.status)
+			return fmt.Sprintf("send-refused-%d-unnamed", p.status)
 		}
-		return fmt.Sprintf("endpoint-refused-%d", p.status)
+		return fmt.Sprintf("send-refused-%d", p.status)
 	case refusedByHost:
 		return "host:" + p.theirs
 	}
@@ -104,19 +107,18 @@
 	return nil
 }
 
-// hostProof returns what another host's own answer proves; nil if the request may have run.
-func hostProof(kind dotterelpulley.ErrorKind, h http.Header) proof {
-	switch told := h.Get(headerProof); told {
-	case noProof:
+// hostProof returns what another host's own answer proves; nil if the request may have run. arrived means that the host has sent it to
+// an endpoint.
+func hostProof(kind dotterelpulley.ErrorKind, h http.Header, arrived bool) proof {
+	switch told := h.Get(headerProof); {
+	case told == noProof, strings.HasPrefix(told, unboundProof):
 		return nil
-	case "":
-		if refusesUnrun(kind) {
-			return refusedByHost{theirs: kind.String()}
-		}
-		return nil
-	default:
+	case told != "":
 		return refusedByHost{theirs: told}
+	case refusesUnrun(kind) && !arrived:
+		return refusedByHost{theirs: kind.String()}
 	}
+	return nil
 }
 
 // refusesUnrun reports whether builds before headerProof answer with the kind only of requests that haven't run. A deadline may also
--- a/gateway/refusal_copy_test.go
+++ b/gateway/refusal_copy_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sourcegraph/conc"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
@@ -199,3 +200,19 @@
 		s.Check(e.runsOf(id), qt.Equals, 1, qt.Commentf(id))
 	}
 }
+
+// A host took the promise of an earlier build for proven, which may have believed the copy of a refusal.
+func TestTheProofOfAnEarlierBuildRestsOnACopy(t *testing.T) {
+	c := qt.New(t)
+	kind := dotterelpulley.ErrorNoEndpoint
+	told := func(proof string) http.Header { return http.Header{headerProof: {proof}} }
+	for _, refusal := range []refusedByEndpoint{{status: http.StatusServiceUnavailable, named: true}, {status: http.StatusTooManyRequests}} {
+		own := proofName(refusal)
+		earlier := strings.Replace(own, "send-", "endpoint-", 1)
+		c.Check(hostProof(kind, told(own), true), qt.Equals, proof(refusedByHost{theirs: own}))
+		c.Check(hostProof(kind, told(earlier), true), qt.IsNil, qt.Commentf(earlier))
+	}
+	// Builds before the header tell a kind alone.
+	c.Check(hostProof(kind, http.Header{}, true), qt.IsNil)
+	c.Check(hostProof(kind, http.Header{}, false), qt.IsNotNil)
+}
