Believe no unnamed answer on a connection that a probe opened

An answer that names no request is taken for the refusal of the first request of a connection. Connections that a probe of links or of a crash had opened waited idle before that, so that what they deliver may be older than the request. They count as kept now; a request without an id never gets one.

TestAConnectionThatAProbeOpenedIsNotNew failed before.

--- a/connector/carried_test.go
+++ b/connector/carried_test.go
@@ -93,3 +93,24 @@
 	}
 	c.Assert(carry(c, &p, address, "next"), qt.Equals, Carrier{Connection: 2})
 }
+
+// A response without an id was believed on a connection that a probe had opened long before the request.
+func TestAConnectionThatAProbeOpenedIsNotNew(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	c.Assert(p.Reaches(context.Background(), address), qt.IsTrue)
+	var heads []ResponseHead
+	for _, id := range []string{"a", ""} {
+		r := newRequest(id)
+		r.MatchesResponse = func(h ResponseHead) bool {
+			heads = append(heads, h)
+			return true
+		}
+		_, err := exchange(&p, address, r)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(heads[0].Reused, qt.IsTrue)
+	c.Assert(heads[1].Reused, qt.IsFalse)
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -47,7 +47,7 @@
 type ResponseHead struct {
 	StatusCode int
 	Header     http.Header
-	// Reused means that the connection has carried earlier requests, whose responses may come again.
+	// Reused means that the connection was kept before the request, so that what it delivers may be older.
 	Reused bool
 }
 
@@ -69,7 +69,7 @@
 type Exchange struct {
 	*http.Response
 	Carrier
-	// Reused means that the connection has carried earlier requests.
+	// Reused means that the connection was kept before the request.
 	Reused bool
 
 	connector    *Connector
@@ -84,13 +84,14 @@
 // The exchange ends when the context is done, even while the body is read.
 func (p *Connector) Do(ctx context.Context, address dotterelpulley.Address, r Request) (*Exchange, error) {
 	c, passedOver := p.takeIdle(address, r.ID)
+	reused := c != nil
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
 			return nil, err
 		}
 	}
-	x := &Exchange{connector: p, conn: c, Carrier: Carrier{Connection: c.number, Earlier: len(c.carried), PassedOver: passedOver}, stopWatching: context.AfterFunc(ctx, c.reset)}
+	x := &Exchange{connector: p, conn: c, Reused: reused, Carrier: Carrier{Connection: c.number, Earlier: len(c.carried), PassedOver: passedOver}, stopWatching: context.AfterFunc(ctx, c.reset)}
 	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
 		x.closeConnection()
@@ -115,7 +116,6 @@
 // send writes the headers with a small body; a large body is sent concurrently with the response.
 func (x *Exchange) send(r Request) error {
 	x.conn.carried.add(r.ID)
-	x.Reused = x.Earlier > 0
 	w := x.conn.writer
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
--- a/gateway/proof.go
+++ b/gateway/proof.go
@@ -96,8 +96,8 @@
 }
 
 // endpointProof returns what the endpoint's answer proves; nil if the request may have run. An answer that names the request is that
-// to this send of it, since its connection has carried no other one. One that doesn't can only be its own on a connection that has
-// carried nothing before it, and must say that nothing ran.
+// to this send of it, since its connection has carried no other one. One that doesn't can only be its own on a new
+// connection, and must say that nothing ran.
 func (p *proxiedRequest) endpointProof(exchange *connector.Exchange, metadata platform.ResponseMetadata) proof {
 	named := p.AttemptID != "" && metadata.AttemptID == p.AttemptID
 	switch {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -240,11 +240,11 @@
 }
 
 // matchesResponse reports whether an endpoint's response belongs to the request. One without an id may be a refusal of an earlier
-// request that came once more, unless its connection has carried none, or the request has no id to name.
+// request that came once more, unless its connection is new.
 func (p *proxiedRequest) matchesResponse(head connector.ResponseHead) bool {
 	id := platform.DecodeResponseMetadata(head.StatusCode, head.Header).AttemptID
 	if id == "" {
-		return head.StatusCode >= http.StatusMultipleChoices && (!head.Reused || p.AttemptID == "")
+		return head.StatusCode >= http.StatusMultipleChoices && !head.Reused
 	}
 	return id == p.AttemptID
 }
