--- a/gateway/faulty_endpoint_test.go
+++ b/gateway/faulty_endpoint_test.go
@@ -96,20 +96,24 @@
 	_ = conn.Close()
 }
 
-// serve answers the requests of a connection; again is written before the next answer, by a faulty endpoint.
+// refusals are the refusals that a connection has carried, by the id of the request.
+type refusals map[string]string
+
+// serve answers the requests of a connection; again is written before the next answer, by a faulty endpoint, and the refusal of a
+// request before that to a further one with its id.
 func (e *faultyEndpoint) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	again := ""
+	again, refused := "", refusals{}
 	for goesOn := true; goesOn; {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, again); err != nil {
+		if _, err := io.WriteString(conn, again+refused[r.Header.Get("Dotterelpulley-Attempt-Id")]); err != nil {
 			return
 		}
-		again, goesOn = e.answer(conn, r)
+		again, goesOn = e.answer(conn, r, refused)
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -128,7 +132,7 @@
 var refusalStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
 // answer answers one request. It returns what comes once more before the next answer, and whether the connection goes on.
-func (e *faultyEndpoint) answer(conn net.Conn, r *http.Request) (again string, goesOn bool) {
+func (e *faultyEndpoint) answer(conn net.Conn, r *http.Request, refused refusals) (again string, goesOn bool) {
 	named := "Dotterelpulley-Attempt-Id: " + r.Header.Get("Dotterelpulley-Attempt-Id") + "\r\n"
 	status := refusalStatuses[e.draw(len(refusalStatuses))]
 	refusal := func(name string) string {
@@ -147,6 +151,9 @@
 		return err == nil
 	}
 	kind := e.draw(20)
+	if kind < 4 {
+		refused[r.Header.Get("Dotterelpulley-Attempt-Id")] = refusal(named)
+	}
 	switch kind {
 	case 0, 1:
 		// The refusal may come before the body has been read.
--- a/gateway/promise_rig_test.go
+++ b/gateway/promise_rig_test.go
@@ -41,6 +41,8 @@
 // rigCaller books on a kept connection, and books again after an answer that promises that nothing ran.
 type rigCaller struct {
 	*site
+	// sameID means that a booking which is sent again has the same id.
+	sameID bool
 	ledger *runLedger
 	hosts  *rigHostList
 	random *rand.Rand
@@ -69,6 +71,9 @@
 	booking := fmt.Sprintf("%s%s-%d", route, c.name, number)
 	for try := range rigRetries + 1 {
 		attempt := fmt.Sprintf("%s-%d-%d", c.name, number, try)
+		if c.sameID {
+			attempt = fmt.Sprintf("%s-%d", c.name, number)
+		}
 		status := c.send(attempt, booking)
 		runs := c.ledger.runs(attempt)
 		c.Check(runs <= 1, qt.IsTrue, qt.Commentf("%s ran %d times, status %d", attempt, runs, status))
@@ -113,11 +118,18 @@
 // protocol allows and as it doesn't, stop and come back at their address, beside hosts that lose their links, end and start.
 func TestBookingsRanTwiceOrAfterAPromise(t *testing.T) {
 	for seed := *rigSeed; seed < *rigSeed+uint64(*rigSeeds); seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playRig(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playRig(t, seed, false) })
+	}
+}
+
+// Callers that booked again with the same id met copies of the refusals before, on hosts that send a refused booking nowhere else.
+func TestBookingsSentAgainWithOneIDRanTwiceOrAfterAPromise(t *testing.T) {
+	for seed := *rigSeed; seed < *rigSeed+uint64(*rigSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playRig(t, seed, true) })
 	}
 }
 
-func playRig(t *testing.T, seed uint64) {
+func playRig(t *testing.T, seed uint64, sameID bool) {
 	s := newSite(t)
 	configuration := bytes.ReplaceAll(fmt.Appendf(nil, siteConfiguration, 1, 1_000_000, 1_000_000), []byte(`"max_body_bytes":1000`), []byte(`"max_body_bytes":100000`))
 	s.store.Put(platform.OperatorsTopic, platform.ConfigurationKey, configuration)
@@ -127,6 +139,9 @@
 	for _, g := range hosts.hosts {
 		s.waitFor("the host knows all endpoints", func() bool { return len(registrations(g)) == 2*rigEndpoints })
 		s.waitForAllowance(g, 1000)
+		if sameID {
+			limitRetries(g, 0, 0)
+		}
 	}
 
 	ctx, stopChanges := context.WithCancel(t.Context())
@@ -135,7 +150,7 @@
 	var booked atomic.Int64
 	for i := range rigCallers {
 		c := &rigCaller{
-			site: s, ledger: ledger, hosts: hosts, name: fmt.Sprintf("s%d-c%d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(100+i))),
+			site: s, sameID: sameID, ledger: ledger, hosts: hosts, name: fmt.Sprintf("s%d-c%d", seed, i), random: rand.New(rand.NewPCG(seed, uint64(100+i))),
 			client: http.Client{Transport: &http.Transport{DisableCompression: true}},
 		}
 		callers.Go(func() {
