Read the claims of received ranges at once, also just after the roster

One time of the last read paced the reads of both streams. A host that had asked for the roster within 200 ms, as one that joins, did not ask for the claims of ranges that it received, and held their keys for that long.

--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -38,10 +38,8 @@
 	confirmAt time.Time
 
 	lastRead time.Time
-}
-
-func (w *rosterWriter) nextRead() time.Time {
-	return w.lastRead.Add(rereadInterval)
+	// lastClaimsRead is apart from lastRead, so that reads of the two streams don't delay each other.
+	lastClaimsRead time.Time
 }
 
 const rereadInterval = 200 * time.Millisecond
@@ -241,19 +239,14 @@
 
 // advanceReads repeats the reads whose results are still needed.
 func (c *Claimer) advanceReads() {
-	if c.now.Before(c.writer.nextRead()) {
-		return
-	}
 	rosterNeeded := !c.roster.started || !c.pausedAt.IsZero() || c.writer.id != ""
-	claimsNeeded := len(c.acquired) > 0 || c.group.awaitsRead()
-	if !rosterNeeded && !claimsNeeded {
-		return
-	}
-	c.writer.lastRead = c.now
-	if rosterNeeded {
+	if rosterNeeded && c.now.Sub(c.writer.lastRead) >= rereadInterval {
+		c.writer.lastRead = c.now
 		c.emit(ReadRoster{From: c.roster.NextOffset()})
 	}
-	if claimsNeeded {
+	claimsNeeded := len(c.acquired) > 0 || c.group.awaitsRead()
+	if claimsNeeded && c.now.Sub(c.writer.lastClaimsRead) >= rereadInterval {
+		c.writer.lastClaimsRead = c.now
 		c.emit(ReadClaims{From: c.NextClaimsOffset()})
 	}
 }
