Read the roster before a request goes back to a host that it has been at

After a drain the old holder may read its yield before the new one does. Until then the two forwarded a request to each other and refused it as holder-unreachable at the fourth hop, a few milliseconds later; the caller saw status 200, no chunks and outcome-unknown.

--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -38,6 +38,8 @@
 	confirmAt time.Time
 
 	lastRead time.Time
+	// readToEndAt is when the last read that reached the end of the roster was sent.
+	readToEndAt time.Time
 	// lastClaimsRead is apart from lastRead, so that reads of the two streams don't delay each other.
 	lastClaimsRead time.Time
 }
@@ -69,6 +71,7 @@
 	if c.roster.NextOffset() == 1 {
 		c.roster.started = true
 	}
+	c.writer.readToEndAt = later(c.writer.readToEndAt, e.SentAt)
 	if !c.pausedAt.IsZero() && !e.SentAt.Before(c.pausedAt) {
 		c.pausedAt = time.Time{}
 	}
@@ -237,12 +240,16 @@
 	c.emit(Expelled{})
 }
 
+func (c *Claimer) requestRosterRead() {
+	c.writer.lastRead = c.now
+	c.emit(ReadRoster{From: c.roster.NextOffset()})
+}
+
 // advanceReads repeats the reads whose results are still needed.
 func (c *Claimer) advanceReads() {
-	rosterNeeded := !c.roster.started || !c.pausedAt.IsZero() || c.writer.id != ""
+	rosterNeeded := !c.roster.started || !c.pausedAt.IsZero() || c.writer.id != "" || slices.ContainsFunc(c.held, c.mustReadRoster)
 	if rosterNeeded && c.now.Sub(c.writer.lastRead) >= rereadInterval {
-		c.writer.lastRead = c.now
-		c.emit(ReadRoster{From: c.roster.NextOffset()})
+		c.requestRosterRead()
 	}
 	claimsNeeded := len(c.acquired) > 0 || c.group.awaitsRead()
 	if claimsNeeded && c.now.Sub(c.writer.lastClaimsRead) >= rereadInterval {
--- a/claimer/node_test.go
+++ b/claimer/node_test.go
@@ -16,12 +16,14 @@
 	alive       bool
 	pausedUntil time.Time
 	logCutUntil time.Time
-	nextTick    time.Time
-	core        *claimer.Claimer
-	skew        time.Duration
-	drift       float64
-	ticket      claimer.Ticket
-	requests    map[claimer.Ticket]*requestCopy
+	// readLag delays what the node reads from the log.
+	readLag  time.Duration
+	nextTick time.Time
+	core     *claimer.Claimer
+	skew     time.Duration
+	drift    float64
+	ticket   claimer.Ticket
+	requests map[claimer.Ticket]*requestCopy
 }
 
 // requestCopy is one copy of a request at a node.
@@ -189,7 +191,7 @@
 			records = n.w.log.roster[first-1:]
 		}
 		read := claimer.RosterRead{SentAt: sentAt, Records: append([]claimer.StoredRosterRecord(nil), records...), AtEnd: true}
-		n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
+		n.w.after(n.readLag+n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
 	})
 }
 
@@ -210,7 +212,7 @@
 			records = nil
 		}
 		read := claimer.ClaimsRead{SentAt: sentAt, Records: append([]claimer.StoredClaimsRecord(nil), records...), AtEnd: true}
-		n.w.after(n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
+		n.w.after(n.readLag+n.w.between(time.Millisecond, 5*time.Millisecond), func() { n.step(core, read) })
 	})
 }
 
--- a/claimer/run.go
+++ b/claimer/run.go
@@ -44,7 +44,11 @@
 	if len(request.Visited) == 0 {
 		request.Arrived = c.pause.arrival(request.Arrived, c.now)
 	}
-	c.held = append(c.held, heldRequest{Submit: request, since: c.now})
+	h := heldRequest{Submit: request, since: c.now}
+	if c.mustReadRoster(h) {
+		c.requestRosterRead()
+	}
+	c.held = append(c.held, h)
 }
 
 func (c *Claimer) advanceHeld() {
@@ -75,6 +79,9 @@
 		c.emit(Refuse{Ticket: h.Ticket, Kind: dotterelpulley.ErrorKeyExpired})
 		return true
 	}
+	if c.mustReadRoster(h) {
+		return c.refuseOverdue(h)
+	}
 	holder := c.roster.Ranges[hash.Range()].Holder
 	if holder != c.Self.Incarnation && c.forward(h, holder) {
 		return true
@@ -101,6 +108,22 @@
 	return true
 }
 
+// mustReadRoster reports whether the request has already been at its holder, which may know of a newer one, and this host
+// has not read the roster to its end since the request came. Otherwise the two would forward it to each other.
+func (c *Claimer) mustReadRoster(h heldRequest) bool {
+	if !c.writer.readToEndAt.Before(h.since) {
+		return false
+	}
+	s := c.roster.Ranges[HashKey(h.Key).Range()]
+	holder, ok := c.roster.MemberOf(s.Holder)
+	if !ok || s.Holder == c.Self.Incarnation || !slices.Contains(h.Visited, holder.Host) {
+		return false
+	}
+	// A new holder asks the previous one whether it has refused the request.
+	asked := s.Previous == c.Self.Incarnation && !slices.Contains(h.Visited, c.Self.Host)
+	return !asked
+}
+
 // mayHaveBeenRefused reports whether an earlier holder may have answered "not run" to the caller without this host knowing.
 func (c *Claimer) mayHaveBeenRefused(h heldRequest, s RangeState) bool {
 	if c.now.Sub(h.Arrived) > c.Settings.KeyLifetime {
