--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -38,10 +38,10 @@
 	confirmAt time.Time
 
 	lastRead time.Time
-}
-
-func (w *rosterWriter) nextRead() time.Time {
-	return w.lastRead.Add(rereadInterval)
+	// readToEndAt is when the last read that reached the end of the roster was sent.
+	readToEndAt time.Time
+	// lastClaimsRead is apart from lastRead, so that reads of the two streams don't delay each other.
+	lastClaimsRead time.Time
 }
 
 const rereadInterval = 200 * time.Millisecond
@@ -71,6 +71,7 @@
 	if c.roster.NextOffset() == 1 {
 		c.roster.started = true
 	}
+	c.writer.readToEndAt = later(c.writer.readToEndAt, e.SentAt)
 	if !c.pausedAt.IsZero() && !e.SentAt.Before(c.pausedAt) {
 		c.pausedAt = time.Time{}
 	}
@@ -239,21 +240,20 @@
 	c.emit(Expelled{})
 }
 
+func (c *Claimer) requestRosterRead() {
+	c.writer.lastRead = c.now
+	c.emit(ReadRoster{From: c.roster.NextOffset()})
+}
+
 // advanceReads repeats the reads whose results are still needed.
 func (c *Claimer) advanceReads() {
-	if c.now.Before(c.writer.nextRead()) {
-		return
+	rosterNeeded := !c.roster.started || !c.pausedAt.IsZero() || c.writer.id != "" || slices.ContainsFunc(c.held, c.mustReadRoster)
+	if rosterNeeded && c.now.Sub(c.writer.lastRead) >= rereadInterval {
+		c.requestRosterRead()
 	}
-	rosterNeeded := !c.roster.started || !c.pausedAt.IsZero() || c.writer.id != ""
 	claimsNeeded := len(c.acquired) > 0 || c.group.awaitsRead()
-	if !rosterNeeded && !claimsNeeded {
-		return
-	}
-	c.writer.lastRead = c.now
-	if rosterNeeded {
-		c.emit(ReadRoster{From: c.roster.NextOffset()})
-	}
-	if claimsNeeded {
+	if claimsNeeded && c.now.Sub(c.writer.lastClaimsRead) >= rereadInterval {
+		c.writer.lastClaimsRead = c.now
 		c.emit(ReadClaims{From: c.NextClaimsOffset()})
 	}
 }
