Soak refusals that come once more for an id that is sent again on the same connection

No soak could show this: the stray answers go to callers who never use an id twice, and endpoints never wrote a refusal to the request that it names.

--refusal-copies N: all endpoints of a service refuse four in five requests by their ids (503, 429, 408, 421, 400). When such an id comes again on the same connection, the endpoint writes that refusal once more and runs the request. Callers then send refused calls and streams that may run once again with the same id, up to five times within their time, at the same host or another one. A header of the later sends, which endpoints get, tells the runs of an id's sends apart.

Checks: at-most-once counts the runs of all sends of an id. refusals-are-true, revoked-keys, no-answer-lost, configuration-never-back and retry-budget judge each send by its own arrivals; a caller's resend is a new request to the budget.

--- a/cmd/dotterel-soak/main.go
+++ b/cmd/dotterel-soak/main.go
@@ -59,6 +59,7 @@
 	f.IntVar(&settings.SilentStreams, "silent-streams", 0, "how often an endpoint falls silent in streams that can be resumed, beside the other strikes")
 	f.IntVar(&settings.HeldBytes, "held-bytes", 0, "how often bytes to and from an endpoint are held up and delivered later, beside the other strikes")
 	f.IntVar(&settings.StrayAnswers, "stray-answers", 0, "how often an endpoint writes answers once more, beside the other strikes")
+	f.IntVar(&settings.RefusalCopies, "refusal-copies", 0, "how often endpoints write refusals once more when the same request comes again, beside the other strikes")
 	f.DurationVar(&settings.FaultWindow, "span", 0, "the time within which all faults begin (12s)")
 	return c
 }
@@ -94,6 +95,9 @@
 func printReport(r soaker.Report) {
 	fmt.Printf("seed %d: %d sent, %d served, %d starts of hosts, %d faults, held up for %s, %d findings\n",
 		r.Seed, r.Sent, r.Served, r.Starts, len(r.Faults), r.Stalled.Round(time.Millisecond), len(r.Findings))
+	if r.Resent > 0 {
+		fmt.Printf("  %d sent again, %d refusals written once more\n", r.Resent, r.RefusalCopies)
+	}
 	if len(r.Findings) == 0 {
 		return
 	}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -25,6 +25,12 @@
 	// directoryTTL is how long callers use the addresses from the directory.
 	directoryTTL = time.Second
 	maxBodyBytes = 1 << 16
+	// maxResends is how often a caller sends a refused request again, meanResendPause the mean pause before; connections from hosts to
+	// endpoints stay open for longer.
+	maxResends      = 5
+	meanResendPause = 40 * time.Millisecond
+	// resendHeader is the header of a request that is sent again, from which endpoints know the send.
+	resendHeader = "Soak-Resend"
 )
 
 // caller sends one request after another; a sticky one keeps its host until a request fails.
@@ -93,16 +99,42 @@
 	return "key-wide"
 }
 
+// send sends a request, and the same one again after a refusal if refusals are repeated.
 func (c *caller) send(ctx context.Context, target *host) {
 	c.requestCount++
 	id := AttemptID(c.name + "-" + strconv.Itoa(c.requestCount))
 	route := routeOf(c.random.IntN(drawnRoutes), id)
-	sent := Sent{
-		AttemptID: id, Route: route.ID, Key: c.key(),
-		Host: target.id, Start: target.startCount(), SentAt: time.Now(),
+	key, deadline := c.key(), time.Now().Add(routeTimeout)
+	sent := c.sendOnce(ctx, target, route, Sent{AttemptID: id, Key: key, Timeout: routeTimeout})
+	for c.sendsAgain(ctx, route, sent, deadline) {
+		if c.random.IntN(2) == 0 {
+			target = c.site.randomHost(c.random)
+		}
+		sent = c.sendOnce(ctx, target, route, Sent{AttemptID: id, Key: key, Timeout: time.Until(deadline), Resend: sent.Resend + 1})
+	}
+	if sent.Status == 0 || sent.Status == http.StatusServiceUnavailable {
+		c.client.CloseIdleConnections()
+		c.host = nil
+	}
+}
+
+// sendsAgain reports whether the caller sends the request again, after a pause.
+func (c *caller) sendsAgain(ctx context.Context, route route, sent Sent, deadline time.Time) bool {
+	if c.site.RefusalCopies == 0 || route.repeatable || sent.Resend >= maxResends {
+		return false
+	}
+	if sent.Status != http.StatusServiceUnavailable && sent.Status != http.StatusTooManyRequests {
+		return false
 	}
+	sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanResendPause)))
+	return ctx.Err() == nil && time.Until(deadline) > 0
+}
+
+// sendOnce sends the request and returns what became of it.
+func (c *caller) sendOnce(ctx context.Context, target *host, route route, sent Sent) Sent {
+	sent.Route, sent.Host, sent.Start, sent.SentAt = route.ID, target.id, target.startCount(), time.Now()
 	soak := ctx
-	ctx, cancel := context.WithTimeout(ctx, routeTimeout+queryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sent.Timeout+queryTimeout)
 	defer cancel()
 	method, body := http.MethodPost, bodyOf(sent.AttemptID)
 	if route.Kind == router.Idempotent {
@@ -116,14 +148,23 @@
 	request.ContentLength = int64(len(body))
 	// With GetBody set, the HTTP transport may resend a request by itself.
 	request.GetBody = nil
-	standin.RequestHeaders{AttemptID: string(sent.AttemptID), Key: sent.Key, Timeout: routeTimeout}.Apply(request.Header)
+	standin.RequestHeaders{AttemptID: string(sent.AttemptID), Key: sent.Key, Timeout: sent.Timeout}.Apply(request.Header)
+	if sent.Resend > 0 {
+		request.Header.Set(resendHeader, strconv.Itoa(sent.Resend))
+	}
 	c.readResponse(request, route, &sent)
 	sent.EndedAt, sent.Withdrawn = time.Now(), soak.Err() != nil
 	c.site.ledger.record(func(o *Observations) { o.Sent = append(o.Sent, sent) })
-	if sent.Status == 0 || sent.Status == http.StatusServiceUnavailable {
-		c.client.CloseIdleConnections()
-		c.host = nil
+	return sent
+}
+
+// resendOf returns which send of a request has the header.
+func resendOf(h http.Header) int {
+	resend, err := strconv.Atoi(h.Get(resendHeader))
+	if err != nil {
+		return 0
 	}
+	return resend
 }
 
 // halfTime is the time between the two halves of a large body.
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -25,8 +25,8 @@
 	usageOverrun       = 0.1
 	// troubleTime is how long a fault at an endpoint may break answers: connections that fell silent stay so.
 	troubleTime = maxFaultDuration + routeTimeout
-	// answerTime is the part of the time limit within which a request may not end without an answer.
-	answerTime = routeTimeout * 7 / 10
+	// answerFraction is the part of the time limit within which a request may not end without an answer.
+	answerFraction = 0.7
 	// workOverlapLimit is how long an endpoint may work on a request after another one has got it.
 	workOverlapLimit = 400 * time.Millisecond
 	// minServedFraction is the fraction of requests that must be served after the recovery.
@@ -48,8 +48,15 @@
 // view is the indexed observations that the checks read.
 type view struct {
 	Observations
-	sentByID     map[AttemptID]Sent
-	arrivalsByID map[AttemptID][]Arrival
+	sentByID       map[AttemptID]Sent
+	arrivalsByID   map[AttemptID][]Arrival
+	arrivalsBySend map[sendID][]Arrival
+}
+
+// sendID identifies one send of a request.
+type sendID struct {
+	attempt AttemptID
+	resend  int
 }
 
 // check verifies one guarantee and reports its violations.
@@ -76,12 +83,14 @@
 
 // Evaluate runs all checks and returns the violations.
 func Evaluate(o Observations) []Finding {
-	v := view{Observations: o, sentByID: map[AttemptID]Sent{}, arrivalsByID: map[AttemptID][]Arrival{}}
+	v := view{Observations: o, sentByID: map[AttemptID]Sent{}, arrivalsByID: map[AttemptID][]Arrival{}, arrivalsBySend: map[sendID][]Arrival{}}
 	for _, s := range o.Sent {
 		v.sentByID[s.AttemptID] = s
 	}
 	for _, a := range o.Arrivals {
 		v.arrivalsByID[a.AttemptID] = append(v.arrivalsByID[a.AttemptID], a)
+		send := sendID{a.AttemptID, a.Resend}
+		v.arrivalsBySend[send] = append(v.arrivalsBySend[send], a)
 	}
 	var findings []Finding
 	for _, c := range checks {
@@ -92,9 +101,15 @@
 	return findings
 }
 
-func (v view) executions(a AttemptID) int {
+// arrivals returns the arrivals of one send.
+func (v view) arrivals(s Sent) []Arrival {
+	return v.arrivalsBySend[sendID{s.AttemptID, s.Resend}]
+}
+
+// executions returns how many of the arrivals were executed.
+func executions(arrivals []Arrival) int {
 	n := 0
-	for _, arrival := range v.arrivalsByID[a] {
+	for _, arrival := range arrivals {
 		if arrival.Executed {
 			n++
 		}
@@ -107,10 +122,11 @@
 	return !slices.ContainsFunc(v.Disturbances, func(d Disturbance) bool { return d.From.Before(to) && d.To.After(from) })
 }
 
+// executedAtMostOnce checks the runs of all sends of a request together, as callers send again only after a promise that it has not run.
 func executedAtMostOnce(v view, report func(AttemptID, string, ...any)) {
-	for _, s := range v.Sent {
-		if n := v.executions(s.AttemptID); n > 1 && !routeByID(s.Route).repeatable {
-			report(s.AttemptID, "ran %d times", n)
+	for id, s := range v.sentByID {
+		if n := executions(v.arrivalsByID[id]); n > 1 && !routeByID(s.Route).repeatable {
+			report(id, "ran %d times in %d sends", n, s.Resend+1)
 		}
 	}
 }
@@ -141,8 +157,8 @@
 
 func refusalsNotExecuted(v view, report func(AttemptID, string, ...any)) {
 	for _, s := range v.Sent {
-		if n := v.executions(s.AttemptID); n > 0 && impliesNotExecuted(s.Status) && !routeByID(s.Route).repeatable {
-			report(s.AttemptID, "refused with %d and ran %d times", s.Status, n)
+		if n := executions(v.arrivals(s)); n > 0 && impliesNotExecuted(s.Status) && !routeByID(s.Route).repeatable {
+			report(s.AttemptID, "send %d refused with %d and ran %d times", s.Resend+1, s.Status, n)
 		}
 	}
 }
@@ -183,10 +199,10 @@
 func acceptedRequestsAnswered(v view, report func(AttemptID, string, ...any)) {
 	for _, s := range v.Sent {
 		took := s.EndedAt.Sub(s.SentAt)
-		if s.Status != 0 && s.Completed || s.Withdrawn || took > answerTime || v.hostsDisturbed(s) {
+		if s.Status != 0 && s.Completed || s.Withdrawn || float64(took) > answerFraction*float64(s.Timeout) || v.hostsDisturbed(s) {
 			continue
 		}
-		arrivals := v.arrivalsByID[s.AttemptID]
+		arrivals := v.arrivals(s)
 		if len(arrivals) > 0 && !slices.ContainsFunc(arrivals, v.troubled) {
 			report(s.AttemptID, "reached endpoint %s and ended after %s with status %d and events %v", arrivals[0].Endpoint, took, s.Status, s.Events)
 		}
@@ -225,7 +241,7 @@
 func revokedKeysRefused(v view, report func(AttemptID, string, ...any)) {
 	for _, r := range v.Revocations {
 		for _, s := range v.Sent {
-			if s.Key == r.Key && s.SentAt.After(r.At.Add(revocationLimit)) && v.executions(s.AttemptID) > 0 {
+			if s.Key == r.Key && s.SentAt.After(r.At.Add(revocationLimit)) && executions(v.arrivals(s)) > 0 {
 				report(s.AttemptID, "ran with a key taken away %s before", s.SentAt.Sub(r.At))
 			}
 		}
@@ -288,7 +304,7 @@
 	}
 	byProcess := map[hostProcess][]versionEvent{}
 	for _, s := range v.Sent {
-		for _, a := range v.arrivalsByID[s.AttemptID] {
+		for _, a := range v.arrivals(s) {
 			if a.Version == 0 {
 				continue
 			}
@@ -313,7 +329,8 @@
 
 func repeatsWithinBudget(v view, report func(AttemptID, string, ...any)) {
 	repeats := map[dotterelpulley.ServiceID][]time.Time{}
-	for _, arrivals := range v.arrivalsByID {
+	// A caller's own resend is a new request.
+	for _, arrivals := range v.arrivalsBySend {
 		slices.SortFunc(arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
 		for _, a := range arrivals[1:] {
 			repeats[a.Service] = append(repeats[a.Service], a.At)
--- a/internal/soaker/endpoint.go
+++ b/internal/soaker/endpoint.go
@@ -26,6 +26,8 @@
 	promptTime = 900 * time.Millisecond
 	// misbehaviourRate is the fraction of requests that a misbehaving endpoint handles wrongly.
 	misbehaviourRate = 0.4
+	// refusalRate is the fraction that behaviourRepeatRefusal refuses, so that often all endpoints of a service refuse a request.
+	refusalRate = 0.8
 )
 
 // behaviour is how an endpoint handles a fraction of its requests.
@@ -42,6 +44,9 @@
 	behaviourUnproved
 	// behaviourSilent falls silent in streams that can be resumed, until the connection is closed.
 	behaviourSilent
+	// behaviourRepeatRefusal refuses without executing the request; if the same id comes again on the same connection, it writes that
+	// refusal once more and then runs the request.
+	behaviourRepeatRefusal
 )
 
 // unprovedAnswers are the responses of behaviourUnproved. The last one is what a garbled response may look like.
@@ -55,6 +60,11 @@
 	{http.StatusMisdirectedRequest, false},
 }
 
+// refusalStatuses are the statuses of behaviourRepeatRefusal.
+var refusalStatuses = []int{
+	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusBadRequest,
+}
+
 // endpoint is a stand-in endpoint behind a fault proxy.
 type endpoint struct {
 	*standin.Endpoint
@@ -98,7 +108,11 @@
 func (e *endpoint) nextBehaviour() behaviour {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.random.Float64() < misbehaviourRate {
+	rate := misbehaviourRate
+	if e.behaviour == behaviourRepeatRefusal {
+		rate = refusalRate
+	}
+	if e.random.Float64() < rate {
 		return e.behaviour
 	}
 	return behaviourNormal
@@ -115,16 +129,22 @@
 	metadata := standin.DecodeDispatchMetadata(r.Header)
 	a := AttemptID(metadata.AttemptID)
 	b := e.nextBehaviour()
+	refusedBefore := standin.RepeatRefusal(r)
+	if refusedBefore {
+		b = behaviourNormal
+	}
 	organisation, version := splitVersion(metadata.Organisation)
 	arrival := Arrival{
-		AttemptID: a, Endpoint: e.ID, Service: e.Service, Organisation: organisation, Version: version, At: time.Now(),
-		Executed: b != behaviourReject, KeyForwarded: metadata.Key != "",
+		AttemptID: a, Resend: resendOf(r.Header), Endpoint: e.ID, Service: e.Service, Organisation: organisation, Version: version, At: time.Now(),
+		Executed: b != behaviourReject && b != behaviourRepeatRefusal, KeyForwarded: metadata.Key != "", RefusedBefore: refusedBefore,
 	}
 	repeated, end := e.ledger.recordArrival(arrival)
 	defer end()
 	switch {
 	case b == behaviourReject:
 		standin.WriteNotExecuted(w)
+	case b == behaviourRepeatRefusal:
+		standin.RefuseOnConnection(w, r, refusalStatuses[e.draw(len(refusalStatuses))])
 	case b == behaviourUnproved:
 		answer := unprovedAnswers[e.draw(len(unprovedAnswers))]
 		standin.WriteUnproved(w, answer.status, answer.id)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -176,6 +176,7 @@
 	unprovedNumbers
 	silentNumbers
 	heldNumbers
+	refusalNumbers
 )
 
 // scheduleFault returns injections of one fault by the seed's stream of random numbers.
@@ -229,3 +230,16 @@
 	sleep(ctx, duration)
 	e.proxy.Release()
 }}
+
+// refusalCopies makes the endpoints of a service refuse most requests and, if the same request comes again on the same connection, write
+// that refusal once more before they run it. This excuses no lost answer.
+var refusalCopies = fault{"refusal-copies", false, func(ctx context.Context, s *site, r *rand.Rand, duration time.Duration) {
+	endpoints := s.endpointsOf(s.randomEndpoint(r).Service)
+	for _, e := range endpoints {
+		e.setBehaviour(behaviourRepeatRefusal)
+	}
+	sleep(ctx, duration)
+	for _, e := range endpoints {
+		e.setBehaviour(behaviourNormal)
+	}
+}}
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -9,19 +9,23 @@
 	"github.com/dotterelpulley/dotterelpulley/router"
 )
 
-// AttemptID identifies one request of a caller.
+// AttemptID identifies one request of a caller, which may send it again after a refusal.
 type AttemptID string
 
-// Sent is one request of a caller and the response to it.
+// Sent is one send of a caller's request and the response to it.
 type Sent struct {
 	AttemptID AttemptID
-	Route     dotterelpulley.RouteID
-	Key       router.CallerKey
+	// Resend is the number of sends of the same request before this one.
+	Resend int
+	Route  dotterelpulley.RouteID
+	Key    router.CallerKey
 	// Host is the host that received the request; Start numbers its process.
 	Host    dotterelpulley.HostID
 	Start   int
 	SentAt  time.Time
 	EndedAt time.Time
+	// Timeout is how long the caller waits.
+	Timeout time.Duration
 	// Status is zero without a response.
 	Status int
 	// Signed reports whether the response carries an endpoint's signature.
@@ -37,7 +41,9 @@
 
 // Arrival is a request that reached an endpoint.
 type Arrival struct {
-	AttemptID    AttemptID
+	AttemptID AttemptID
+	// Resend tells which send of the request has arrived.
+	Resend       int
 	Endpoint     dotterelpulley.EndpointID
 	Service      dotterelpulley.ServiceID
 	Organisation dotterelpulley.OrganisationID
@@ -47,6 +53,8 @@
 	// Executed reports whether the endpoint executed the request; KeyForwarded whether it received the caller's key.
 	Executed     bool
 	KeyForwarded bool
+	// RefusedBefore reports whether the endpoint had refused the request on the same connection, and wrote that refusal once more.
+	RefusedBefore bool
 	// EndedAt is when the endpoint stopped working on the request; zero if it hadn't by the soak's end.
 	EndedAt time.Time
 }
--- a/internal/soaker/site.go
+++ b/internal/soaker/site.go
@@ -146,6 +146,19 @@
 	return s.endpoints[r.IntN(len(s.endpoints))]
 }
 
+// endpointsOf returns the endpoints of the service.
+func (s *site) endpointsOf(service dotterelpulley.ServiceID) []*endpoint {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var endpoints []*endpoint
+	for _, e := range s.endpoints {
+		if e.Service == service {
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
 // troubledEndpoint returns a random endpoint for a fault and records the fault.
 func (s *site) troubledEndpoint(r *rand.Rand) *endpoint {
 	e := s.randomEndpoint(r)
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -53,6 +53,9 @@
 	SilentStreams int
 	// HeldBytes is how often the bytes to and from an endpoint are held up and delivered later, beside the other faults.
 	HeldBytes int
+	// RefusalCopies is how often the endpoints of a service write refusals once more when the same request comes again, beside the
+	// other faults; callers then send refused requests again.
+	RefusalCopies int
 }
 
 func (s Settings) withDefaults() (Settings, error) {
@@ -71,9 +74,9 @@
 	if s.Hosts < 1 || s.Hosts > maxHosts {
 		return s, fmt.Errorf("%d hosts: between 1 and %d are possible", s.Hosts, maxHosts)
 	}
-	if s.StoreCopies < 0 || s.StrayAnswers < 0 || s.UnprovedRefusals < 0 || s.SilentStreams < 0 || s.HeldBytes < 0 {
-		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers, %d of unproved refusals, %d of silent streams, %d of held bytes: there can't be fewer than none",
-			s.StoreCopies, s.StrayAnswers, s.UnprovedRefusals, s.SilentStreams, s.HeldBytes)
+	if s.StoreCopies < 0 || s.StrayAnswers < 0 || s.UnprovedRefusals < 0 || s.SilentStreams < 0 || s.HeldBytes < 0 || s.RefusalCopies < 0 {
+		return s, fmt.Errorf("%d returns of the store from a copy, %d of stray answers, %d of unproved refusals, %d of silent streams, %d of held bytes, %d of copies of refusals: there can't be fewer than none",
+			s.StoreCopies, s.StrayAnswers, s.UnprovedRefusals, s.SilentStreams, s.HeldBytes, s.RefusalCopies)
 	}
 	if s.Callers < 1 || s.Faults < 0 || s.FaultWindow < 0 {
 		return s, fmt.Errorf("%d callers, %d strikes within %s: there must be a caller, and none may be negative", s.Callers, s.Faults, s.FaultWindow)
@@ -83,12 +86,15 @@
 
 // Report is the result of one soak.
 type Report struct {
-	Seed     uint64
-	Sent     int
-	Served   int
-	Starts   int
-	Faults   []string
-	Findings []Finding
+	Seed   uint64
+	Sent   int
+	Served int
+	// Resent is how many sends repeat a refused one, RefusalCopies how many refusals endpoints wrote once more.
+	Resent        int
+	RefusalCopies int
+	Starts        int
+	Faults        []string
+	Findings      []Finding
 	// Stalled is the total time in which the operating system did not schedule the soak.
 	Stalled time.Duration
 	// Logs are the paths of the hosts' logs, which are written only if there is a finding.
@@ -137,6 +143,14 @@
 		if sent.Completed && sent.Status == http.StatusOK {
 			report.Served++
 		}
+		if sent.Resend > 0 {
+			report.Resent++
+		}
+	}
+	for _, a := range observations.Arrivals {
+		if a.RefusedBefore {
+			report.RefusalCopies++
+		}
 	}
 	for _, h := range s.hosts {
 		report.Starts += h.startCount()
@@ -187,6 +201,7 @@
 	planned = append(planned, scheduleFault(unprovedRefusals, s.Seed, unprovedNumbers, s.UnprovedRefusals, s.FaultWindow)...)
 	planned = append(planned, scheduleFault(silentStreams, s.Seed, silentNumbers, s.SilentStreams, s.FaultWindow)...)
 	planned = append(planned, scheduleFault(heldBytes, s.Seed, heldNumbers, s.HeldBytes, s.FaultWindow)...)
+	planned = append(planned, scheduleFault(refusalCopies, s.Seed, refusalNumbers, s.RefusalCopies, s.FaultWindow)...)
 	for _, planned := range planned {
 		report.Faults = append(report.Faults, fmt.Sprintf("%s at %s for %s", planned.fault.name, planned.start.Round(time.Millisecond), planned.duration.Round(time.Millisecond)))
 		injections.Go(func() {
