--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -158,7 +158,7 @@
 func refusalsNotExecuted(v view, report func(AttemptID, string, ...any)) {
 	for _, s := range v.Sent {
 		if n := executions(v.arrivals(s)); n > 0 && impliesNotExecuted(s.Status) && !routeByID(s.Route).repeatable {
-			report(s.AttemptID, "send %d refused with %d and ran %d times", s.Resend+1, s.Status, n)
+			report(s.AttemptID, "send %d, to process %d of %s, refused with %d and ran %d times", s.Resend+1, s.Start, s.Host, s.Status, n)
 		}
 	}
 }
