--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -33,6 +33,9 @@
 		{Seed: 90003, Hosts: 3, Callers: 24, Faults: 2, FaultWindow: 6 * time.Second, SilentStreams: 8},
 		// What hosts have given up arrives late.
 		{Seed: 91003, Hosts: 3, Callers: 16, Faults: 4, FaultWindow: 6 * time.Second, HeldBytes: 6},
+		// Requests that were sent again after a refusal ran twice, or ran and were refused, on fd820be and before: a refusal that came once
+		// more on the same connection was taken for the answer to the second send.
+		{Seed: 92003, Hosts: 3, Callers: 16, Faults: 2, FaultWindow: 6 * time.Second, RefusalCopies: 8},
 		// These seeds failed with none of 4 requests served after the recovery, and with a host not ready after 12 s. The
 		// logs of all five hosts stop over the same periods of 3 to 9 s: all processes stalled, which the soak did not detect yet.
 		{Seed: 1000},
@@ -45,6 +48,7 @@
 			report.Seed, report.Sent, report.Served, report.Starts, report.Stalled, report.Faults)
 		c.Check(report.Findings, qt.HasLen, 0)
 		c.Check(report.Served > 0, qt.IsTrue)
+		c.Check(report.Resent > 0, qt.Equals, settings.RefusalCopies > 0)
 	}
 }
 
