Forget a silent host later where its reports come seldom

A peer counted as ended, and was charged nothing any more, 6 s or two silence timeouts after its last report (6.6 s at 59 hosts), whatever the time between its reports. Over a cut of 5 s there lies one such time more before it and one after it: of 59 hosts that report every 2.75 s, up to 8.25 s passed between two reports of a host of the other group. From 6.6 s on each group took the other for ended and used the whole cap.

A peer is forgotten after 6 s and twice the time that has lain between its reports lately, but not before two silence timeouts, as until now. One that has sent a single report is judged by those of others. Once gone it stays so until it reports.

Why it works. What a host may be silent for without having ended is how long it serves while cut off and what its reports are late at both ends; the second part is now taken from its reports.

--- a/rationer/first_report_test.go
+++ b/rationer/first_report_test.go
@@ -31,6 +31,9 @@
 	cut      time.Duration
 	cutFor   time.Duration
 	cutHosts int
+	// end is when the first endHosts of the hosts end without a word, so that the others get all requests; zero for never.
+	end      time.Duration
+	endHosts int
 	// used is how many of the hosts get requests; all if zero.
 	used int
 	span time.Duration
@@ -88,6 +91,11 @@
 			startedAt[0], up[0] = at, false
 			incarnations[0]++
 		}
+		first := 0
+		if f.end > 0 && at >= f.end {
+			first = f.endHosts
+			clear(up[:first])
+		}
 		if f.loweredAt > 0 && at == f.loweredAt {
 			capNow = Cap{Rate: capNow.Rate * f.loweredTo, Burst: capNow.Burst * f.loweredTo}
 			for i := range hosts {
@@ -97,13 +105,13 @@
 			}
 		}
 		for i := range hosts {
-			if !up[i] && at >= startedAt[i] {
+			if !up[i] && at >= startedAt[i] && i >= first {
 				startHost(i, at)
 				up[i] = true
 			}
 		}
 		for pending += f.load * startingCap.Rate * Amount(startingStep.Seconds()); pending >= startingRequest; pending -= startingRequest {
-			i := random.IntN(cmp.Or(f.used, f.hosts))
+			i := first + random.IntN(cmp.Or(f.used, f.hosts)-first)
 			if !up[i] {
 				continue
 			}
@@ -293,3 +301,68 @@
 		}
 	})
 }
+
+// Peers whose reports come seldom counted as ended while the hosts were cut apart and until their next reports came: each group then
+// used the whole cap.
+func TestPeersWithLateReportsCountAsEndedDuringACut(t *testing.T) {
+	for _, f := range []startingFleet{
+		{hosts: 40, interval: 2 * time.Second, cut: 5 * time.Second},
+		{hosts: 59, interval: 3200 * time.Millisecond, cut: 5 * time.Second},
+	} {
+		if testing.Short() && f.hosts > 40 {
+			continue
+		}
+		t.Run(fmt.Sprintf("%d-hosts-every-%s-at-%s", f.hosts, f.interval, f.cut), func(t *testing.T) {
+			c := qt.New(t)
+			f.span, f.load, f.cutFor, f.cutHosts = 32*time.Second, 10, 5*time.Second, f.hosts*3/7
+			admitted := f.play()
+			got, after := busiestWindow(admitted, startingCap, 0), busiestWindow(admitted, startingCap, 24*time.Second)
+			c.Logf("%.2f of the cap, %.2f at last", float64(got), float64(after))
+			c.Check(got <= 1+startingOverrun, qt.IsTrue, qt.Commentf("%.2f of the cap", float64(got)))
+			c.Check(after >= 0.75, qt.IsTrue, qt.Commentf("%.2f of the cap at last", float64(after)))
+		})
+	}
+}
+
+// Guards against charging hosts that have ended for long, where reports come as often as they do in such a fleet.
+func TestHostsThatEndLeaveTheirPartToOthers(t *testing.T) {
+	c := qt.New(t)
+	const from, until = 12 * time.Second, 28 * time.Second
+	for _, f := range []startingFleet{{hosts: 8, interval: 100 * time.Millisecond}, {hosts: 59, interval: 375 * time.Millisecond}} {
+		f.span, f.load, f.end = until, 0.8, from
+		for endHosts, least := range map[int]Amount{1: 0.99, f.hosts * 3 / 7: 0.9} {
+			f.endHosts = endHosts
+			sum := Amount(0)
+			for _, amount := range f.play()[int(from/startingStep):] {
+				sum += amount
+			}
+			served := sum / (f.load * startingCap.Rate * Amount((until - from).Seconds()))
+			c.Logf("%d hosts of which %d end: %.3f admitted", f.hosts, endHosts, float64(served))
+			c.Check(served >= least, qt.IsTrue, qt.Commentf("%d hosts of which %d end: %.3f admitted", f.hosts, endHosts, float64(served)))
+		}
+	}
+}
+
+// The time without a report after which a peer counts as ended follows its reports, or those of others if it has sent only one.
+func TestAPeerCountsAsEndedByHowLateItsReportsAre(t *testing.T) {
+	c := qt.New(t)
+	const every = 2 * time.Second
+	r := Rationer{SilenceTimeout: 2500 * time.Millisecond}
+	now := start.Add(time.Minute)
+	report := func(id dotterelpulley.HostID) { r.RecordPeerUsage(now, id, 1, Report{Counted: time.Minute}) }
+	report("once")
+	c.Check(r.forgottenAfter(r.peers["once"]), qt.Equals, forgetAfter)
+	for range 3 {
+		report("regular")
+		now = now.Add(every)
+	}
+	report("regular")
+	c.Check(r.forgottenAfter(r.peers["regular"]), qt.Equals, forgetAfter+2*every)
+	c.Check(r.forgottenAfter(r.peers["once"]), qt.Equals, forgetAfter+2*every)
+	now = now.Add(time.Millisecond)
+	report("regular")
+	c.Check(r.forgottenAfter(r.peers["regular"]), qt.Equals, forgetAfter+every, qt.Commentf("one report was held up until the next"))
+	now = now.Add(time.Minute)
+	report("regular")
+	c.Check(r.forgottenAfter(r.peers["regular"]), qt.Equals, forgetAfter+2*r.SilenceTimeout, qt.Commentf("a silence tells nothing beyond the timeout"))
+}
--- a/rationer/peer.go
+++ b/rationer/peer.go
@@ -1,6 +1,7 @@
 package rationer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -14,6 +15,7 @@
 	incarnation uint64
 	lastReport  time.Time
 	lastCharged time.Time
+	lateness    lateness
 	// usage is what each organisation has used on the host since its start, as of the last report.
 	usage map[dotterelpulley.OrganisationID]Amount
 	// assumedUsage is the amount charged on the peer's behalf while it was silent.
@@ -29,6 +31,14 @@
 	gone bool
 }
 
+// lateness is how far apart reports have come lately; zero if there was only one.
+type lateness time.Duration
+
+// add adds the time between two reports. Reports that were held up come together, so that the latest time alone tells little.
+func (l *lateness) add(between time.Duration) {
+	*l = max(lateness(between), *l/2)
+}
+
 // RecordPeerUsage processes another host's complete report.
 func (r *Rationer) RecordPeerUsage(now time.Time, id dotterelpulley.HostID, incarnation uint64, report Report) {
 	r.init(now)
@@ -41,7 +51,10 @@
 	for organisation, reported := range report.Usage {
 		r.charge(now, p.lastReport, organisation, reported-p.usage[organisation], p.assumedUsage[organisation])
 	}
-	r.reportedTime.add(now, now.Sub(p.lastReport).Seconds())
+	between := now.Sub(p.lastReport)
+	r.reportedTime.add(now, between.Seconds())
+	p.lateness.add(min(between, r.silenceTimeout()))
+	r.lateness.add(min(between, r.silenceTimeout()))
 	r.chargeGap(now, p, report)
 	clear(p.assumedUsage)
 	p.usage, p.lastReport, p.lastCharged, p.unmeasured, p.gone = report.Usage, now, now, false, false
@@ -133,10 +146,16 @@
 	return defaultSilenceTimeout
 }
 
+// forgottenAfter returns the time without a report after which a peer is assumed to serve no requests. One that was cut off is
+// silent for longer than the cut: from its last report before it to the first one after it.
+func (r *Rationer) forgottenAfter(p *peer) time.Duration {
+	late := time.Duration(cmp.Or(p.lateness, r.lateness))
+	return max(forgetAfter+2*late, silencesUntilForgotten*r.silenceTimeout())
+}
+
 // chargeSilentHosts charges an equal share of each cap for every host that has stopped reporting but may still serve requests.
 func (r *Rationer) chargeSilentHosts(now time.Time) {
 	r.chargeUnseenHosts(now)
-	forgotten := max(forgetAfter, silencesUntilForgotten*r.silenceTimeout())
 	sharers := 1
 	for _, p := range r.peers {
 		if !p.gone {
@@ -145,7 +164,8 @@
 	}
 	for id, p := range r.peers {
 		silent := now.Sub(p.lastReport)
-		if silent > forgotten {
+		forgotten := r.forgottenAfter(p)
+		if p.gone || silent > forgotten {
 			// What it reports when it returns within the window is charged from its last report on.
 			p.gone = true
 			if silent > forgotten+r.window() {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -22,8 +22,9 @@
 	defaultWindow = 8 * time.Second
 	// defaultSilenceTimeout is the time without a report after which a host's usage is estimated, if none is set.
 	defaultSilenceTimeout = 500 * time.Millisecond
-	// forgetAfter is the time without a report after which a host is assumed to serve no requests, if that is longer than
-	// silencesUntilForgotten times the silence timeout, which grows with the fleet.
+	// forgetAfter is the time for which a host that is cut off may serve requests. Its peers assume that it serves none after that
+	// time and what its reports may be late at either end, but not before silencesUntilForgotten times the silence timeout, which
+	// grows with the fleet.
 	forgetAfter            = 6 * time.Second
 	silencesUntilForgotten = 2
 )
@@ -48,6 +49,8 @@
 	knownSince time.Time
 	// reportedTime is the time that the latest reports of the peers cover, in seconds.
 	reportedTime decayingSum
+	// lateness is that of the reports of all peers.
+	lateness lateness
 	// unseenChargedAt is when hosts that have not reported yet were last charged.
 	unseenChargedAt time.Time
 }
