Give each attempt an id of its own in the isolation of crashes

An attempt was known to the part guard by a hash of the caller's id and a count, so that two requests with one id at one endpoint shared it: the answer to the one took the other off the list of runs that hadn't begun their answer, and vouched for its parts. When the endpoint crashed, nothing was held against the part that had crashed it; callers would have seen further endpoints crash, and other requests there cut off. The same hash kept a request that comes again with its id from being reported to builds up to more than once in two minutes: they drop a crash whose attempt they know.

The id is now drawn anew for each attempt. On the wire it stays a number of 64 bits that nothing but equality is read from, so that earlier builds read it as before.

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -209,7 +209,7 @@
 
 // startAttempt begins an attempt at the endpoint, which finishAttempt ends, unless the request is refused for its prompt's parts.
 func (p *proxiedRequest) startAttempt(placed scheduler.Placed) (attempt, *refusal) {
-	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts+1)), startedAt: time.Now()}
+	a := attempt{Placed: placed, attemptID: isolator.NewAttemptID(), startedAt: time.Now()}
 	if refused := p.beginRun(a); refused != nil {
 		return attempt{}, refused
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -31,6 +32,11 @@
 	return AttemptID(xxhash.Sum64String(requestID))
 }
 
+// NewAttemptID returns an id that no other attempt has, on this host or another one.
+func NewAttemptID() AttemptID {
+	return AttemptID(rand.Uint64())
+}
+
 // String returns the id in hexadecimal digits.
 func (a AttemptID) String() string {
 	return strconv.FormatUint(uint64(a), 16)
