Take an endpoint's word for the start that a request was sent to

An answer that says that its endpoint is leaving, or limited, was taken for the word of whatever start was registered under the endpoint's id when the answer was handled. An endpoint may start again under its id, and a host may handle the last answers of the earlier start after it has learned of the next one, as after a pause of its process.

The key is now made from the id and the start that the request was placed on. Hosts tell each other the same keys as before.

--- a/gateway/allowances.go
+++ b/gateway/allowances.go
@@ -15,15 +15,9 @@
 
 // heedLimits acts on the limit and the brittleness that the endpoint of an answer names. An answer that isn't the endpoint's own
 // doesn't show that a limit has ended.
-func (p *proxiedRequest) heedLimits(now time.Time, id dotterelpulley.EndpointID, metadata platform.ResponseMetadata) {
+func (p *proxiedRequest) heedLimits(now time.Time, e scheduler.Endpoint, metadata platform.ResponseMetadata) {
 	g := p.gateway
-	g.registry.mutex.Lock()
-	instance, ok := g.registry.Instance(id)
-	g.registry.mutex.Unlock()
-	if !ok {
-		return
-	}
-	key := apportioner.Key(instance)
+	key := apportioner.Key(instanceOf(e))
 	limitChanged, brittle := false, false
 	g.mutex.Lock()
 	switch {
@@ -38,11 +32,11 @@
 	g.mutex.Unlock()
 	if limitChanged {
 		g.metrics.Inc("endpoint-limits")
-		g.event(log.InfoLevel, "endpoint-limit").Str("endpoint", string(id)).Bool("limited", metadata.HasLimit).Float64("per-second", metadata.RequestsPerSecond).Msg("")
+		g.event(log.InfoLevel, "endpoint-limit").Str("endpoint", string(e.ID)).Bool("limited", metadata.HasLimit).Float64("per-second", metadata.RequestsPerSecond).Msg("")
 	}
 	if brittle {
 		g.metrics.Inc("services-brittle")
-		g.event(log.InfoLevel, "service-brittle").Str("service", string(p.service)).Str("endpoint", string(id)).Msg("")
+		g.event(log.InfoLevel, "service-brittle").Str("service", string(p.service)).Str("endpoint", string(e.ID)).Msg("")
 	}
 	if limitChanged || brittle {
 		g.updateAllowances(now)
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -7,8 +7,8 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/registrar"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 // leavingReportTime is how long this host reports an instance that told it that it was leaving, long enough for several
@@ -42,17 +42,22 @@
 	return keys
 }
 
+// instanceOf returns the key of the start that a request was sent to, which may no longer be the registered one.
+func instanceOf(e scheduler.Endpoint) registrar.InstanceKey {
+	return registrar.InstanceOf(e.ID, e.StartedAt)
+}
+
 // endpointLeaves handles an endpoint's own word that it is leaving, which may come long before the store's.
-func (g *Gateway) endpointLeaves(now time.Time, id dotterelpulley.EndpointID) {
+func (g *Gateway) endpointLeaves(now time.Time, e scheduler.Endpoint) {
+	key := instanceOf(e)
 	g.registry.mutex.Lock()
-	key, ok := g.registry.Instance(id)
-	news := ok && g.registry.MarkLeaving(now, key)
+	news := g.registry.MarkLeaving(now, key)
 	g.registry.mutex.Unlock()
 	if !news {
 		return
 	}
 	g.metrics.Inc("endpoints-leaving")
-	g.event(log.InfoLevel, "endpoint-leaving").Str("endpoint", string(id)).Msg("")
+	g.event(log.InfoLevel, "endpoint-leaving").Str("endpoint", string(e.ID)).Msg("")
 	g.leaving.add(now, key)
 	g.updateScheduler()
 	g.peers.sendNow()
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -266,9 +266,9 @@
 		return
 	}
 	if metadata.Leaving {
-		p.gateway.endpointLeaves(time.Now(), a.Endpoint.ID)
+		p.gateway.endpointLeaves(time.Now(), a.Endpoint)
 	}
-	p.heedLimits(time.Now(), a.Endpoint.ID, metadata)
+	p.heedLimits(time.Now(), a.Endpoint, metadata)
 	if metadata.Pause > 0 {
 		p.gateway.metrics.Inc("endpoint-pauses")
 		p.gateway.requestEvent(log.InfoLevel, "endpoint-paused", p.request).Str("endpoint", string(a.Endpoint.ID)).Dur("for", metadata.Pause).Msg("")
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -36,14 +36,19 @@
 // InstanceKey is the hash that identifies one start of an endpoint among hosts.
 type InstanceKey uint32
 
-// Instance returns the key of the registration's instance.
-func (r Registration) Instance() InstanceKey {
+// InstanceOf returns the key of the endpoint's start at that time.
+func InstanceOf(id dotterelpulley.EndpointID, startedAt time.Time) InstanceKey {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(string(r.ID))
-	_, _ = digest.WriteString(strconv.FormatInt(r.StartedAt.UnixMilli(), 10))
+	_, _ = digest.WriteString(string(id))
+	_, _ = digest.WriteString(strconv.FormatInt(startedAt.UnixMilli(), 10))
 	return InstanceKey(digest.Sum64())
 }
 
+// Instance returns the key of the registration's instance.
+func (r Registration) Instance() InstanceKey {
+	return InstanceOf(r.ID, r.StartedAt)
+}
+
 // changes reports whether the other registration differs in more than its sequence.
 func (r Registration) changes(other Registration) bool {
 	return r.Service != other.Service || r.Address != other.Address || r.Zone != other.Zone || r.State != other.State ||
