Hold the crash of an endpoint against the runs of that start alone

Runs that hadn't begun their answer were kept by the endpoint's id. When an endpoint had started again under its id, the crash of its earlier start was held against the runs on the next one, and their answers then refuted nothing, as the crash had taken them off the list. The incident was named after the start that was registered when the crash was noticed, so that a later crash of that start was taken for the same one and didn't count. An endpoint whose registration had gone had one incident for all its starts. Callers would see sound prompts refused after a few such crashes, and deadly ones crash more endpoints than the limit.

Evidence: TestACrashOfAnEarlierStartIsNoEvidenceAgainstRunsOnTheNextOne found an incident against the prompt on the next start, with that start's name.

Runs and incidents now go by the start that the request was placed on.

--- a/gateway/crash_reports.go
+++ b/gateway/crash_reports.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -66,9 +65,9 @@
 
 // reportCrash reports the requests that wait on an endpoint which has crashed: those under suspicion, or all if none is; the
 // mutex must be held.
-func (g *Gateway) reportCrash(now time.Time, id dotterelpulley.EndpointID) {
+func (g *Gateway) reportCrash(now time.Time, e scheduler.Endpoint) {
 	requests := &g.isolations[wholeRequests]
-	runs := requests.Waiting(id)
+	runs := requests.Waiting(startOf(e))
 	suspected := func(r isolator.Waiting) bool {
 		return slices.ContainsFunc(r.Parts, func(p isolator.Part) bool { return requests.State(now, p) != isolator.Sound })
 	}
@@ -78,7 +77,7 @@
 			continue
 		}
 		for _, p := range r.Parts {
-			g.crashes.add(now, announcer.Crash{Fingerprint: uint64(p), Attempt: uint64(r.Attempt), Endpoint: scheduler.EndpointKey(id)})
+			g.crashes.add(now, announcer.Crash{Fingerprint: uint64(p), Attempt: uint64(r.Attempt), Endpoint: scheduler.EndpointKey(e.ID)})
 		}
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 func TestRequestsReachTheirServiceUnchanged(t *testing.T) {
@@ -274,11 +275,11 @@
 	suspects := suspectsOf(&request{organisation: "t1", method: http.MethodPost, target: "/call/", body: []byte("bad")})[wholeRequests]
 	for i := range crashes {
 		now := time.Now().Add(time.Duration(i-crashes) * time.Second)
-		id := dotterelpulley.EndpointID(fmt.Sprintf("crashed-%d", i))
+		e := scheduler.Endpoint{Endpoint: dotterelpulley.Endpoint{ID: dotterelpulley.EndpointID(fmt.Sprintf("crashed-%d", i))}}
 		g.mutex.Lock()
-		g.isolations[wholeRequests].Begin(now, suspects, id, isolator.AttemptID(i), g.mayTryPart(now))
+		g.isolations[wholeRequests].Begin(now, suspects, startOf(e), isolator.AttemptID(i), g.mayTryPart(now))
 		g.mutex.Unlock()
-		g.endpointCrashed(now, id)
+		g.endpointCrashed(now, e)
 	}
 	a := s.post(g, "/call/", "bad")
 	s.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -93,7 +93,7 @@
 	refused := g.checkSuspects(a.startedAt, p.suspects)
 	if refused == nil {
 		for kind := range isolationKinds {
-			g.isolations[kind].Begin(a.startedAt, p.suspects[kind], a.Endpoint.ID, a.attemptID, g.mayTryPart(a.startedAt))
+			g.isolations[kind].Begin(a.startedAt, p.suspects[kind], startOf(a.Endpoint), a.attemptID, g.mayTryPart(a.startedAt))
 		}
 	}
 	g.mutex.Unlock()
@@ -109,28 +109,25 @@
 		return
 	}
 	p.gateway.changeIsolations("answered", func(i *isolation) []isolator.PartChange {
-		return i.Answered(time.Now(), a.Endpoint.ID, a.attemptID)
+		return i.Answered(time.Now(), startOf(a.Endpoint), a.attemptID)
 	})
 }
 
 // endpointCrashed records an endpoint's crash, for the requests that ran on it and their parts.
-func (g *Gateway) endpointCrashed(now time.Time, id dotterelpulley.EndpointID) {
-	g.registry.mutex.Lock()
-	instance, ok := g.registry.Instance(id)
-	g.registry.mutex.Unlock()
-	incident := isolator.Incident(instance)
-	if !ok {
-		// An endpoint whose registration has gone has no other start.
-		incident = isolator.Incident(scheduler.EndpointKey(id))
-	}
+func (g *Gateway) endpointCrashed(now time.Time, e scheduler.Endpoint) {
 	g.mutex.Lock()
-	g.reportCrash(now, id)
+	g.reportCrash(now, e)
 	g.mutex.Unlock()
-	g.changeIsolations("endpoint "+string(id)+" crashed", func(i *isolation) []isolator.PartChange {
-		return i.EndpointCrashed(now, id, incident)
+	g.changeIsolations("endpoint "+string(e.ID)+" crashed", func(i *isolation) []isolator.PartChange {
+		return i.EndpointCrashed(now, startOf(e), isolator.Incident(instanceOf(e)))
 	})
 }
 
+// startOf identifies the start that a request was sent to, which may no longer be the registered one.
+func startOf(e scheduler.Endpoint) isolator.Start {
+	return isolator.Start(fmt.Sprintf("%s/%08x", e.ID, uint32(instanceOf(e))))
+}
+
 // changeIsolations changes what is known of each kind by what this host has seen itself.
 func (g *Gateway) changeIsolations(why string, change func(*isolation) []isolator.PartChange) {
 	for kind := range isolationKinds {
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 const (
@@ -258,11 +259,11 @@
 func crashWith(g *Gateway, suspects []isolator.Part, crashes int, between func(at time.Time)) {
 	for i := range crashes {
 		at := time.Now().Add(time.Duration(i+1-crashes) * time.Second)
-		id := dotterelpulley.EndpointID(fmt.Sprint("crashed-", i))
+		e := scheduler.Endpoint{Endpoint: dotterelpulley.Endpoint{ID: dotterelpulley.EndpointID(fmt.Sprint("crashed-", i))}}
 		g.mutex.Lock()
-		g.isolations[wholeRequests].Begin(at, suspects, id, isolator.AttemptID(i), g.mayTryPart(at))
+		g.isolations[wholeRequests].Begin(at, suspects, startOf(e), isolator.AttemptID(i), g.mayTryPart(at))
 		g.mutex.Unlock()
-		g.endpointCrashed(at, id)
+		g.endpointCrashed(at, e)
 		between(at)
 	}
 }
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -355,7 +355,7 @@
 		p.endUnreached(a, err)
 		return
 	}
-	p.gateway.endpointCrashed(time.Now(), a.Endpoint.ID)
+	p.gateway.endpointCrashed(time.Now(), a.Endpoint)
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
 	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 }
@@ -398,7 +398,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for i := range g.isolations {
-		g.isolations[i].Ended(a.Endpoint.ID, a.attemptID)
+		g.isolations[i].Ended(startOf(a.Endpoint), a.attemptID)
 	}
 }
 
--- a/gateway/restarted_endpoint_test.go
+++ b/gateway/restarted_endpoint_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -10,8 +11,10 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/apportioner"
+	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/registrar"
 )
 
 // registerStart registers a start of an endpoint, at which it has the address.
@@ -69,3 +72,55 @@
 	g.mutex.Unlock()
 	s.Assert(limited, qt.IsFalse)
 }
+
+// A request was suspected of the crash of a start of its endpoint that it had never been sent to, and its answer didn't clear it.
+func TestACrashOfAnEarlierStartIsNoEvidenceAgainstRunsOnTheNextOne(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	first := time.UnixMilli(1_700_000_000_000)
+	second := first.Add(time.Minute)
+	s.endpoint("i-2", "plain", answerHello)
+	waits, answer := make(chan struct{}, 2), make(chan struct{})
+	start := func(born time.Time, handler standin.Handler) *standin.Endpoint {
+		e := standin.StartEndpoint("i-1", "model", handler)
+		t.Cleanup(e.Close)
+		s.registerStart(e, e.Address(), born)
+		return e
+	}
+	crashing := start(first, func(http.ResponseWriter, *http.Request, int) {
+		waits <- struct{}{}
+		<-answer
+		standin.AbortResponse()
+	})
+	g := s.startReadyGateway()
+	s.waitForAllowance(g, 20)
+	s.waitForStart(g, "i-1", first)
+	answers := make(chan int, 2)
+	ask := func(part string) {
+		r := s.request(context.Background(), g, http.MethodPost, "/plan/"+part, part)
+		r.Header.Set("Dotterelpulley-Prompt-Prefix", part+":100,own:100")
+		go func() { answers <- s.send(r).status }()
+		<-waits
+	}
+	ask(deadlyPart)
+	start(second, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		waits <- struct{}{}
+		<-answer
+		standin.WriteEvents(w, 1, 3)
+	})
+	s.waitForStart(g, "i-1", second)
+	ask(firstPart)
+	crashing.Crash()
+	facts := func(part string) []isolator.PartFact {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		return g.isolations[promptParts].FactsOf(time.Now(), partOfID(part))
+	}
+	s.Assert(<-answers, qt.Not(qt.Equals), http.StatusOK)
+	innocent := facts(firstPart)
+	close(answer)
+	s.Assert(<-answers, qt.Equals, http.StatusOK)
+	s.Assert(innocent, qt.HasLen, 0)
+	s.Assert(facts(deadlyPart), qt.HasLen, 1)
+	s.Assert(facts(deadlyPart)[0].Incident, qt.Equals, isolator.Incident(registrar.InstanceOf("i-1", first)))
+}
--- a/gateway/shared_id_test.go
+++ b/gateway/shared_id_test.go
@@ -68,7 +68,7 @@
 		placed.Endpoint.ID = dotterelpulley.EndpointID(fmt.Sprint("i-", i))
 		_, refused := p.startAttempt(placed)
 		c.Assert(refused, qt.IsNil)
-		g.endpointCrashed(time.Now(), placed.Endpoint.ID)
+		g.endpointCrashed(time.Now(), placed.Endpoint)
 		c.Assert(g.crashes.announced(), qt.HasLen, i+1)
 	}
 }
--- a/isolator/part.go
+++ b/isolator/part.go
@@ -26,6 +26,9 @@
 	return strconv.FormatUint(uint64(p), 16)
 }
 
+// Start identifies one start of an endpoint on this host.
+type Start string
+
 // Incident identifies the crash of one start of an endpoint, whichever host reports it.
 type Incident uint32
 
--- a/isolator/part_fleet_test.go
+++ b/isolator/part_fleet_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 )
 
@@ -156,7 +155,7 @@
 	}
 	f.attempts++
 	r.id = isolator.AttemptOf(fmt.Sprint(f.attempts))
-	if _, refused := f.guards[r.host].Begin(f.now, r.parts, endpointID(best), r.id, f.mayTry(r.host)); refused {
+	if _, refused := f.guards[r.host].Begin(f.now, r.parts, startOf(best), r.id, f.mayTry(r.host)); refused {
 		if !r.deadly {
 			f.refused[r.parts[0]]++
 			if f.answered[r.parts[0]] {
@@ -180,14 +179,14 @@
 			f.crash(best)
 		default:
 			f.answered[r.parts[0]] = true
-			f.note(r.host, f.guards[r.host].Answered(f.now, endpointID(best), r.id))
+			f.note(r.host, f.guards[r.host].Answered(f.now, startOf(best), r.id))
 			f.after(300*time.Millisecond+f.upTo(4*time.Second), func() { f.end(best, r) })
 		}
 	})
 }
 
-func endpointID(i int) dotterelpulley.EndpointID {
-	return dotterelpulley.EndpointID(fmt.Sprint("e", i))
+func startOf(i int) isolator.Start {
+	return isolator.Start(fmt.Sprint("e", i))
 }
 
 func (f *partFleet) end(endpoint int, r *fleetRun) {
@@ -202,7 +201,7 @@
 			break
 		}
 	}
-	f.guards[r.host].Ended(endpointID(endpoint), r.id)
+	f.guards[r.host].Ended(startOf(endpoint), r.id)
 }
 
 // crash ends the endpoint and everything on it, and restarts it after some seconds.
@@ -223,7 +222,7 @@
 			}
 			r.ended = true
 			g := &f.guards[r.host]
-			f.note(r.host, g.EndpointCrashed(f.now, endpointID(endpoint), incident))
+			f.note(r.host, g.EndpointCrashed(f.now, startOf(endpoint), incident))
 			if !r.repeat && g.MayRepeat(f.now, r.parts) {
 				f.send(&fleetRun{host: r.host, parts: r.parts, deadly: r.deadly, repeat: true})
 			}
--- a/isolator/part_guard.go
+++ b/isolator/part_guard.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/dotterelpulley/dotterelpulley"
 )
 
 // partRun is a run that hasn't begun its answer.
@@ -19,7 +17,7 @@
 // A crash is evidence against the parts of the runs that had not begun their answer. A later answer on any host refutes it, as
 // an endpoint never gets that far on a part that crashes it. The evidence of all hosts merges in any order.
 type PartGuard struct {
-	waiting map[dotterelpulley.EndpointID][]partRun
+	waiting map[Start][]partRun
 	records map[Part]*partRecord
 	// answered and formerlyAnswered hold when runs with a part were last answered on this host; the latter is the older half.
 	answered         map[Part]time.Time
@@ -74,9 +72,9 @@
 	return now.Sub(s.newest) >= s.parole() && now.Sub(r.triedAt) >= s.parole() && mayTry(p)
 }
 
-// Begin records that a run begins on the endpoint, unless the request is refused because of the returned part. A part on parole
-// is tried by this run alone.
-func (g *PartGuard) Begin(now time.Time, parts []Part, endpoint dotterelpulley.EndpointID, attempt AttemptID, mayTry func(Part) bool) (p Part, refused bool) {
+// Begin records that a run begins on the start of an endpoint, unless the request is refused because of the returned part. A part
+// on parole is tried by this run alone.
+func (g *PartGuard) Begin(now time.Time, parts []Part, start Start, attempt AttemptID, mayTry func(Part) bool) (p Part, refused bool) {
 	if p, refused := g.Check(now, parts, mayTry); refused {
 		return p, true
 	}
@@ -87,9 +85,9 @@
 	}
 	if len(parts) > 0 {
 		if g.waiting == nil {
-			g.waiting = map[dotterelpulley.EndpointID][]partRun{}
+			g.waiting = map[Start][]partRun{}
 		}
-		g.waiting[endpoint] = append(g.waiting[endpoint], partRun{attempt: attempt, parts: parts})
+		g.waiting[start] = append(g.waiting[start], partRun{attempt: attempt, parts: parts})
 	}
 	return 0, false
 }
@@ -107,44 +105,44 @@
 }
 
 // Ended records the end of a run.
-func (g *PartGuard) Ended(endpoint dotterelpulley.EndpointID, attempt AttemptID) {
-	g.take(endpoint, attempt)
+func (g *PartGuard) Ended(start Start, attempt AttemptID) {
+	g.take(start, attempt)
 }
 
 // take removes the run and returns its parts.
-func (g *PartGuard) take(endpoint dotterelpulley.EndpointID, attempt AttemptID) []Part {
-	runs := g.waiting[endpoint]
+func (g *PartGuard) take(start Start, attempt AttemptID) []Part {
+	runs := g.waiting[start]
 	at := slices.IndexFunc(runs, func(r partRun) bool { return r.attempt == attempt })
 	if at < 0 {
 		return nil
 	}
 	parts := runs[at].parts
-	g.waiting[endpoint] = slices.Delete(runs, at, at+1)
-	if len(g.waiting[endpoint]) == 0 {
-		delete(g.waiting, endpoint)
+	g.waiting[start] = slices.Delete(runs, at, at+1)
+	if len(g.waiting[start]) == 0 {
+		delete(g.waiting, start)
 	}
 	return parts
 }
 
-// Waiting is a run on an endpoint that hasn't begun its answer.
+// Waiting is a run that hasn't begun its answer.
 type Waiting struct {
 	Attempt AttemptID
 	Parts   []Part
 }
 
-// Waiting returns the runs on the endpoint that haven't begun their answers.
-func (g *PartGuard) Waiting(endpoint dotterelpulley.EndpointID) []Waiting {
+// Waiting returns the runs on the start of an endpoint that haven't begun their answers.
+func (g *PartGuard) Waiting(start Start) []Waiting {
 	var runs []Waiting
-	for _, r := range g.waiting[endpoint] {
+	for _, r := range g.waiting[start] {
 		runs = append(runs, Waiting{Attempt: r.attempt, Parts: r.parts})
 	}
 	return runs
 }
 
 // Answered records that a run has begun its answer and gone on with it, and returns the parts whose state that changes.
-func (g *PartGuard) Answered(now time.Time, endpoint dotterelpulley.EndpointID, attempt AttemptID) []PartChange {
+func (g *PartGuard) Answered(now time.Time, start Start, attempt AttemptID) []PartChange {
 	var changes []PartChange
-	for _, p := range g.take(endpoint, attempt) {
+	for _, p := range g.take(start, attempt) {
 		g.remember(now, p)
 		r, ok := g.records[p]
 		if !ok {
@@ -186,10 +184,10 @@
 	}
 }
 
-// EndpointCrashed records the crash of an endpoint and returns the parts whose state or incidents that changes.
-func (g *PartGuard) EndpointCrashed(now time.Time, endpoint dotterelpulley.EndpointID, incident Incident) []PartChange {
-	runs := g.waiting[endpoint]
-	delete(g.waiting, endpoint)
+// EndpointCrashed records the crash of a start of an endpoint and returns the parts whose state or incidents that changes.
+func (g *PartGuard) EndpointCrashed(now time.Time, start Start, incident Incident) []PartChange {
+	runs := g.waiting[start]
+	delete(g.waiting, start)
 	var changes []PartChange
 	var unknown []Part
 	for _, run := range runs {
