Judge a roll-out order without the evidence on an earlier one for its version

Evidence on a roll-out was kept by the service and the target's name, and dropped only when a sample of the service came while no roll-out was unfinished. A version that had been taken back and was ordered again was judged by what had been seen of it under the first order, unless such a sample had come in between: operators would see it rolled back within a fraction of a second, although it may have been mended, or not have been bad.

Evidence: TestAnOrderIsJudgedWithoutTheEvidenceOnAnEarlierOneForItsVersion found the second order judged bad before any request, after a roll-back, after a take-back that the store didn't hold yet, and in progress.

A host now begins the evidence anew with each order that is another one by its number. An order that comes back with a copy of the store is the same one and keeps its evidence, as before.

--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -140,6 +140,10 @@
 	if before := p.rollouts[o.Service]; before != nil && before.stage != Completed && before.stage != Held && before.Target != o.Target {
 		r.barred = before.Target
 	}
+	if e := p.evidence[o.Service]; e != nil {
+		// What was seen of the target under an earlier order says nothing of this one.
+		e.BeginExposure(assessor.Exposure{Service: o.Service}, now)
+	}
 	p.rollouts[o.Service] = r
 	return r
 }
--- /dev/null
+++ b/promoter/reorder_test.go
@@ -0,0 +1,53 @@
+package promoter_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
+	"github.com/dotterelpulley/dotterelpulley/promoter"
+)
+
+// observeFailures counts failures of the target.
+func observeFailures(p *promoter.Promoter, now time.Time, count int) {
+	for range count {
+		p.Observe(now, promoter.Sample{Service: service, Version: target, Sample: assessor.Sample{
+			Cell: assessor.Cell{Route: "a"}, Endpoint: "i-1", Failed: true,
+		}})
+	}
+}
+
+func proveAlone(p *promoter.Promoter, now time.Time) promoter.Proof {
+	return p.Prove(now, service, [][]*assessor.Evidence{p.Evidence(now)})
+}
+
+// A version that was rolled back and ordered again was rolled back at once, on the evidence of the first time.
+func TestAnOrderIsJudgedWithoutTheEvidenceOnAnEarlierOneForItsVersion(t *testing.T) {
+	for name, end := range map[string]func(*promoter.Promoter, time.Time){
+		"rolled back": func(p *promoter.Promoter, now time.Time) {
+			p.TakeBack(now, service, "bad")
+			p.Stored(now, status(dotterelpulley.RolloutRolledBack))
+		},
+		"taken back":        func(p *promoter.Promoter, now time.Time) { p.TakeBack(now, service, "bad") },
+		"still in progress": func(*promoter.Promoter, time.Time) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var p promoter.Promoter
+			p.ReceiveOrder(epoch, newOrder(7), 0)
+			observeFailures(&p, epoch.Add(time.Second), 60)
+			c.Assert(proveAlone(&p, epoch.Add(time.Second)).Bad, qt.IsTrue)
+			again := epoch.Add(2 * time.Second)
+			end(&p, again)
+			c.Assert(p.ReceiveOrder(again, newOrder(9), 0), qt.IsTrue)
+			proof := proveAlone(&p, again.Add(100*time.Millisecond))
+			c.Assert(proof.Bad, qt.IsFalse)
+			c.Assert(proof.Requests, qt.Equals, 0)
+			observeFailures(&p, again.Add(time.Second), 60)
+			c.Assert(proveAlone(&p, again.Add(time.Second)).Bad, qt.IsTrue)
+		})
+	}
+}
