Count no runs of an earlier order as evidence on the next one for its version

A run counted as evidence on the target if its endpoint's version was the target's. Streams that a first order had sent to the version's endpoints go on for many seconds after its roll-back, and are cut when the endpoints stop. Under a second order for the version, they counted as its failures: operators would see a version rolled back that had done nothing wrong since they ordered it again.

Evidence: TestRunsOfAnEarlierOrderAreNoEvidenceOnTheNextOne found the second order judged bad by runs that had been placed before it.

Samples now tell when their run was placed; those of the target placed before this host knew of the order are left out. Samples stay within one host, so nothing changes on the wire.

--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -46,7 +46,7 @@
 	g.promotions.mutex.Lock()
 	defer g.promotions.mutex.Unlock()
 	for _, s := range samples {
-		g.promotions.promoter.Observe(now, promoter.Sample{Service: s.Service, Version: s.Version, Sample: assessor.Sample{
+		g.promotions.promoter.Observe(now, promoter.Sample{Service: s.Service, Version: s.Version, PlacedAt: s.PlacedAt, Sample: assessor.Sample{
 			Cell: assessor.Cell{Route: s.Route}, Endpoint: s.Endpoint, Failed: s.Failed, Unfinished: !s.Ended,
 			FirstToken: s.FirstEvent, BetweenTokens: s.EventInterval,
 		}})
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -16,13 +16,19 @@
 	assessor.Sample
 	Service dotterelpulley.ServiceID
 	Version dotterelpulley.VersionID
+	// PlacedAt is when the request was placed; zero if that isn't known.
+	PlacedAt time.Time
 }
 
 // Observe counts a sample of this host. All versions but the target count as one, with which the target is compared.
 func (p *Promoter) Observe(now time.Time, s Sample) {
 	e := p.evidenceOf(now, s.Service)
 	version := dotterelpulley.VersionID("")
-	if s.Version == e.Exposure.New {
+	if s.Version != "" && s.Version == e.Exposure.New {
+		if r := p.rollouts[s.Service]; r != nil && !s.PlacedAt.IsZero() && s.PlacedAt.Before(r.seenAt) {
+			// An earlier order for the same version sent it there.
+			return
+		}
 		version = s.Version
 	}
 	e.Add(version, s.Sample, now)
--- a/promoter/reorder_test.go
+++ b/promoter/reorder_test.go
@@ -51,3 +51,29 @@
 		})
 	}
 }
+
+// Streams that an earlier order had sent to the version's endpoints, which stop some seconds after a roll-back, counted as failures
+// under the next order.
+func TestRunsOfAnEarlierOrderAreNoEvidenceOnTheNextOne(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.TakeBack(epoch.Add(time.Second), service, "bad")
+	p.Stored(epoch.Add(time.Second), status(dotterelpulley.RolloutRolledBack))
+	again := epoch.Add(5 * time.Second)
+	p.ReceiveOrder(again, newOrder(9), 0)
+	later := again.Add(3 * time.Second)
+	observe := func(placedAt time.Time) {
+		for range 60 {
+			p.Observe(later, promoter.Sample{Service: service, Version: target, PlacedAt: placedAt, Sample: assessor.Sample{
+				Cell: assessor.Cell{Route: "a"}, Endpoint: "i-1", Failed: true,
+			}})
+		}
+	}
+	observe(epoch.Add(500 * time.Millisecond))
+	proof := proveAlone(&p, later)
+	c.Assert(proof.Bad, qt.IsFalse)
+	c.Assert(proof.Requests, qt.Equals, 0)
+	observe(again.Add(time.Second))
+	c.Assert(proveAlone(&p, later).Bad, qt.IsTrue)
+}
--- a/scheduler/sample.go
+++ b/scheduler/sample.go
@@ -22,6 +22,7 @@
 	Route    dotterelpulley.RouteID
 	Version  dotterelpulley.VersionID
 	Endpoint dotterelpulley.EndpointID
+	PlacedAt time.Time
 	// Ended samples hold the outcome; Failed means that the endpoint gave no whole answer.
 	Ended  bool
 	Failed bool
@@ -70,6 +71,7 @@
 		return
 	}
 	sample.Service, sample.Route, sample.Version, sample.Endpoint = r.Service, r.Route, r.endpoint.Version, r.endpoint.ID
+	sample.PlacedAt = r.placedAt
 	s.samples = append(s.samples, sample)
 }
 
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -76,6 +76,7 @@
 	samples := s.TakeSamples(start.Add(slowSampleTime))
 	c.Assert(samples, qt.HasLen, 1)
 	c.Check(samples[0].FirstEvent, qt.Equals, slowSampleTime)
+	c.Check(samples[0].PlacedAt, qt.Equals, start)
 	c.Check(samples[0].Ended, qt.IsFalse)
 	s.Ended(start.Add(2*time.Second), 1, ResultCancelled)
 	samples = s.TakeSamples(start.Add(2 * time.Second))
