Tell the outcome of an earlier order by its record in the store

The store's status of a roll-out names the service and the version, not the order. An outcome was taken for that of an earlier order for the version only within 2 s of the order, and before any host was seen to have written of it. Where the store took no writes for longer just after an order, a host that read it again found the outcome of the first order and took the second for rolled back: operators would see a version that they had ordered again stay rolled back, with no request sent to it.

A host now keeps the number of the record by which an order ended on it, and doesn't take that record for the outcome of the next one. A host that was told of the end by another one, as any but the first reader mostly is, doesn't know the record and goes by the time as before; a host that has no deadline of the order takes every outcome for the order's, as before. Nothing changes on the wire or in the store.

--- a/gateway/promotion_test.go
+++ b/gateway/promotion_test.go
@@ -187,7 +187,7 @@
 		g.promotions.mutex.Lock()
 		defer g.promotions.mutex.Unlock()
 		var advanced bool
-		change, advanced = g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted})
+		change, advanced = g.promotions.promoter.Stored(known, dotterelpulley.RolloutStatus{Service: "plain", Target: "v2", State: dotterelpulley.RolloutCompleted}, promoter.Number{})
 		return advanced
 	})
 	g.applyStage(known, change)
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -86,7 +86,7 @@
 		w.end, w.written[c.Service] = end, wanted
 		g.event(log.InfoLevel, "rollout-status").Str("service", string(wanted.Service)).Str("target", string(wanted.Target)).
 			Str("state", wanted.State.String()).Msg("")
-		g.applyStored(wanted)
+		g.applyStored(wanted, end)
 	}
 	return nil
 }
@@ -131,18 +131,18 @@
 			g.event(log.WarnLevel, "rollout-status-unreadable").Str("key", r.Key).Err(err).Msg("")
 			continue
 		}
-		g.applyStored(status)
+		g.applyStored(status, platform.Position{Topic: platform.StatusTopic, Next: r.Offset + 1, Era: snapshot.Era})
 	}
 	w.end = platform.Position{Topic: platform.StatusTopic, Next: snapshot.Next, Era: snapshot.Era}
 	w.synced, w.written = true, map[dotterelpulley.ServiceID]dotterelpulley.RolloutStatus{}
 	return nil
 }
 
-// applyStored applies a status that the store holds.
-func (g *Gateway) applyStored(status dotterelpulley.RolloutStatus) {
+// applyStored applies a status that the store holds before the position.
+func (g *Gateway) applyStored(status dotterelpulley.RolloutStatus, after platform.Position) {
 	p := &g.promotions
 	p.mutex.Lock()
-	change, advanced := p.promoter.Stored(time.Now(), status)
+	change, advanced := p.promoter.Stored(time.Now(), status, promoter.Number{Era: after.Era, Next: int64(after.Next)})
 	p.mutex.Unlock()
 	if advanced {
 		g.applyStage(time.Now(), change)
--- a/promoter/decide.go
+++ b/promoter/decide.go
@@ -73,14 +73,16 @@
 	return status, true
 }
 
-// Stored applies the status that the store holds. An outcome that is there when the order has just come, before any host has
-// written of it, belongs to an earlier order for the same target.
-func (p *Promoter) Stored(now time.Time, status dotterelpulley.RolloutStatus) (Change, bool) {
+// Stored applies the status that the store holds in the record with the number, zero if that isn't known. An outcome that is there
+// when the order has just come, before any host has written of it, belongs to an earlier order for the same target; so does the
+// record by which such an order ended on this host, whenever it is read again.
+func (p *Promoter) Stored(now time.Time, status dotterelpulley.RolloutStatus, record Number) (Change, bool) {
 	r := p.rollouts[status.Service]
 	if r == nil || r.Target != status.Target {
 		return Change{}, false
 	}
-	earlier := r.stage.running() && !r.announced && r.deadline.Sub(now) > r.Duration-announceTime
+	readAgain := record != (Number{}) && record == r.earlierOutcome
+	earlier := r.stage.running() && (readAgain || !r.announced && r.deadline.Sub(now) > r.Duration-announceTime)
 	advanced := false
 	switch {
 	case status.State == dotterelpulley.RolloutInProgress:
@@ -91,5 +93,8 @@
 	case status.State == dotterelpulley.RolloutRolledBack:
 		advanced = r.advance(now, RolledBack, "in the store")
 	}
+	if advanced {
+		r.outcome = record
+	}
 	return r.change(), advanced
 }
--- a/promoter/order.go
+++ b/promoter/order.go
@@ -7,7 +7,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 )
 
-// Number orders the orders of a service: the era of the store and the offset after the order's record.
+// Number orders the orders of a service, or the records of its status: the era of the store and the offset after the record.
 type Number struct {
 	Era  dotterelpulley.StoreEra
 	Next int64
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -1,6 +1,7 @@
 package promoter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,8 +63,11 @@
 	Order
 	// barred is the target of the order before, if that was not completed.
 	barred dotterelpulley.VersionID
-	stage  Stage
-	reason string
+	// outcome is the record by which the roll-out ended on this host, earlierOutcome that of the order before; zero if unknown.
+	outcome        Number
+	earlierOutcome Number
+	stage          Stage
+	reason         string
 	// seenAt is when this host heard of the order; deadline is when it goes back without a completion.
 	seenAt   time.Time
 	deadline time.Time
@@ -137,8 +141,11 @@
 		p.rollouts = map[dotterelpulley.ServiceID]*rollout{}
 	}
 	r := &rollout{Order: o, reason: "of unknown age", seenAt: now, perRoute: map[dotterelpulley.RouteID]int{}}
-	if before := p.rollouts[o.Service]; before != nil && before.stage != Completed && before.stage != Held && before.Target != o.Target {
-		r.barred = before.Target
+	if before := p.rollouts[o.Service]; before != nil {
+		r.earlierOutcome = cmp.Or(before.outcome, before.earlierOutcome)
+		if before.stage != Completed && before.stage != Held && before.Target != o.Target {
+			r.barred = before.Target
+		}
 	}
 	if e := p.evidence[o.Service]; e != nil {
 		// What was seen of the target under an earlier order says nothing of this one.
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -33,14 +33,14 @@
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
 	p.TakeBack(epoch, service, "bad")
-	p.Stored(epoch.Add(5*time.Second), status(dotterelpulley.RolloutRolledBack))
+	p.Stored(epoch.Add(5*time.Second), status(dotterelpulley.RolloutRolledBack), promoter.Number{})
 	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
 	again := epoch.Add(time.Minute)
 	c.Assert(p.ReceiveOrder(again, newOrder(9), 0), qt.IsTrue)
-	p.Stored(again.Add(50*time.Millisecond), status(dotterelpulley.RolloutRolledBack))
+	p.Stored(again.Add(50*time.Millisecond), status(dotterelpulley.RolloutRolledBack), promoter.Number{})
 	c.Assert(stageOf(&p), qt.Equals, promoter.Canary)
-	p.Stored(again.Add(60*time.Millisecond), status(dotterelpulley.RolloutInProgress))
-	p.Stored(again.Add(time.Second), status(dotterelpulley.RolloutRolledBack))
+	p.Stored(again.Add(60*time.Millisecond), status(dotterelpulley.RolloutInProgress), promoter.Number{})
+	p.Stored(again.Add(time.Second), status(dotterelpulley.RolloutRolledBack), promoter.Number{})
 	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
 }
 
@@ -88,7 +88,7 @@
 	c := qt.New(t)
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
-	p.Stored(epoch.Add(orderDuration), status(dotterelpulley.RolloutCompleted))
+	p.Stored(epoch.Add(orderDuration), status(dotterelpulley.RolloutCompleted), promoter.Number{})
 	c.Assert(p.Settled(epoch.Add(orderDuration+time.Second), service), qt.IsFalse)
 	c.Assert(p.Settled(epoch.Add(orderDuration+time.Minute), service), qt.IsTrue)
 }
@@ -99,7 +99,7 @@
 	c := qt.New(t)
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), math.MaxInt64)
-	p.Stored(epoch, status(dotterelpulley.RolloutInProgress))
+	p.Stored(epoch, status(dotterelpulley.RolloutInProgress), promoter.Number{})
 	for after := time.Duration(0); after < 3*orderDuration; after += 100 * time.Millisecond {
 		now := epoch.Add(after)
 		_, advanced := p.Decide(now, service, promoter.Proof{Hosts: 8, Reports: 1})
--- a/promoter/reorder_test.go
+++ b/promoter/reorder_test.go
@@ -29,7 +29,7 @@
 	for name, end := range map[string]func(*promoter.Promoter, time.Time){
 		"rolled back": func(p *promoter.Promoter, now time.Time) {
 			p.TakeBack(now, service, "bad")
-			p.Stored(now, status(dotterelpulley.RolloutRolledBack))
+			p.Stored(now, status(dotterelpulley.RolloutRolledBack), promoter.Number{})
 		},
 		"taken back":        func(p *promoter.Promoter, now time.Time) { p.TakeBack(now, service, "bad") },
 		"still in progress": func(*promoter.Promoter, time.Time) {},
@@ -59,7 +59,7 @@
 	var p promoter.Promoter
 	p.ReceiveOrder(epoch, newOrder(7), 0)
 	p.TakeBack(epoch.Add(time.Second), service, "bad")
-	p.Stored(epoch.Add(time.Second), status(dotterelpulley.RolloutRolledBack))
+	p.Stored(epoch.Add(time.Second), status(dotterelpulley.RolloutRolledBack), promoter.Number{})
 	again := epoch.Add(5 * time.Second)
 	p.ReceiveOrder(again, newOrder(9), 0)
 	later := again.Add(3 * time.Second)
@@ -77,3 +77,20 @@
 	observe(again.Add(time.Second))
 	c.Assert(proveAlone(&p, later).Bad, qt.IsTrue)
 }
+
+// A good version that was ordered again while the store took no writes was rolled back once it could be read, as the store still
+// held the outcome of the first order.
+func TestTheOutcomeOfAnEarlierOrderStaysThatHoweverLateItIsReadAgain(t *testing.T) {
+	c := qt.New(t)
+	var p promoter.Promoter
+	p.ReceiveOrder(epoch, newOrder(7), 0)
+	p.TakeBack(epoch, service, "bad")
+	outcome := promoter.Number{Era: 1, Next: 3}
+	p.Stored(epoch.Add(time.Second), status(dotterelpulley.RolloutRolledBack), outcome)
+	again := epoch.Add(time.Minute)
+	p.ReceiveOrder(again, newOrder(9), 0)
+	p.Stored(again.Add(5*time.Second), status(dotterelpulley.RolloutRolledBack), outcome)
+	c.Assert(stageOf(&p), qt.Equals, promoter.Canary)
+	p.Stored(again.Add(6*time.Second), status(dotterelpulley.RolloutRolledBack), promoter.Number{Era: 1, Next: 4})
+	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
+}
--- a/promoter/replay_test.go
+++ b/promoter/replay_test.go
@@ -247,7 +247,7 @@
 	if r.state == dotterelpulley.RolloutInProgress && wanted.State != r.state {
 		r.state, r.doneAt = wanted.State, r.now
 	}
-	h.Stored(r.clock(), dotterelpulley.RolloutStatus{Service: service, Target: target, State: r.state})
+	h.Stored(r.clock(), dotterelpulley.RolloutStatus{Service: service, Target: target, State: r.state}, promoter.Number{})
 	r.spread(h)
 }
 
