Write the status of each order, also where it is that of an earlier one

The host that writes the status of roll-outs skipped what it had written last for the service, whatever order that was for. A second order for the same version that was taken back before it was written as in progress had no outcome then: the roll-out stayed taken back and unfinished on all hosts, which went on asking each other for evidence, until the host read the topic again. The time for which the readers after the first one wait with an outcome was counted from the earlier order in the same way.

Evidence: TestTheSameOutcomeIsWrittenForEachOrder found the second order unfinished.

Both now go by the status with the number of its order.

--- a/gateway/reorder_test.go
+++ b/gateway/reorder_test.go
@@ -54,3 +54,14 @@
 	h.Assert(h.syncStatuses(context.Background(), &statusWriter{}), qt.IsNil)
 	h.Assert(h.stage(), qt.Equals, promoter.Canary)
 }
+
+// The outcome of an order was never written where the last status that the host had written was the same outcome of an earlier one.
+func TestTheSameOutcomeIsWrittenForEachOrder(t *testing.T) {
+	h := newRolloutHost(t)
+	for i := range 2 {
+		h.orderAt(time.Now().Add(-time.Second), int64(7+2*i))
+		h.takeBack()
+		h.Assert(h.stage(), qt.Equals, promoter.RolledBack)
+		h.Assert(h.site.store.Records(platform.StatusTopic), qt.HasLen, i+1)
+	}
+}
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -29,9 +29,15 @@
 	end    platform.Position
 	synced bool
 	// written is what this host has written since it last read.
-	written map[dotterelpulley.ServiceID]dotterelpulley.RolloutStatus
+	written map[dotterelpulley.ServiceID]orderStatus
 	// wantedSince is since when each status is wanted.
-	wantedSince map[dotterelpulley.RolloutStatus]time.Time
+	wantedSince map[orderStatus]time.Time
+}
+
+// orderStatus is a status with the order that it is for, as a version may be ordered again.
+type orderStatus struct {
+	dotterelpulley.RolloutStatus
+	order promoter.Number
 }
 
 // writeRolloutStatus keeps the status of the roll-outs in the store up to date while this host reads the store for others.
@@ -69,21 +75,21 @@
 		} else if err := g.syncStatuses(ctx, w); err != nil {
 			return err
 		}
-		wanted, ok := g.wantedStatus(w, rank, c.Service)
+		wanted, ok := g.wantedStatus(w, rank, c.Order)
 		if !ok {
 			continue
 		}
 		if err := g.syncStatuses(ctx, w); err != nil {
 			return err
 		}
-		if wanted, ok = g.wantedStatus(w, rank, c.Service); !ok {
+		if wanted, ok = g.wantedStatus(w, rank, c.Order); !ok {
 			continue
 		}
 		end, err := g.store.AppendAt(ctx, platform.StatusTopic, w.end, platform.EncodeRolloutStatus(wanted))
 		if err != nil {
 			return err
 		}
-		w.end, w.written[c.Service] = end, wanted
+		w.end, w.written[c.Service] = end, orderStatus{wanted, c.Number}
 		g.event(log.InfoLevel, "rollout-status").Str("service", string(wanted.Service)).Str("target", string(wanted.Target)).
 			Str("state", wanted.State.String()).Msg("")
 		g.applyStored(wanted, end)
@@ -93,25 +99,26 @@
 
 // wantedStatus returns the status that this host has to write. A reader after the first one writes an outcome alone, if those
 // before it haven't for some time.
-func (g *Gateway) wantedStatus(w *statusWriter, rank int, service dotterelpulley.ServiceID) (dotterelpulley.RolloutStatus, bool) {
+func (g *Gateway) wantedStatus(w *statusWriter, rank int, order promoter.Order) (dotterelpulley.RolloutStatus, bool) {
 	now := time.Now()
 	p := &g.promotions
 	p.mutex.Lock()
-	proof := p.proofs[service]
+	proof := p.proofs[order.Service]
 	if now.Sub(proof.at) > maxProofAge {
 		proof = datedProof{}
 	}
-	wanted, ok := p.promoter.Wanted(now, service, proof.Proof)
+	wanted, ok := p.promoter.Wanted(now, order.Service, proof.Proof)
 	p.mutex.Unlock()
-	if last, written := w.written[service]; !ok || written && last == wanted {
+	key := orderStatus{wanted, order.Number}
+	if !ok || w.written[order.Service] == key {
 		return wanted, false
 	}
 	if w.wantedSince == nil {
-		w.wantedSince = map[dotterelpulley.RolloutStatus]time.Time{}
+		w.wantedSince = map[orderStatus]time.Time{}
 	}
-	since, known := w.wantedSince[wanted]
+	since, known := w.wantedSince[key]
 	if !known {
-		since, w.wantedSince[wanted] = now, now
+		since, w.wantedSince[key] = now, now
 	}
 	return wanted, rank == 0 || wanted.State != dotterelpulley.RolloutInProgress && now.Sub(since) >= time.Duration(rank)*handoverTime
 }
@@ -134,7 +141,7 @@
 		g.applyStored(status, platform.Position{Topic: platform.StatusTopic, Next: r.Offset + 1, Era: snapshot.Era})
 	}
 	w.end = platform.Position{Topic: platform.StatusTopic, Next: snapshot.Next, Era: snapshot.Era}
-	w.synced, w.written = true, map[dotterelpulley.ServiceID]dotterelpulley.RolloutStatus{}
+	w.synced, w.written = true, map[dotterelpulley.ServiceID]orderStatus{}
 	return nil
 }
 
