Take evidence for the order that it was gathered under

Evidence of hosts on a roll-out was matched by the service and the target. Where a version was ordered again before every host knew the end of its first order, as after an order that is still in progress or that the store doesn't hold as rolled back yet, the host that decides judged the second order by what it had gathered before it came, or by what a host told that hadn't heard of it: operators would see it rolled back at once.

Evidence: TestEvidenceGatheredUnderAnEarlierOrderIsNotForTheNextOne found the second order judged bad by 60 requests of the first one.

Evidence now names the era and the offset of its order, and counts for that order alone.

--- a/assessor/evidence.go
+++ b/assessor/evidence.go
@@ -42,9 +42,18 @@
 	Recent Comparison
 }
 
+// Order numbers an operator's order: the era of the store and the offset after the order's record.
+type Order struct {
+	Era  dotterelpulley.StoreEra
+	Next int64
+}
+
 // Evidence holds the samples of one exposure, from one host or merged from several.
 type Evidence struct {
-	Exposure  Exposure
+	Exposure Exposure
+	// Order is the order that the exposure follows, as there may be several for one version; zero if there is none, or its host
+	// doesn't tell.
+	Order     Order
 	StartedAt time.Time
 	Cells     map[Cell]*CellEvidence
 	// FirstToken and BetweenTokens are the spreads of latencies on each endpoint.
--- a/assessor/wire.go
+++ b/assessor/wire.go
@@ -29,15 +29,18 @@
 }
 
 type wireEvidence struct {
-	Note    string     `json:"note"`
-	Service string     `json:"service"`
-	Step    int        `json:"step"`
-	Old     string     `json:"old"`
-	New     string     `json:"new"`
-	Began   time.Time  `json:"began"`
-	Cells   []wireCell `json:"cells"`
-	First   wireSpread `json:"first-token-spread"`
-	Between wireSpread `json:"between-tokens-spread"`
+	Note    string `json:"note"`
+	Service string `json:"service"`
+	Step    int    `json:"step"`
+	Old     string `json:"old"`
+	New     string `json:"new"`
+	// OrderEra and OrderNext are unknown to builds up to fd820be.
+	OrderEra  uint64     `json:"order-era,omitempty"`
+	OrderNext int64      `json:"order-next,omitempty"`
+	Began     time.Time  `json:"began"`
+	Cells     []wireCell `json:"cells"`
+	First     wireSpread `json:"first-token-spread"`
+	Between   wireSpread `json:"between-tokens-spread"`
 }
 
 type wireSpread struct {
@@ -74,14 +77,16 @@
 
 func (e *Evidence) toWire() wireEvidence {
 	w := wireEvidence{
-		Note:    string(e.Exposure.Note),
-		Service: string(e.Exposure.Service),
-		Step:    e.Exposure.Step,
-		Old:     string(e.Exposure.Old),
-		New:     string(e.Exposure.New),
-		Began:   e.StartedAt.UTC(),
-		First:   e.FirstToken.toWire(),
-		Between: e.BetweenTokens.toWire(),
+		Note:      string(e.Exposure.Note),
+		Service:   string(e.Exposure.Service),
+		Step:      e.Exposure.Step,
+		Old:       string(e.Exposure.Old),
+		New:       string(e.Exposure.New),
+		OrderEra:  uint64(e.Order.Era),
+		OrderNext: e.Order.Next,
+		Began:     e.StartedAt.UTC(),
+		First:     e.FirstToken.toWire(),
+		Between:   e.BetweenTokens.toWire(),
 	}
 	for cell, evidence := range e.Cells {
 		w.Cells = append(w.Cells, wireCell{
@@ -108,6 +113,7 @@
 			Old:     dotterelpulley.VersionID(w.Old),
 			New:     dotterelpulley.VersionID(w.New),
 		},
+		Order:     Order{Era: dotterelpulley.StoreEra(w.OrderEra), Next: w.OrderNext},
 		StartedAt: w.Began,
 		Cells:     map[Cell]*CellEvidence{},
 	}
--- a/promoter/evidence.go
+++ b/promoter/evidence.go
@@ -59,13 +59,20 @@
 	for _, c := range p.Unfinished() {
 		e := p.evidenceOf(now, c.Service)
 		e.Refresh(now)
-		copied := &assessor.Evidence{Exposure: e.Exposure, StartedAt: e.StartedAt}
+		copied := &assessor.Evidence{Exposure: e.Exposure, Order: assessor.Order(c.Number), StartedAt: e.StartedAt}
 		copied.Merge(e)
 		all = append(all, copied)
 	}
 	return all
 }
 
+// isOfOtherOrder reports whether the evidence belongs to another order than the service's newest one, for the same target. Orders of
+// different eras may be copies of each other.
+func (p *Promoter) isOfOtherOrder(e *assessor.Evidence) bool {
+	r := p.rollouts[e.Exposure.Service]
+	return r != nil && e.Order != (assessor.Order{}) && e.Order.Era == r.Number.Era && e.Order.Next != r.Number.Next
+}
+
 // Prove assesses the sum of the evidence of several hosts.
 func (p *Promoter) Prove(now time.Time, service dotterelpulley.ServiceID, reports [][]*assessor.Evidence) Proof {
 	own := p.evidenceOf(now, service)
@@ -73,7 +80,7 @@
 	proof := Proof{}
 	for _, report := range reports {
 		for _, e := range report {
-			if e.Exposure != own.Exposure {
+			if e.Exposure != own.Exposure || p.isOfOtherOrder(e) {
 				continue
 			}
 			// The clocks of other hosts may differ.
--- a/promoter/reorder_test.go
+++ b/promoter/reorder_test.go
@@ -11,9 +11,9 @@
 	"github.com/dotterelpulley/dotterelpulley/promoter"
 )
 
-// observeFailures counts failures of the target.
-func observeFailures(p *promoter.Promoter, now time.Time, count int) {
-	for range count {
+// observeFailures counts failures of the target, enough for a verdict.
+func observeFailures(p *promoter.Promoter, now time.Time) {
+	for range 60 {
 		p.Observe(now, promoter.Sample{Service: service, Version: target, Sample: assessor.Sample{
 			Cell: assessor.Cell{Route: "a"}, Endpoint: "i-1", Failed: true,
 		}})
@@ -38,7 +38,7 @@
 			c := qt.New(t)
 			var p promoter.Promoter
 			p.ReceiveOrder(epoch, newOrder(7), 0)
-			observeFailures(&p, epoch.Add(time.Second), 60)
+			observeFailures(&p, epoch.Add(time.Second))
 			c.Assert(proveAlone(&p, epoch.Add(time.Second)).Bad, qt.IsTrue)
 			again := epoch.Add(2 * time.Second)
 			end(&p, again)
@@ -46,7 +46,7 @@
 			proof := proveAlone(&p, again.Add(100*time.Millisecond))
 			c.Assert(proof.Bad, qt.IsFalse)
 			c.Assert(proof.Requests, qt.Equals, 0)
-			observeFailures(&p, again.Add(time.Second), 60)
+			observeFailures(&p, again.Add(time.Second))
 			c.Assert(proveAlone(&p, again.Add(time.Second)).Bad, qt.IsTrue)
 		})
 	}
@@ -94,3 +94,39 @@
 	p.Stored(again.Add(6*time.Second), status(dotterelpulley.RolloutRolledBack), promoter.Number{Era: 1, Next: 4})
 	c.Assert(stageOf(&p), qt.Equals, promoter.RolledBack)
 }
+
+// An order was judged by evidence on an earlier one for its version that had been gathered before it came, or that another host told
+// which hadn't heard of it yet.
+func TestEvidenceGatheredUnderAnEarlierOrderIsNotForTheNextOne(t *testing.T) {
+	c := qt.New(t)
+	var p, behind promoter.Promoter
+	for _, h := range []*promoter.Promoter{&p, &behind} {
+		h.ReceiveOrder(epoch, newOrder(7), 0)
+		observeFailures(h, epoch.Add(time.Second))
+	}
+	gathered := p.Evidence(epoch.Add(time.Second))
+	again := epoch.Add(2 * time.Second)
+	p.ReceiveOrder(again, newOrder(9), 0)
+	now := again.Add(100 * time.Millisecond)
+	for _, report := range [][]*assessor.Evidence{gathered, behind.Evidence(now)} {
+		proof := p.Prove(now, service, [][]*assessor.Evidence{sent(c, report), p.Evidence(now)})
+		c.Check(proof.Bad, qt.IsFalse)
+		c.Check(proof.Requests, qt.Equals, 0)
+		c.Check(proof.Reports, qt.Equals, 1)
+	}
+	// The order is the same one in a copy of the store.
+	copied := newOrder(3)
+	copied.Number.Era = 2
+	behind.ReceiveOrder(now, copied, 0)
+	observeFailures(&p, now)
+	c.Check(behind.Prove(now, service, [][]*assessor.Evidence{sent(c, p.Evidence(now))}).Reports, qt.Equals, 1)
+}
+
+// sent returns the evidence as another host reads it.
+func sent(c *qt.C, evidence []*assessor.Evidence) []*assessor.Evidence {
+	data, err := assessor.Encode(evidence)
+	c.Assert(err, qt.IsNil)
+	received, err := assessor.Decode(data)
+	c.Assert(err, qt.IsNil)
+	return received
+}
