Count the crashes of each start of an endpoint that earlier builds report

All crashes of an endpoint that starts again under its id were one incident then, so that beside such hosts, during an upgrade, a request that crashes its endpoints would reach more of them than the limit.

Evidence: TestCrashesOfTheStartsOfAnEndpointThatEarlierBuildsReportCountEach found the request suspected after three crashes.

The incident is now that of the endpoint's registered start, as where this host sees the crash itself. Where no start is registered, it stays the id's. Nothing changes on the wire.

--- a/gateway/crash_reports.go
+++ b/gateway/crash_reports.go
@@ -85,12 +85,30 @@
 // adoptCrashes returns the facts in the crashes that a host of an earlier build reports, and passes the crashes on: that host
 // reaches only some of a large fleet while it reports them.
 func (g *Gateway) adoptCrashes(now time.Time, reported []announcer.Crash) (facts []announcer.PartFact) {
+	if len(reported) == 0 {
+		return nil
+	}
+	incidents := g.currentIncidents()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, c := range reported {
-		if g.crashes.add(now, c) {
-			facts = append(facts, announcer.PartFact{Part: c.Fingerprint, Incident: c.Endpoint})
+		if !g.crashes.add(now, c) {
+			continue
+		}
+		incident, ok := incidents[c.Endpoint]
+		if !ok {
+			incident = c.Endpoint
 		}
+		facts = append(facts, announcer.PartFact{Part: c.Fingerprint, Incident: incident})
 	}
 	return facts
 }
+
+// currentIncidents returns the incident of a crash of each registered start, by its endpoint's key.
+func (g *Gateway) currentIncidents() map[uint32]uint32 {
+	incidents := map[uint32]uint32{}
+	for _, e := range g.registry.registrations() {
+		incidents[scheduler.EndpointKey(e.ID)] = uint32(e.Instance())
+	}
+	return incidents
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -49,6 +49,13 @@
 	r.NoteFailure()
 }
 
+// registrations returns all registrations.
+func (r *endpointRegistry) registrations() []registrar.Registration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.Registrations()
+}
+
 // pending returns the registrations that are kept although the store lacks them.
 func (r *endpointRegistry) pending() registrar.PendingRemovals {
 	r.mutex.Lock()
--- a/gateway/restarted_endpoint_test.go
+++ b/gateway/restarted_endpoint_test.go
@@ -8,13 +8,16 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/apportioner"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 	"github.com/dotterelpulley/dotterelpulley/registrar"
+	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 // registerStart registers a start of an endpoint, at which it has the address.
@@ -124,3 +127,24 @@
 	s.Assert(facts(deadlyPart), qt.HasLen, 1)
 	s.Assert(facts(deadlyPart)[0].Incident, qt.Equals, isolator.Incident(registrar.InstanceOf("i-1", first)))
 }
+
+// Hosts of builds up to 164c83d name the endpoint of a crash by its id alone, so that all crashes of one that starts again under it
+// counted as one.
+func TestCrashesOfTheStartsOfAnEndpointThatEarlierBuildsReportCountEach(t *testing.T) {
+	c := qt.New(t)
+	g := New(platform.Settings{Host: "host-1"}, &log.Logger{Level: log.PanicLevel})
+	defer func() { c.Check(g.Close(), qt.IsNil) }()
+	now := time.Now()
+	for i := range int64(3) {
+		at := now.Add(time.Duration(i) * 10 * time.Second)
+		registration := registrar.Registration{Endpoint: dotterelpulley.Endpoint{ID: "i-1"}, StartedAt: at, Sequence: 1}
+		g.registry.ApplyStore(at, registrar.Batch{Era: 1, Records: []registrar.Record{{Registration: registration, Written: i + 1}}})
+		g.receiveIsolations(at, announcer.Digest{
+			Host:    announcer.Host{ID: "host-2"},
+			Crashes: []announcer.Crash{{Fingerprint: 7, Attempt: uint64(i), Endpoint: scheduler.EndpointKey("i-1")}},
+		})
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	c.Assert(g.isolations[wholeRequests].State(now.Add(20*time.Second), 7), qt.Equals, isolator.IsolatedPart)
+}
