Complete a roll-out order on evidence gathered under that order alone

A host that learned of an order only near its end, as one whose machine was suspended, so that its clock stood still, could have completed it on what it had learned under the order before: the old version's endpoints would be stopped for a version that this host had no evidence on.

Evidence: TestNoOrderIsCompletedOnTheProofOfAnotherOne found the second order completed.

What was learned is now kept with the number of its order.

--- a/gateway/promotion.go
+++ b/gateway/promotion.go
@@ -30,10 +30,11 @@
 	proofs    map[dotterelpulley.ServiceID]datedProof
 }
 
-// datedProof is what was learned of a target, and when.
+// datedProof is what was learned of a target, when, and under which order.
 type datedProof struct {
 	promoter.Proof
-	at time.Time
+	at    time.Time
+	order promoter.Number
 }
 
 func (p *promotions) limit(s promoter.Settings) {
@@ -213,8 +214,8 @@
 		if p.proofs == nil {
 			p.proofs = map[dotterelpulley.ServiceID]datedProof{}
 		}
-		p.proofs[c.Service] = datedProof{Proof: proof, at: asked}
 		change, advanced := p.promoter.Decide(now, c.Service, proof)
+		p.proofs[c.Service] = datedProof{Proof: proof, at: asked, order: change.Number}
 		p.mutex.Unlock()
 		g.event(log.DebugLevel, "rollout-evidence").Str("service", string(c.Service)).Int("reports", proof.Reports).
 			Int("hosts", proof.Hosts).Bool("enough", proof.EnoughEvidence).Str("seen", proof.Reason).Msg("")
--- a/gateway/reorder_test.go
+++ b/gateway/reorder_test.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/assessor"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/promoter"
 )
@@ -65,3 +66,23 @@
 		h.Assert(h.site.store.Records(platform.StatusTopic), qt.HasLen, i+1)
 	}
 }
+
+// A host that had been suspended for the length of an order would have completed it on what it knew of the order before.
+func TestNoOrderIsCompletedOnTheProofOfAnotherOne(t *testing.T) {
+	h := newRolloutHost(t)
+	now := time.Now()
+	h.orderAt(now.Add(-30*time.Second), 7)
+	proof := datedProof{Proof: promoter.Proof{Assessment: assessor.Assessment{EnoughEvidence: true}, Hosts: 1, Reports: 1}, at: now, order: promoter.Number{Era: 1, Next: 7}}
+	h.promotions.proofs = map[dotterelpulley.ServiceID]datedProof{"plain": proof}
+	completes := func(next int64) bool {
+		order := promoter.Order{
+			RolloutOrder: dotterelpulley.RolloutOrder{Service: "plain", Target: "v2", Duration: time.Minute}, Number: promoter.Number{Era: 1, Next: next},
+		}
+		h.promotions.promoter.Learn(now, promoter.Fact{Order: order, Stage: promoter.Full, Remaining: 400 * time.Millisecond})
+		status, ok := h.wantedStatus(&h.writer, 0, order)
+		h.Assert(ok, qt.IsTrue)
+		return status.State == dotterelpulley.RolloutCompleted
+	}
+	h.Assert(completes(7), qt.IsTrue)
+	h.Assert(completes(9), qt.IsFalse)
+}
--- a/gateway/rollout_status.go
+++ b/gateway/rollout_status.go
@@ -104,7 +104,7 @@
 	p := &g.promotions
 	p.mutex.Lock()
 	proof := p.proofs[order.Service]
-	if now.Sub(proof.at) > maxProofAge {
+	if now.Sub(proof.at) > maxProofAge || proof.order != order.Number {
 		proof = datedProof{}
 	}
 	wanted, ok := p.promoter.Wanted(now, order.Service, proof.Proof)
