--- a/gateway/crash_reports.go
+++ b/gateway/crash_reports.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -66,9 +65,9 @@
 
 // reportCrash reports the requests that wait on an endpoint which has crashed: those under suspicion, or all if none is; the
 // mutex must be held.
-func (g *Gateway) reportCrash(now time.Time, id dotterelpulley.EndpointID) {
+func (g *Gateway) reportCrash(now time.Time, e scheduler.Endpoint) {
 	requests := &g.isolations[wholeRequests]
-	runs := requests.Waiting(id)
+	runs := requests.Waiting(startOf(e))
 	suspected := func(r isolator.Waiting) bool {
 		return slices.ContainsFunc(r.Parts, func(p isolator.Part) bool { return requests.State(now, p) != isolator.Sound })
 	}
@@ -78,7 +77,7 @@
 			continue
 		}
 		for _, p := range r.Parts {
-			g.crashes.add(now, announcer.Crash{Fingerprint: uint64(p), Attempt: uint64(r.Attempt), Endpoint: scheduler.EndpointKey(id)})
+			g.crashes.add(now, announcer.Crash{Fingerprint: uint64(p), Attempt: uint64(r.Attempt), Endpoint: scheduler.EndpointKey(e.ID)})
 		}
 	}
 }
@@ -86,12 +85,30 @@
 // adoptCrashes returns the facts in the crashes that a host of an earlier build reports, and passes the crashes on: that host
 // reaches only some of a large fleet while it reports them.
 func (g *Gateway) adoptCrashes(now time.Time, reported []announcer.Crash) (facts []announcer.PartFact) {
+	if len(reported) == 0 {
+		return nil
+	}
+	incidents := g.currentIncidents()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, c := range reported {
-		if g.crashes.add(now, c) {
-			facts = append(facts, announcer.PartFact{Part: c.Fingerprint, Incident: c.Endpoint})
+		if !g.crashes.add(now, c) {
+			continue
+		}
+		incident, ok := incidents[c.Endpoint]
+		if !ok {
+			incident = c.Endpoint
 		}
+		facts = append(facts, announcer.PartFact{Part: c.Fingerprint, Incident: incident})
 	}
 	return facts
 }
+
+// currentIncidents returns the incident of a crash of each registered start, by its endpoint's key.
+func (g *Gateway) currentIncidents() map[uint32]uint32 {
+	incidents := map[uint32]uint32{}
+	for _, e := range g.registry.registrations() {
+		incidents[scheduler.EndpointKey(e.ID)] = uint32(e.Instance())
+	}
+	return incidents
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -211,7 +211,7 @@
 
 // startAttempt begins an attempt at the endpoint, which finishAttempt ends, unless the request is refused for its prompt's parts.
 func (p *proxiedRequest) startAttempt(placed scheduler.Placed) (attempt, *refusal) {
-	a := attempt{Placed: placed, attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%d", p.AttemptID, p.attempts+1)), startedAt: time.Now()}
+	a := attempt{Placed: placed, attemptID: isolator.NewAttemptID(), startedAt: time.Now()}
 	if refused := p.beginRun(a); refused != nil {
 		return attempt{}, refused
 	}
@@ -269,9 +269,9 @@
 		return
 	}
 	if metadata.Leaving {
-		p.gateway.endpointLeaves(time.Now(), a.Endpoint.ID)
+		p.gateway.endpointLeaves(time.Now(), a.Endpoint)
 	}
-	p.heedLimits(time.Now(), a.Endpoint.ID, metadata)
+	p.heedLimits(time.Now(), a.Endpoint, metadata)
 	if metadata.Pause > 0 {
 		p.gateway.metrics.Inc("endpoint-pauses")
 		p.gateway.requestEvent(log.InfoLevel, "endpoint-paused", p.request).Str("endpoint", string(a.Endpoint.ID)).Dur("for", metadata.Pause).Msg("")
@@ -358,7 +358,7 @@
 		p.endUnreached(a, err)
 		return
 	}
-	p.gateway.endpointCrashed(time.Now(), a.Endpoint.ID)
+	p.gateway.endpointCrashed(time.Now(), a.Endpoint)
 	p.gateway.connector.CloseIdle(a.Endpoint.Address)
 	p.finishAttempt(a, scheduler.ResultDead, fmt.Errorf("the endpoint crashed: %w", err))
 }
@@ -401,7 +401,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for i := range g.isolations {
-		g.isolations[i].Ended(a.Endpoint.ID, a.attemptID)
+		g.isolations[i].Ended(startOf(a.Endpoint), a.attemptID)
 	}
 }
 
