Believe no unnamed answer after one to another request

On a new connection, an answer that names no request was taken for the refusal of its first request even after an answer had been skipped there, which may have been the first. The caller was told 503 although an endpoint that answers twice may have run it. A connection that has delivered another answer counts as kept.

TestAnUnnamedRefusalAfterAnAnswerIsNobodysRefusal and TestAResponseAfterAStrayIsNotTheFirst failed before.

--- a/connector/carried_test.go
+++ b/connector/carried_test.go
@@ -114,3 +114,18 @@
 	c.Assert(heads[0].Reused, qt.IsTrue)
 	c.Assert(heads[1].Reused, qt.IsFalse)
 }
+
+// A response without an id was believed after one to another request, on a connection that had carried nothing before.
+func TestAResponseAfterAStrayIsNotTheFirst(t *testing.T) {
+	c := qt.New(t)
+	address, _ := startScriptedServer(c, completeResponse("other", "stray")+"HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n")
+	var p Connector
+	defer p.Close()
+	r := newRequest("a")
+	r.MatchesResponse = func(h ResponseHead) bool { return h.Header.Get("Id") == "" }
+	x, err := p.Do(context.Background(), address, r)
+	c.Assert(err, qt.IsNil)
+	defer x.Abort()
+	c.Assert(x.Reused, qt.IsTrue)
+	c.Assert(x.Strays, qt.Equals, 1)
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -47,7 +47,8 @@
 type ResponseHead struct {
 	StatusCode int
 	Header     http.Header
-	// Reused means that the connection was kept before the request, so that what it delivers may be older.
+	// Reused means that the connection was kept before the request, or has delivered a response to another one, so that this one may
+	// be older.
 	Reused bool
 }
 
@@ -69,7 +70,7 @@
 type Exchange struct {
 	*http.Response
 	Carrier
-	// Reused means that the connection was kept before the request.
+	// Reused is that of the response's head.
 	Reused bool
 
 	connector    *Connector
@@ -164,6 +165,7 @@
 			return nil
 		}
 		x.Strays++
+		x.Reused = true
 		if err := x.skipStray(response); err != nil {
 			return err
 		}
--- a/gateway/refusal_copy_test.go
+++ b/gateway/refusal_copy_test.go
@@ -216,3 +216,27 @@
 	c.Check(hostProof(kind, http.Header{}, true), qt.IsNil)
 	c.Check(hostProof(kind, http.Header{}, false), qt.IsNotNil)
 }
+
+// An endpoint answered twice, the second time with a refusal that names no request. The caller was told that its request had not run.
+func TestAnUnnamedRefusalAfterAnAnswerIsNobodysRefusal(t *testing.T) {
+	for name, first := range map[string]string{
+		"an answer without an id":          "HTTP/1.1 200 OK\r\nDotterelpulley-Response-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+		"an answer that names another one": "HTTP/1.1 200 OK\r\nDotterelpulley-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			s.scriptedEndpoint("i-1", "plain", func(conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, first+"HTTP/1.1 503 Refused\r\nDotterelpulley-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			})
+			g := s.startReadyGateway()
+			s.waitFor("the host knows the endpoint", func() bool { return len(registrations(g)) == 1 })
+			s.waitForAllowance(g, 20)
+			limitRetries(g, 0, 0)
+			r := s.request(context.Background(), g, http.MethodPost, "/call/", "book")
+			r.Header.Set("Dotterelpulley-Deadline-Ms", "500")
+			s.Check(platform.PromisesNotRun(s.send(r).status), qt.IsFalse)
+		})
+	}
+}
