Open no more connections for ids that come again than before

Each send of one id opened a connection and left it idle beside those that had carried the id before, up to the limit of idle connections of an endpoint; 40 sends of one id left 32. One of those that are passed over is closed now before another is opened. An id is hashed once for each request, outside the lock.

TestSendsOfOneIDKeepOneConnection failed before. Further tests hold parts of the fix that had none: TestASecondEndpointRunsWhatTheCopyOfARefusalDenied (fails where connections are taken whatever they have carried), TestARefusalByAnEarlierBuildHoldsOnlyBeforeAnyEndpoint (fails where arrivals are ignored), TestTheConnectionThatIsTakenLeavesTheIdleOnes.

--- a/connector/carried_test.go
+++ b/connector/carried_test.go
@@ -46,15 +46,26 @@
 	return dotterelpulley.Address(l.Addr().String())
 }
 
-// carry sends a request with the id and returns its connection.
-func carry(c *qt.C, p *Connector, address dotterelpulley.Address, id string) Carrier {
+// begin sends a request with the id.
+func begin(c *qt.C, p *Connector, address dotterelpulley.Address, id string) *Exchange {
 	r := newRequest(id)
 	r.Header.Set("Id", id)
 	x, err := p.Do(context.Background(), address, r)
 	c.Assert(err, qt.IsNil)
-	_, err = io.Copy(io.Discard, x.Body)
+	return x
+}
+
+// finish reads the response and releases the connection.
+func finish(c *qt.C, x *Exchange) {
+	_, err := io.Copy(io.Discard, x.Body)
 	c.Assert(err, qt.IsNil)
 	x.Release()
+}
+
+// carry sends a request with the id and returns its connection.
+func carry(c *qt.C, p *Connector, address dotterelpulley.Address, id string) Carrier {
+	x := begin(c, p, address, id)
+	finish(c, x)
 	return x.Carrier
 }
 
@@ -79,8 +90,37 @@
 	defer p.Close()
 	c.Assert(p.Reaches(context.Background(), address), qt.IsTrue)
 	c.Assert(carry(c, &p, address, "a"), qt.Equals, Carrier{Connection: 1})
-	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 2})
-	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 3})
+	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 2, PassedOver: true})
+	c.Assert(carry(c, &p, address, ""), qt.Equals, Carrier{Connection: 3, PassedOver: true})
+	c.Assert(p.idle[address], qt.HasLen, 1)
+}
+
+// Each send of an id opened a connection and left it idle beside those before.
+func TestSendsOfOneIDKeepOneConnection(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	for range 5 {
+		carry(c, &p, address, "a")
+		c.Assert(p.idle[address], qt.HasLen, 1)
+	}
+}
+
+func TestTheConnectionThatIsTakenLeavesTheIdleOnes(t *testing.T) {
+	c := qt.New(t)
+	address := startNamingServer(c)
+	var p Connector
+	defer p.Close()
+	first, second := begin(c, &p, address, "a"), begin(c, &p, address, "b")
+	finish(c, first)
+	finish(c, second)
+	c.Assert(p.idle[address], qt.HasLen, 2)
+	third := begin(c, &p, address, "b")
+	c.Assert(third.Connection, qt.Equals, first.Connection)
+	c.Assert(p.idle[address], qt.HasLen, 1)
+	c.Assert(p.idle[address][0].number, qt.Equals, second.Connection)
+	finish(c, third)
 }
 
 func TestAConnectionEndsOnceItCanRememberNoMoreIDs(t *testing.T) {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -65,37 +65,45 @@
 }
 
 // takeIdle returns a usable idle connection to the address that hasn't carried the id, nil if there is none; passedOver reports
-// whether there was one that has.
+// whether there were others. One of them is closed then, so that the connection in its place is not one more.
 func (p *Connector) takeIdle(address dotterelpulley.Address, id string) (c *connection, passedOver bool) {
-	if id == "" {
-		// Any response that comes again could be taken for one to a request without an id.
-		return nil, false
+	suits := func(*connection) bool { return false }
+	// Any response that comes again could be taken for one to a request without an id.
+	if id != "" {
+		carried := carriedIDOf(id)
+		suits = func(c *connection) bool { return !c.carried.has(carried) }
 	}
 	for {
-		var carried bool
-		c, carried = p.popIdle(address, id)
-		passedOver = passedOver || carried
+		c, replaced := p.popIdle(address, suits)
+		if replaced != nil {
+			replaced.Close()
+			return nil, true
+		}
 		if c == nil || c.usable(time.Now()) {
-			return c, passedOver
+			return c, false
 		}
 		c.Close()
 	}
 }
 
-// popIdle removes the connection that became idle last of those that haven't carried the id.
-func (p *Connector) popIdle(address dotterelpulley.Address, id string) (c *connection, passedOver bool) {
+// popIdle removes the connection that became idle last of those that suit, or if there is none, the one that has been idle for longest.
+func (p *Connector) popIdle(address dotterelpulley.Address, suits func(*connection) bool) (c, replaced *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
+	if len(list) == 0 {
+		return nil, nil
+	}
 	for i := len(list) - 1; i >= 0; i-- {
-		if !list[i].carried.has(id) {
+		if suits(list[i]) {
 			c = list[i]
 			p.idle[address] = slices.Delete(list, i, i+1)
-			return c, passedOver
+			return c, nil
 		}
-		passedOver = true
 	}
-	return nil, passedOver
+	replaced = list[0]
+	p.idle[address] = slices.Delete(list, 0, 1)
+	return nil, replaced
 }
 
 // putIdle keeps a connection for the next exchange.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -60,7 +60,7 @@
 	Connection ConnectionNumber
 	// Earlier counts the requests before the exchange's own.
 	Earlier int
-	// PassedOver reports whether an idle connection wasn't used because it had carried a request of the same id.
+	// PassedOver reports whether no idle connection was used because all had carried requests of the same id, or the request has none.
 	PassedOver bool
 	// Strays counts the responses to other requests that were skipped.
 	Strays int
@@ -116,7 +116,7 @@
 
 // send writes the headers with a small body; a large body is sent concurrently with the response.
 func (x *Exchange) send(r Request) error {
-	x.conn.carried.add(r.ID)
+	x.conn.carried.add(carriedIDOf(r.ID))
 	w := x.conn.writer
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
--- a/gateway/refusal_copy_test.go
+++ b/gateway/refusal_copy_test.go
@@ -133,6 +133,9 @@
 					s.Check(e.runsOf(id), qt.Equals, 1, qt.Commentf(route))
 				}
 			}
+			if way.hosts == 1 {
+				s.Check(s.gateways[0].metrics.counts.Get("connections-passed-over"), qt.Equals, int64(10))
+			}
 		})
 	}
 }
@@ -240,3 +243,61 @@
 		})
 	}
 }
+
+// A host took the copy of a refusal for the answer and sent the request to a second endpoint, while the first one ran it.
+func TestASecondEndpointRunsWhatTheCopyOfARefusalDenied(t *testing.T) {
+	var one, two copyingEndpoint
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	s.scriptedEndpoint("i-1", "plain", one.answer)
+	s.scriptedEndpoint("i-2", "plain", two.answer)
+	g := s.startReadyGateway()
+	s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 2 })
+	s.waitForAllowance(g, 100)
+	for n := range 5 {
+		id := fmt.Sprintf("a-%d", n)
+		status := http.StatusServiceUnavailable
+		for sends := 0; sends < 3 && status == http.StatusServiceUnavailable; sends++ {
+			r := s.requestAs(id, g, "/call/503")
+			r.Header.Set("Dotterelpulley-Deadline-Ms", "500")
+			status = s.send(r).status
+		}
+		s.Check(status, qt.Equals, http.StatusOK, qt.Commentf(id))
+		s.Check(one.runsOf(id)+two.runsOf(id), qt.Equals, 1, qt.Commentf(id))
+	}
+}
+
+// A host that forwards told its caller that the request had not run, as an earlier build said so of one that had reached an endpoint.
+func TestARefusalByAnEarlierBuildHoldsOnlyBeforeAnyEndpoint(t *testing.T) {
+	for arrivals, promised := range map[string]bool{"0": true, "1 i-1": false} {
+		t.Run("arrivals "+arrivals, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			s.endpoint("i-1", "plain", answerHello)
+			s.endpoint("i-0", "idle", answerHello)
+			helper := s.scriptedEndpoint("helper", "other", func(conn net.Conn, _ *http.Request) bool {
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Refused\r\nDotterel-Refusal: %s\r\nDotterel-Arrivals: %s\r\nContent-Length: 0\r\n\r\n", dotterelpulley.ErrorNoEndpoint, arrivals)
+				return err == nil
+			})
+			for _, g := range startHosts(s, 2) {
+				s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 3 })
+				s.waitForAllowance(g, 100)
+			}
+			g := s.gateways[0]
+			address := ""
+			for _, e := range registrations(g) {
+				if e.ID == "helper" {
+					address = string(e.Address)
+				}
+			}
+			g.hosts.Dial = func(ctx context.Context, network, _ string) (net.Conn, error) {
+				var d net.Dialer
+				return d.DialContext(ctx, network, address)
+			}
+			s.cutOff(0, "plain")
+			got := s.post(g, "/call/", "book")
+			s.Check(helper.requests.Load(), qt.Equals, int64(1))
+			s.Check(platform.PromisesNotRun(got.status), qt.Equals, promised, qt.Commentf("status %d", got.status))
+		})
+	}
+}
