--- a/gateway/refusal_copy_test.go
+++ b/gateway/refusal_copy_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// The answer that followed the copy of a refusal stayed on the connection, where the next request could meet it.
+// Guards against an answer that follows the copy of a refusal and stays on the connection, where the next request could meet it.
 func TestTheAnswerAfterTheCopyOfARefusalMeetsNobody(t *testing.T) {
 	var e copyingEndpoint
 	s := copyingSite(t, 1, &e)
