--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -53,7 +53,7 @@
 }
 
 // lastLanding is the commit that runs in production.
-const lastLanding = "f885380"
+const lastLanding = "fd820be"
 
 // Hosts of the last landing and of this build run side by side, forth, back and forth again, and keep every promise.
 func TestSoakOfAnUpgrade(t *testing.T) {
