--- a/review/rig-2/book.go
+++ b/review/rig-2/book.go
@@ -13,10 +13,12 @@
 	server    string
 	lastEvent string
 	at        time.Time
-	// ran means that the server began to work on it, whole that it made the whole answer, ended when it stopped.
-	ran   bool
-	whole bool
-	ended time.Time
+	// ran means that the server began to work on it, whole that it made the whole answer, failed that it answered with a failure
+	// of the run, ended when it stopped.
+	ran    bool
+	whole  bool
+	failed bool
+	ended  time.Time
 }
 
 // request is a request of a requester with what became of it.
@@ -71,6 +73,12 @@
 	a.whole = true
 }
 
+func (b *book) fail(a *arrival) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	a.failed = true
+}
+
 func (b *book) end(a *arrival) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -96,7 +104,7 @@
 	fmt.Fprintf(w, "%s s: %s sent to %s, kept channel %t; ended %s s: status %d, stamp %q, %d events, whole %t, closed by the machine %t, left %t: %s\n",
 		b.seconds(r.sentAt), r.id, r.machine, r.kept, b.seconds(r.endedAt), r.status, r.stamp, r.events, r.whole, r.closed, r.left, verdict)
 	for _, a := range b.arrivals[r.id] {
-		fmt.Fprintf(w, "    %s s: at server %s after event %q, ran %t, made the whole answer %t, until %s s\n",
-			b.seconds(a.at), a.server, a.lastEvent, a.ran, a.whole, b.seconds(a.ended))
+		fmt.Fprintf(w, "    %s s: at server %s after event %q, ran %t, made the whole answer %t, answered with a failure %t, until %s s\n",
+			b.seconds(a.at), a.server, a.lastEvent, a.ran, a.whole, a.failed, b.seconds(a.ended))
 	}
 }
--- a/review/rig-2/hung_streams.go
+++ b/review/rig-2/hung_streams.go
@@ -65,7 +65,7 @@
 	time.Sleep(time.Until(s.book.start.Add(hungUntil)))
 	stop()
 	requesters.Wait()
-	return s.book.judgeLosses(record), nil
+	return s.book.judgeLosses(record, func(string, time.Time, time.Time) bool { return true }), nil
 }
 
 // cutFor cuts the machine off from all servers for the time.
@@ -82,9 +82,9 @@
 	return nil
 }
 
-// judgeLosses writes all requests and reports whether more than the allowed number were passed on to a server from a kept channel
-// that the machine then closed without a whole answer.
-func (b *book) judgeLosses(record *os.File) (broken bool) {
+// judgeLosses writes all requests and reports whether more than the allowed number were passed on to a sound server from a kept
+// channel that the machine then closed without a whole answer.
+func (b *book) judgeLosses(record *os.File, isSound soundness) (broken bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	served, left, lost, failed, wrong := 0, 0, 0, 0, 0
@@ -100,9 +100,9 @@
 		case r.left:
 			left++
 			verdict = "the requester left"
-		case r.closed && r.kept && b.hasRun(r.id):
+		case r.closed && r.kept && b.ranAtSound(r, isSound):
 			lost++
-			verdict = "LOST: it was passed on, and the machine closed the channel without a whole answer"
+			verdict = "LOST: it was passed on to a sound server, and the machine closed the channel without a whole answer"
 		default:
 			failed++
 			verdict = "failed otherwise"
@@ -116,13 +116,10 @@
 	return lost > allowedLosses
 }
 
-func (b *book) hasRun(id string) bool {
-	for _, a := range b.arrivals[id] {
-		if a.ran {
-			return true
-		}
-	}
-	return false
+// ranAtSound reports whether the server that got the request first was sound and began to work on it.
+func (b *book) ranAtSound(r request, isSound soundness) bool {
+	arrivals := b.arrivals[r.id]
+	return len(arrivals) > 0 && arrivals[0].ran && isSound(arrivals[0].server, r.sentAt, r.endedAt)
 }
 
 // hungConfiguration has one route of streams that may go on at another server.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -27,7 +27,10 @@
 }
 
 var cases = map[string]play{
-	"hung-streams": playHungStreams,
+	"hung-streams":   playHungStreams,
+	"late-bookings":  playLateBookings,
+	"silent-streams": playSilentStreams,
+	"two-at-work":    playTwoAtWork,
 }
 
 func main() {
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +26,13 @@
 	events     int
 	firstAfter time.Duration
 	interval   time.Duration
+	// work is how long a plain answer takes; zero for a server that streams.
+	work time.Duration
+	// failing is the share of the requests that fail, failAfter when they do.
+	failing   atomic.Uint64
+	failAfter time.Duration
+	// silentUntil is until when the server sends nothing, in Unix nanoseconds.
+	silentUntil atomic.Int64
 
 	book    *book
 	http    *http.Server
@@ -92,9 +102,34 @@
 		return
 	}
 	s.book.run(a)
+	if s.work > 0 {
+		s.answer(w, r, a)
+		return
+	}
 	s.stream(w, r, a)
 }
 
+// fail answers that the run has failed.
+func (s *server) fail(w http.ResponseWriter, r *http.Request, a *arrival) {
+	if !s.wait(r.Context(), s.failAfter) {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusInternalServerError)
+	s.book.fail(a)
+}
+
+// answer gives a plain answer.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, a *arrival) {
+	if !s.wait(r.Context(), s.work) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Dotterelpulley-Response-Stamp", s.id+"."+a.id)
+	if _, err := fmt.Fprintf(w, "answer to %s", a.id); err != nil {
+		return
+	}
+	s.book.finish(a)
+}
+
 // refuse answers that the request hasn't run.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Dotterelpulley-Not-Executed", "1")
@@ -107,12 +142,14 @@
 		last = 0
 	}
 	w.Header().Set("Dotterelpulley-Response-Stamp", s.id+"."+a.id)
+	if rand.Float64() < math.Float64frombits(s.failing.Load()) {
+		s.fail(w, r, a)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	pause := s.firstAfter
 	for n := last + 1; n <= s.events; n++ {
-		select {
-		case <-time.After(pause):
-		case <-r.Context().Done():
+		if !s.wait(r.Context(), pause) {
 			panic(http.ErrAbortHandler)
 		}
 		pause = s.interval
@@ -126,6 +163,20 @@
 	s.book.finish(a)
 }
 
+// wait waits for the pause and until the server is no longer silent, and reports whether the channel is still open.
+func (s *server) wait(ctx context.Context, pause time.Duration) bool {
+	for {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return false
+		}
+		if pause = time.Until(time.Unix(0, s.silentUntil.Load())); pause <= 0 {
+			return true
+		}
+	}
+}
+
 // eventData returns the data of an event of the answer to a request.
 func eventData(id string, number int) string {
 	return fmt.Sprintf("%s-%d", id, number)
