Log requests that are sent although their caller has left

Nothing told whether a request that reached an endpoint late was sent after a dial that hung, a refusal or a wait in the queue, or by another host. Each such send now writes sent-without-caller with its try, the endpoint or the host, the time since the caller left and the time since the request was placed, and is counted; callers-left counts the callers that leave before their answer.

--- /dev/null
+++ b/gateway/caller.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// caller is who waits for a request's answer, a requester or another host; watch must be called.
+type caller struct {
+	context.Context
+	leftAt atomic.Pointer[time.Time]
+}
+
+// watch notes when the context ends, at which the caller has left, until the returned function is called.
+func (c *caller) watch(ctx context.Context, m *metrics) (stop func() bool) {
+	c.Context = ctx
+	return context.AfterFunc(ctx, func() {
+		now := time.Now()
+		c.leftAt.Store(&now)
+		m.Inc("callers-left")
+	})
+}
+
+// noteSent counts and logs a request that was sent although its caller had left.
+func (p *proxiedRequest) noteSent(a attempt) {
+	leftAt := p.caller.leftAt.Load()
+	if leftAt == nil {
+		return
+	}
+	p.gateway.metrics.Inc("sends-without-caller")
+	p.gateway.requestEvent(log.WarnLevel, "sent-without-caller", p.request).Str("endpoint", string(a.Endpoint.ID)).Str("peer", string(a.helper)).
+		Int("try", p.attempts).Dur("left-for", time.Since(*leftAt)).Dur("since-placed", time.Since(a.startedAt)).Msg("")
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -89,7 +89,7 @@
 	}
 	p.useRepeat()
 	p.sends.begin()
-	exchange, err := p.dispatchThrough(ctx, helper)
+	exchange, err := p.dispatchThrough(ctx, a, helper)
 	p.noteCarrier(&a, carrierOf(exchange, err))
 	if err != nil {
 		p.excludeHelper(helper.ID)
@@ -116,13 +116,14 @@
 }
 
 // dispatchThrough sends the request to the helper and waits for the response's headers.
-func (p *proxiedRequest) dispatchThrough(ctx context.Context, helper pathfinder.Helper) (*connector.Exchange, error) {
+func (p *proxiedRequest) dispatchThrough(ctx context.Context, a attempt, helper pathfinder.Helper) (*connector.Exchange, error) {
 	header := p.header.Clone()
 	platform.Forward{Key: p.Key, Remaining: time.Until(p.deadline), LastEventID: p.lastEventID}.Apply(header)
 	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
 	header.Set(headerArrivals, p.arrivals.encode())
 	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, ID: p.AttemptID, Header: header, Body: p.body,
+		OnSent: func() { p.noteSent(a) },
 	})
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -28,6 +28,7 @@
 	*request
 	gateway  *Gateway
 	response *responseWriter
+	caller   caller
 	// sends tells whether the request may have run; attempts counts the endpoints that it was sent to.
 	sends    sends
 	attempts int
@@ -75,6 +76,7 @@
 	p := &proxiedRequest{request: q, gateway: g, response: &responseWriter{writer: w, controller: http.NewResponseController(w)}, excluded: map[dotterelpulley.EndpointID]bool{}}
 	p.exclude(q.arrivals.endpoints)
 	g.metrics.Inc("requests")
+	defer p.caller.watch(r.Context(), &g.metrics)()
 	if !q.origin.forwarded {
 		g.mutex.Lock()
 		g.retryBudget.Deposit(q.arrived, q.service)
@@ -235,7 +237,13 @@
 	p.gateway.countZoneBytes("requests", a.Endpoint.Zone, len(p.body))
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
-		ID: p.AttemptID, MatchesResponse: p.matchesResponse, OnSent: onSent,
+		ID: p.AttemptID, MatchesResponse: p.matchesResponse,
+		OnSent: func() {
+			p.noteSent(a)
+			if onSent != nil {
+				onSent()
+			}
+		},
 	})
 }
 
