Send nothing for a caller who has left

Cause: a call that may run once goes on without its caller's context, from the start and not only from the moment at which it may have been sent. The loop over the endpoints asked for nobody.

A wait for a place asked already (TestAWaitingRequestIsSentAlthoughItsCallerHasLeft passed before).

Change: the connector asks right before the first byte whether the request is still wanted, and keeps the connection if it isn't; that ends as withdrawn, which says nothing of the endpoint. The loop asks before each further try. A dial goes on to its end: that an endpoint is dark must be learnt also when all callers leave early.

A call that an endpoint has got runs on (TestABookingThatWasSentOutlivesItsCaller).

Why it works: what is asked is asked at the one place through which each send goes, whatever has led there.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -29,8 +29,10 @@
 	MaybeSent bool
 	// ConnectionRefused reports whether nothing listens at the address.
 	ConnectionRefused bool
-	Carrier           Carrier
-	Cause             error
+	// Withdrawn reports whether this side gave the request up on an open connection, before anything of it was sent.
+	Withdrawn bool
+	Carrier   Carrier
+	Cause     error
 }
 
 // Error returns the cause's message.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -39,6 +39,9 @@
 	Chunked bool
 	// MatchesResponse reports whether a response belongs to the request; nil accepts all.
 	MatchesResponse func(ResponseHead) bool
+	// BeforeSend is called when there is a connection, right before the first byte is sent; its error keeps the request from being
+	// sent. Nil allows it.
+	BeforeSend func() error
 	// OnSent is called when the head of the request is on its way, before the response is awaited; nil if nobody needs to know.
 	OnSent func()
 }
@@ -82,7 +85,8 @@
 
 // Do sends the request to the address and returns when the response's headers have been read.
 //
-// The exchange ends when the context is done, even while the body is read.
+// The exchange ends when the context is done, even while the body is read. A request whose context is done when there is a
+// connection isn't sent.
 func (p *Connector) Do(ctx context.Context, address dotterelpulley.Address, r Request) (*Exchange, error) {
 	c, passedOver := p.takeIdle(address, r.ID)
 	reused := c != nil
@@ -92,6 +96,10 @@
 			return nil, err
 		}
 	}
+	if err := r.permitSend(ctx); err != nil {
+		p.returnUnused(c, reused)
+		return nil, &ExchangeError{Withdrawn: true, Cause: fmt.Errorf("not sent to %s: %w", address, err)}
+	}
 	x := &Exchange{connector: p, conn: c, Reused: reused, Carrier: Carrier{Connection: c.number, Earlier: len(c.carried), PassedOver: passedOver}, stopWatching: context.AfterFunc(ctx, c.reset)}
 	p.activity.begin(time.Now())
 	if err := x.send(r); err != nil {
@@ -108,6 +116,23 @@
 	return x, nil
 }
 
+// permitSend returns why the request must not be sent any more, if anything keeps it from that.
+func (r Request) permitSend(ctx context.Context) error {
+	if err := ctx.Err(); err != nil || r.BeforeSend == nil {
+		return err
+	}
+	return r.BeforeSend()
+}
+
+// returnUnused keeps a connection on which nothing was sent; reused means that it was idle before.
+func (p *Connector) returnUnused(c *connection, reused bool) {
+	idleTimeout := defaultIdleTimeout
+	if reused {
+		idleTimeout = time.Until(c.usableUntil)
+	}
+	p.putIdle(c, idleTimeout)
+}
+
 func (x *Exchange) closeConnection() {
 	x.connector.activity.end()
 	x.stopWatching()
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/dotterelpulley/dotterelpulley"
 )
 
+var errCallerLeft = errors.New("the caller left")
+
 // caller is who waits for a request's answer, a requester or another host; watch must be called.
 type caller struct {
 	context.Context
@@ -24,6 +29,23 @@
 	})
 }
 
+// left reports whether nobody waits for the answer any more.
+func (c *caller) left() bool {
+	return c.Err() != nil
+}
+
+// permitSend returns an error if the caller has left, so that nobody waits for what would be sent.
+func (c *caller) permitSend() error {
+	if c.left() {
+		return errCallerLeft
+	}
+	return nil
+}
+
+func callerLeftRefusal() *refusal {
+	return newRefusal(dotterelpulley.ErrorCancelled, errCallerLeft.Error())
+}
+
 // noteSent counts and logs a request that was sent although its caller had left.
 func (p *proxiedRequest) noteSent(a attempt) {
 	leftAt := p.caller.leftAt.Load()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -89,6 +89,10 @@
 	}
 	p.useRepeat()
 	p.sends.begin()
+	// The helper learns from the end of the connection that the caller has left. It goes on with what it has sent.
+	ctx, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	defer context.AfterFunc(p.caller.Context, hangUp)()
 	exchange, err := p.dispatchThrough(ctx, a, helper)
 	p.noteCarrier(&a, carrierOf(exchange, err))
 	if err != nil {
@@ -123,7 +127,7 @@
 	header.Set(headerArrivals, p.arrivals.encode())
 	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, ID: p.AttemptID, Header: header, Body: p.body,
-		OnSent: func() { p.noteSent(a) },
+		BeforeSend: p.caller.permitSend, OnSent: func() { p.noteSent(a) },
 	})
 }
 
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -85,13 +85,18 @@
 	}
 	parent := r.Context()
 	if !q.route.Repeatable() && q.route.Kind != router.Streaming {
-		// A non-idempotent call continues when its caller leaves: aborting it would leave its outcome unknown.
+		// A non-idempotent call that has been sent continues when its caller leaves: aborting it would leave its outcome unknown.
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, cancel := context.WithDeadline(parent, q.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.requests, cancel)()
 	for {
+		if p.caller.left() {
+			// Whether its last send ran or not, nobody waits for another one.
+			p.refuse(callerLeftRefusal())
+			return
+		}
 		if refused := p.refuseLate(); refused != nil {
 			p.refuse(refused)
 			return
@@ -100,7 +105,7 @@
 		if p.mustForward() {
 			next = p.forward(ctx)
 		} else {
-			next = p.sendToEndpoint(ctx, r.Context())
+			next = p.sendToEndpoint(ctx)
 		}
 		switch next {
 		case outcomeDone:
@@ -114,10 +119,10 @@
 	}
 }
 
-// sendToEndpoint waits for an endpoint and sends the request to it; callerGone is done when the caller leaves.
-func (p *proxiedRequest) sendToEndpoint(ctx, callerGone context.Context) outcome {
-	placed, refused := p.acquireEndpoint(ctx, callerGone)
-	if p.mustForward() && refused != nil && ctx.Err() == nil && callerGone.Err() == nil {
+// sendToEndpoint waits for an endpoint and sends the request to it.
+func (p *proxiedRequest) sendToEndpoint(ctx context.Context) outcome {
+	placed, refused := p.acquireEndpoint(ctx)
+	if p.mustForward() && refused != nil && ctx.Err() == nil && !p.caller.left() {
 		return outcomeNextEndpoint
 	}
 	if refused == nil {
@@ -140,11 +145,11 @@
 	return drainingRefusal("it may outlast the shutdown")
 }
 
-// acquireEndpoint waits for an endpoint; callerGone is done when the caller leaves.
-func (p *proxiedRequest) acquireEndpoint(ctx, callerGone context.Context) (scheduler.Placed, *refusal) {
+// acquireEndpoint waits for an endpoint as long as the caller does.
+func (p *proxiedRequest) acquireEndpoint(ctx context.Context) (scheduler.Placed, *refusal) {
 	waitCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	defer context.AfterFunc(callerGone, stop)()
+	defer context.AfterFunc(p.caller.Context, stop)()
 	if !p.origin.forwarded {
 		defer context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
 			if p.mustForward() {
@@ -154,8 +159,8 @@
 	}
 	decision, err := p.gateway.queue.acquire(waitCtx, p.work())
 	if err != nil {
-		if callerGone.Err() != nil {
-			return scheduler.Placed{}, newRefusal(dotterelpulley.ErrorCancelled, "the caller left")
+		if p.caller.left() {
+			return scheduler.Placed{}, callerLeftRefusal()
 		}
 		if p.gateway.requests.Err() != nil {
 			return scheduler.Placed{}, drainingRefusal("the host ended")
@@ -237,7 +242,7 @@
 	p.gateway.countZoneBytes("requests", a.Endpoint.Zone, len(p.body))
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
-		ID: p.AttemptID, MatchesResponse: p.matchesResponse,
+		ID: p.AttemptID, MatchesResponse: p.matchesResponse, BeforeSend: p.caller.permitSend,
 		OnSent: func() {
 			p.noteSent(a)
 			if onSent != nil {
@@ -307,6 +312,11 @@
 		return false
 	}
 	p.sends.disprove(notConnected{})
+	if failure.Withdrawn {
+		p.gateway.metrics.Inc("sends-withdrawn")
+		p.finishAttempt(a, scheduler.ResultCancelled, err)
+		return true
+	}
 	if a.helper != "" {
 		p.finishAttempt(a, scheduler.ResultUnreachable, err)
 		return true
