Give up an answer on lost links only for another host that has one

All endpoints were sound, and the answers would have come through when the cut healed.

Cause: once the links counted as lost, the read of the stream was ended first, and only then was it asked whether the retry budget has a repeat left and whether another host takes the request. Requests without an answer were given up in the same order (dispatchUnlessSilent), also on routes that allow no second run. The class is that of answers-lost-beside-a-configuration: something that works is given up before its replacement is certain.

Change: one type, successor, is what replaces an attempt, at another endpoint or through another host; it holds its retry and its way, and runs beside the attempt. An attempt whose links hang goes on until a successor through another host has answered, a stream with the beginning of its events; a successor that is refused or fails costs nothing, and one is sought again while the links are lost. Requests without an answer wait in the same way (answerWatch). When the links are back and the endpoint goes on, what the other host works on is withdrawn.

Why it works: nothing is ended for lost links any more but by the function that gets the answer in its place.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -63,7 +63,7 @@
 	success := isSuccess(exchange.StatusCode)
 	proof := p.endpointProof(exchange, metadata)
 	switch {
-	case proof != nil && a.helper == "":
+	case proof != nil && !a.throughHost():
 		p.sends.disprove(proof)
 		p.drainBody(exchange)
 		p.finishAttempt(a, refusalResult(exchange.StatusCode), fmt.Errorf("the endpoint did not run the request: %s", proofName(proof)))
@@ -210,14 +210,9 @@
 				return p.handleInterruptedRun(ctx, a, err)
 			}
 			// The end of this attempt must not wait for the successor's answer.
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				p.gateway.metrics.Inc("silences-handed-over")
-				p.finishAttempt(a, scheduler.ResultFailed, errors.New("silent, and another endpoint goes on"))
-			} else {
-				p.finishFailedRun(ctx, a, err)
-			}
 			next := watch.takeSuccessor()
-			return p.handleExchange(ctx, next.attempt, next.exchange, next.err)
+			p.finishReplaced(ctx, a, next, err)
+			return p.takeOver(ctx, next)
 		}
 		// An endpoint that keeps the connection alive by comments alone has stalled like a silent one.
 		if progress = !event.comment; !progress {
@@ -254,6 +249,22 @@
 	return outcomeDone
 }
 
+// finishReplaced finishes the attempt of a stream that goes on with a successor, after its read has ended with the error.
+func (p *proxiedRequest) finishReplaced(ctx context.Context, a attempt, next *successor, err error) {
+	silent := errors.Is(err, os.ErrDeadlineExceeded)
+	if silent {
+		p.gateway.metrics.Inc("silences-handed-over")
+	}
+	switch {
+	case silent && next.attempt.throughHost():
+		p.endUnreached(a, errors.New("silent, and another host goes on"))
+	case silent:
+		p.finishAttempt(a, scheduler.ResultFailed, errors.New("silent, and another endpoint goes on"))
+	default:
+		p.finishFailedRun(ctx, a, err)
+	}
+}
+
 // endsWithConnection reports whether nothing but the end of its connection shows that the answer is whole.
 func endsWithConnection(exchange *connector.Exchange) bool {
 	return exchange.ContentLength < 0 && len(exchange.TransferEncoding) == 0
--- a/gateway/arrivals.go
+++ b/gateway/arrivals.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode"
@@ -60,6 +61,9 @@
 
 // noteArrival counts the arrival of the request at the attempt's endpoint, to which this host has sent it.
 func (p *proxiedRequest) noteArrival(a attempt) {
+	if a.arrived {
+		return
+	}
 	p.gateway.metrics.Inc("arrivals")
 	if p.arrivals.count > 0 {
 		p.gateway.metrics.Inc("arrivals-again")
@@ -68,6 +72,21 @@
 	p.arrivals.endpoints = append(p.arrivals.endpoints, a.Endpoint.ID)
 }
 
+// noteUnknownArrival counts the arrival of a request that may have been sent, and has no answer.
+func (p *proxiedRequest) noteUnknownArrival(a attempt) {
+	if a.throughHost() {
+		p.noteArrivalsElsewhere(nil)
+		return
+	}
+	p.noteArrival(a)
+}
+
+// without returns the arrivals without the endpoint's id.
+func (a endpointArrivals) without(id dotterelpulley.EndpointID) endpointArrivals {
+	a.endpoints = slices.DeleteFunc(slices.Clone(a.endpoints), func(other dotterelpulley.EndpointID) bool { return other == id })
+	return a
+}
+
 // markAnswer names the arrivals in the answer to a forwarded request, which carries no header of the endpoint's that only hosts send.
 func (p *proxiedRequest) markAnswer(exchange *connector.Exchange) {
 	if !p.origin.forwarded {
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -46,6 +46,16 @@
 	return newRefusal(dotterelpulley.ErrorCancelled, errCallerLeft.Error())
 }
 
+// onSent returns the function to call when the attempt's request is on its way; more, if not nil, is called too.
+func (p *proxiedRequest) onSent(a attempt, more func()) func() {
+	return func() {
+		p.noteSent(a)
+		if more != nil {
+			more()
+		}
+	}
+}
+
 // noteSent counts and logs a request that was sent although its caller had left.
 func (p *proxiedRequest) noteSent(a attempt) {
 	leftAt := p.caller.leftAt.Load()
@@ -53,6 +63,6 @@
 		return
 	}
 	p.gateway.metrics.Inc("sends-without-caller")
-	p.gateway.requestEvent(log.WarnLevel, "sent-without-caller", p.request).Str("endpoint", string(a.Endpoint.ID)).Str("peer", string(a.helper)).
-		Int("try", p.attempts).Dur("left-for", time.Since(*leftAt)).Dur("since-placed", time.Since(a.startedAt)).Msg("")
+	p.gateway.requestEvent(log.WarnLevel, "sent-without-caller", p.request).Str("endpoint", string(a.Endpoint.ID)).Str("peer", string(a.helper.ID)).
+		Int("try", a.number).Dur("left-for", time.Since(*leftAt)).Dur("since-placed", time.Since(a.startedAt)).Msg("")
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -62,54 +61,74 @@
 
 // forward sends the request through another host, unless there is none that reaches its endpoints.
 func (p *proxiedRequest) forward(ctx context.Context) outcome {
-	g := p.gateway
-	now := time.Now()
-	helpers := g.helpers(now, p.service)
-	g.paths.mutex.Lock()
-	helper, ok := g.paths.Choose(helpers, p.excludedHelpers)
-	g.paths.mutex.Unlock()
-	if !ok || len(p.excludedHelpers) >= maxForwards {
+	helper, ok := p.chooseHelper()
+	if !ok {
 		refused := p.helperRefusal
 		if refused == nil {
-			refused = newRefusal(dotterelpulley.ErrorNoEndpoint, fmt.Sprintf("no link to the endpoints, %d other hosts have one", len(helpers)))
+			refused = newRefusal(dotterelpulley.ErrorNoEndpoint, "no link to the endpoints, and no other host left to try")
 		}
 		p.refuse(refused)
 		return outcomeDone
 	}
-	defer func() {
-		g.paths.mutex.Lock()
-		defer g.paths.mutex.Unlock()
-		g.paths.Done(helper.ID)
-	}()
-	g.metrics.Inc("forwarded-out")
+	defer p.gateway.paths.done(helper.ID)
+	a := p.startForward(helper)
+	// The helper learns from the end of the connection that the caller has left. It goes on with what it has sent.
+	ctx, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	defer context.AfterFunc(p.caller.Context, hangUp)()
+	exchange, err := p.dispatchThrough(ctx, a, p.arrivals, nil)
+	return p.handleHelperExchange(ctx, a, exchange, err)
+}
+
+// chooseHelper returns a host that reaches the request's endpoints, and counts the request there until paths.done is called. It returns
+// false if there is none left to try.
+func (p *proxiedRequest) chooseHelper() (pathfinder.Helper, bool) {
+	if len(p.excludedHelpers) >= maxForwards {
+		return pathfinder.Helper{}, false
+	}
+	helpers := p.gateway.helpers(time.Now(), p.service)
+	p.gateway.paths.mutex.Lock()
+	defer p.gateway.paths.mutex.Unlock()
+	return p.gateway.paths.Choose(helpers, p.excludedHelpers)
+}
+
+// startForward begins an attempt through the helper, which finishAttempt ends.
+func (p *proxiedRequest) startForward(helper pathfinder.Helper) attempt {
+	p.gateway.metrics.Inc("forwarded-out")
 	p.logForwarding(helper.ID)
 	a := attempt{
-		Placed: scheduler.Placed{ID: scheduler.ID(g.nextWorkID.Add(1))}, startedAt: now, helper: helper.ID,
+		Placed: scheduler.Placed{ID: scheduler.ID(p.gateway.nextWorkID.Add(1))}, startedAt: time.Now(), number: p.attempts + 1, helper: helper,
 		attemptID: isolator.AttemptOf(fmt.Sprintf("%s/%s/%d", p.AttemptID, helper.ID, len(p.excludedHelpers))),
 	}
 	p.useRepeat()
 	p.sends.begin()
-	// The helper learns from the end of the connection that the caller has left. It goes on with what it has sent.
-	ctx, hangUp := context.WithCancel(ctx)
-	defer hangUp()
-	defer context.AfterFunc(p.caller.Context, hangUp)()
-	exchange, err := p.dispatchThrough(ctx, a, helper)
+	return a
+}
+
+// handleHelperExchange relays the answer of the attempt's helper, or decides how the request continues without one.
+func (p *proxiedRequest) handleHelperExchange(ctx context.Context, a attempt, exchange *connector.Exchange, err error) outcome {
 	p.noteCarrier(&a, carrierOf(exchange, err))
 	if err != nil {
-		p.excludeHelper(helper.ID)
+		p.excludeHelper(a.helper.ID)
 		return p.handleExchangeError(ctx, a, err)
 	}
+	arrived := p.noteHelperArrivals(a, exchange)
+	if name := exchange.Header.Get(headerRefusal); name != "" {
+		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name), arrived)
+	}
+	return p.handleResponse(ctx, a, exchange, platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header))
+}
+
+// noteHelperArrivals adopts the arrivals that the helper names in its answer, and reports whether there are more than before.
+func (p *proxiedRequest) noteHelperArrivals(a attempt, exchange *connector.Exchange) (arrived bool) {
 	before := p.arrivals.count
 	named := p.noteArrivalsElsewhere(exchange)
-	arrived := p.arrivals.count > before
+	arrived = p.arrivals.count > before
 	if !named || !arrived {
 		// Another host may have an endpoint that this one lacks, or knows which endpoints to leave out.
-		p.excludeHelper(helper.ID)
+		p.excludeHelper(a.helper.ID)
 	}
-	if name := exchange.Header.Get(headerRefusal); name != "" {
-		return p.handleHelperRefusal(ctx, a, exchange, dotterelpulley.ParseErrorKind(name), arrived)
-	}
-	return p.handleResponse(ctx, a, exchange, platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header))
+	return arrived
 }
 
 func (p *proxiedRequest) excludeHelper(id dotterelpulley.HostID) {
@@ -119,15 +138,16 @@
 	p.excludedHelpers[id] = true
 }
 
-// dispatchThrough sends the request to the helper and waits for the response's headers.
-func (p *proxiedRequest) dispatchThrough(ctx context.Context, a attempt, helper pathfinder.Helper) (*connector.Exchange, error) {
+// dispatchThrough sends the request to the attempt's helper, which learns of the arrivals, and waits for the response's headers; it
+// changes nothing of p. onSent, if not nil, is called in between.
+func (p *proxiedRequest) dispatchThrough(ctx context.Context, a attempt, told endpointArrivals, onSent func()) (*connector.Exchange, error) {
 	header := p.header.Clone()
 	platform.Forward{Key: p.Key, Remaining: time.Until(p.deadline), LastEventID: p.lastEventID}.Apply(header)
 	header.Set(headerForwarded, strconv.FormatInt(time.Since(p.arrived).Milliseconds(), 10))
-	header.Set(headerArrivals, p.arrivals.encode())
-	return p.gateway.hosts.Do(ctx, helper.Address, connector.Request{
+	header.Set(headerArrivals, told.encode())
+	return p.gateway.hosts.Do(ctx, a.helper.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, ID: p.AttemptID, Header: header, Body: p.body,
-		BeforeSend: p.caller.permitSend, OnSent: func() { p.noteSent(a) },
+		BeforeSend: p.caller.permitSend, OnSent: p.onSent(a, onSent),
 	})
 }
 
@@ -136,7 +156,7 @@
 func (p *proxiedRequest) handleHelperRefusal(ctx context.Context, a attempt, exchange *connector.Exchange, kind dotterelpulley.ErrorKind, arrived bool) outcome {
 	metadata := platform.DecodeResponseMetadata(exchange.StatusCode, exchange.Header)
 	p.drainBody(exchange)
-	cause := fmt.Errorf("host %s answered %s", a.helper, kind)
+	cause := fmt.Errorf("host %s answered %s", a.helper.ID, kind)
 	proof := hostProof(kind, exchange.Header, arrived)
 	if proof == nil {
 		return p.handleFailedRun(ctx, a, cause)
@@ -159,27 +179,10 @@
 	}
 }
 
-// dispatchUnlessSilent dispatches the request. If no endpoint sends anything and the links are found to be lost, a request that
-// may run again no longer waits for its response.
-func (p *proxiedRequest) dispatchUnlessSilent(ctx context.Context, a attempt) (*connector.Exchange, error) {
-	if !p.route.Repeatable() || p.origin.forwarded {
-		return p.dispatch(ctx, a, nil)
-	}
-	// The parent ends with the request, and this context with it.
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(p.gateway.paths.nextLoss(p.service), func() {
-		if p.mustForward() && p.gateway.connector.Silence(time.Now()) >= linkSilence {
-			cancel()
-		}
-	})
-	defer stop()
-	return p.dispatch(ctx, a, nil)
-}
-
 // endUnreached finishes an attempt whose endpoint wasn't reached because this host's links are lost, which is no fault of the
 // endpoint: another host may send it the request.
 func (p *proxiedRequest) endUnreached(a attempt, err error) {
-	p.arrivals.endpoints = slices.DeleteFunc(p.arrivals.endpoints, func(id dotterelpulley.EndpointID) bool { return id == a.Endpoint.ID })
+	p.arrivals = p.arrivals.without(a.Endpoint.ID)
 	p.finishAttempt(a, scheduler.ResultCancelled, fmt.Errorf("links lost: %w", err))
 }
 
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -105,7 +105,7 @@
 
 // noteAnswered records that the endpoint has begun its answer and gone on with it, so that the request doesn't crash it.
 func (p *proxiedRequest) noteAnswered(a attempt) {
-	if a.helper != "" {
+	if a.throughHost() {
 		return
 	}
 	p.gateway.changeIsolations("answered", func(i *isolation) []isolator.PartChange {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -61,6 +61,13 @@
 	return p.LostServices()
 }
 
+// done records that a request that went through the host has ended.
+func (p *endpointPaths) done(id dotterelpulley.HostID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.Done(id)
+}
+
 // nextLoss returns a context that is cancelled when the links to the service are lost the next time.
 func (p *endpointPaths) nextLoss(id dotterelpulley.ServiceID) context.Context {
 	p.mutex.Lock()
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelpulley/dotterelpulley/abbreviator"
 	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
+	"github.com/dotterelpulley/dotterelpulley/pathfinder"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/router"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
@@ -53,12 +54,21 @@
 	scheduler.Placed
 	attemptID isolator.AttemptID
 	startedAt time.Time
-	// helper is the host that the request goes through; empty if it goes to an endpoint.
-	helper dotterelpulley.HostID
+	// number counts the request's attempts from 1.
+	number int
+	// helper is the host that the request goes through; zero if it goes to an endpoint.
+	helper pathfinder.Helper
+	// arrived means that its arrival has been noted, as it was on its way for long.
+	arrived bool
 	// carrier is the connection that it was made on.
 	carrier connector.Carrier
 }
 
+// throughHost reports whether the request goes through another host.
+func (a attempt) throughHost() bool {
+	return a.helper.ID != ""
+}
+
 // outcome says how the request continues after an attempt.
 type outcome int
 
@@ -127,7 +137,7 @@
 	}
 	if refused == nil {
 		if refused = p.refuseLate(); refused != nil {
-			p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, placed.ID, scheduler.ResultCancelled) })
+			p.returnPlace(placed)
 		}
 	}
 	if refused != nil {
@@ -137,6 +147,11 @@
 	return p.send(ctx, placed)
 }
 
+// returnPlace releases a place at an endpoint to which nothing was sent.
+func (p *proxiedRequest) returnPlace(placed scheduler.Placed) {
+	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, placed.ID, scheduler.ResultCancelled) })
+}
+
 // refuseLate returns the refusal of a request that has not run and may outlast this host, nil if it may be passed on.
 func (p *proxiedRequest) refuseLate() *refusal {
 	if p.sends.runs() > 0 || p.gateway.drain.admits(time.Now(), p.deadline) {
@@ -212,8 +227,20 @@
 		return outcomeDone
 	}
 	p.useRepeat()
-	exchange, err := p.dispatchUnlessSilent(ctx, a)
-	return p.handleExchange(ctx, a, exchange, err)
+	if !p.route.Repeatable() || p.origin.forwarded {
+		exchange, err := p.dispatch(ctx, a, nil)
+		return p.handleExchange(ctx, a, exchange, err)
+	}
+	watch := answerWatch{proxiedRequest: p, ctx: ctx, attempt: a}
+	exchange, err := watch.dispatch()
+	if watch.successor == nil {
+		return p.handleExchange(ctx, watch.attempt, exchange, err)
+	}
+	if err == nil {
+		exchange.Abort()
+	}
+	p.endUnreached(watch.attempt, errors.New("no answer, and another host has one"))
+	return p.takeOver(ctx, watch.successor)
 }
 
 // startAttempt begins an attempt at the endpoint, which finishAttempt ends, unless the request is refused for its prompt's parts.
@@ -226,6 +253,7 @@
 		p.logNextTry(a.Endpoint.ID)
 	}
 	p.attempts++
+	a.number = p.attempts
 	p.sends.begin()
 	p.gateway.promotions.sent(p.service, p.route.ID)
 	return a, nil
@@ -243,12 +271,7 @@
 	return p.gateway.connector.Do(ctx, a.Endpoint.Address, connector.Request{
 		Method: p.method, Target: p.target, Host: p.host, Header: header, Body: p.body,
 		ID: p.AttemptID, MatchesResponse: p.matchesResponse, BeforeSend: p.caller.permitSend,
-		OnSent: func() {
-			p.noteSent(a)
-			if onSent != nil {
-				onSent()
-			}
-		},
+		OnSent: p.onSent(a, onSent),
 	})
 }
 
@@ -297,11 +320,7 @@
 	if p.finishUnsent(a, err) {
 		return p.tryNextEndpoint()
 	}
-	if a.helper == "" {
-		p.noteArrival(a)
-	} else {
-		p.noteArrivalsElsewhere(nil)
-	}
+	p.noteUnknownArrival(a)
 	return p.handleInterruptedRun(ctx, a, err)
 }
 
@@ -317,7 +336,7 @@
 		p.finishAttempt(a, scheduler.ResultCancelled, err)
 		return true
 	}
-	if a.helper != "" {
+	if a.throughHost() {
 		p.finishAttempt(a, scheduler.ResultUnreachable, err)
 		return true
 	}
@@ -368,7 +387,7 @@
 		p.endUnreached(a, err)
 		return
 	}
-	if a.helper != "" || !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
+	if a.throughHost() || !p.gateway.connector.RefusesConnections(ctx, a.Endpoint.Address) {
 		p.finishAttempt(a, scheduler.ResultFailed, err)
 		return
 	}
@@ -426,7 +445,7 @@
 // finishAttempt releases the endpoint's slot and logs an attempt that did not complete.
 func (p *proxiedRequest) finishAttempt(a attempt, result scheduler.Result, err error) {
 	now := time.Now()
-	if a.helper == "" {
+	if !a.throughHost() {
 		p.gateway.endRun(a)
 	}
 	p.gateway.queue.updateAndDecide(func(now time.Time, s *scheduler.Scheduler) { s.Ended(now, a.ID, result) })
