Ask a host that refuses a hanging stream again, after a pause

A host without room was never asked again, though it may have room a moment later.

TestAHostThatRefusesIsAskedAgainLater failed before; found by reading.

--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -15,7 +15,7 @@
 	// asked to go on with it.
 	firstEventTimeout = 1500 * time.Millisecond
 	nextEventTimeout  = 1200 * time.Millisecond
-	// successorRetryInterval is the time between two searches for another endpoint while the stream is silent.
+	// successorRetryInterval is the time between two searches for another endpoint or host while an answer is awaited.
 	successorRetryInterval = 300 * time.Millisecond
 	// refusalTime is how long an endpoint that was asked to go on with a stream may take to refuse it. After that it counts as at work,
 	// and the silent one must stop, as no two endpoints may work on one request for long.
@@ -67,7 +67,13 @@
 		if w.successor.takesOver() {
 			return false
 		}
+		throughHost := w.successor.attempt.throughHost()
 		w.dropSuccessor()
+		if throughHost {
+			// The same host may be the only one.
+			w.setLimit(successorRetryInterval)
+			return true
+		}
 	}
 	if !w.canRunAgain() || w.attempts >= maxEndpointAttempts || w.isolated {
 		w.setLimit(0)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -171,11 +171,7 @@
 // hasn't run; nil if it may have.
 func (p *proxiedRequest) noteUnused(s *successor) proof {
 	if s.attempt.throughHost() {
-		arrived := p.noteHelperArrivals(s.attempt, s.exchange)
-		if name := s.exchange.Header.Get(headerRefusal); name != "" {
-			return hostProof(dotterelpulley.ParseErrorKind(name), s.exchange.Header, arrived)
-		}
-		return nil
+		return p.noteUnusedHelper(s)
 	}
 	p.noteArrival(s.attempt)
 	metadata := platform.DecodeResponseMetadata(s.exchange.StatusCode, s.exchange.Header)
@@ -183,6 +179,20 @@
 	return p.endpointProof(s.exchange, metadata)
 }
 
+// noteUnusedHelper does the same for the answer of another host. One that refuses may have room later, and is tried again.
+func (p *proxiedRequest) noteUnusedHelper(s *successor) proof {
+	arrived := p.noteHelperArrivals(s.attempt, s.exchange)
+	name := s.exchange.Header.Get(headerRefusal)
+	if name == "" {
+		return nil
+	}
+	proven := hostProof(dotterelpulley.ParseErrorKind(name), s.exchange.Header, arrived)
+	if proven != nil {
+		delete(p.excludedHelpers, s.attempt.helper.ID)
+	}
+	return proven
+}
+
 // finishUnanswered finishes the attempt of a successor that got no answer.
 func (p *proxiedRequest) finishUnanswered(ctx context.Context, s *successor) {
 	var failure *connector.ExchangeError
--- a/gateway/successor_test.go
+++ b/gateway/successor_test.go
@@ -172,3 +172,43 @@
 		})
 	}
 }
+
+// Another host that refuses is asked again after a while, not at once: each request that has reached an endpoint there takes a retry.
+func TestAHostThatRefusesIsAskedAgainLater(t *testing.T) {
+	s := newSite(t)
+	s.publishConfiguration(1, 1000)
+	var requests atomic.Int64
+	begun := make(chan struct{})
+	refusedAt, askedAgainAt := make(chan time.Time, 1), make(chan time.Time, 1)
+	s.endpoint("i-1", "model", func(w http.ResponseWriter, r *http.Request, _ int) {
+		switch requests.Add(1) {
+		case 1:
+			standin.WriteEvents(w, 1, 1)
+			close(begun)
+			<-r.Context().Done()
+		case 2:
+			refusedAt <- time.Now()
+			standin.WriteNotExecuted(w)
+		default:
+			askedAgainAt <- time.Now()
+			standin.WriteEvents(w, 2, 2)
+		}
+	})
+	s.endpoint("i-0", "idle", answerHello)
+	for _, g := range startHosts(s, 2) {
+		s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 2 })
+		s.waitForAllowance(g, 20)
+	}
+	g := s.gateways[0]
+	got := make(chan answer, 1)
+	r := s.request(context.Background(), g, http.MethodGet, "/advice/", "")
+	go func() { got <- s.send(r) }()
+	<-begun
+	s.links[0].cut(linksHang, false)
+	a := <-got
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, wholeStream)
+	s.Check((<-askedAgainAt).Sub(<-refusedAt) >= successorRetryInterval, qt.IsTrue)
+	s.Check(requests.Load(), qt.Equals, int64(3))
+	s.Check(g.metrics.counts.Get("repeats"), qt.Equals, int64(2))
+}
