Go back to a silent endpoint when the one after it fails, and ask later

Cause, two things together: another endpoint was asked after 1.2 s of silence on all routes, although a sound one may be silent for longer and the callers of this route wait for 4 s; and 200 ms later the silent one was given up for good. When the other one failed after that, the route allowed no third endpoint. That limit is one of endpoints, though: the silent one counts already, and nothing had shown it to be at fault. It was never asked again.

Another endpoint is asked as late as the callers' patience allows with time left for a first event: after 1.2 to 2 s (silenceLimit). Nothing changes between asking and giving up, so that two endpoints work on one stream for no longer.

TestASlowStreamIsNotCut waits for longer than before, as its pause is to be above all limits.

Why it works: what is certain when the silent endpoint is given up is that it has shown no fault; keeping it as the last resort needs no first event of the other one in the 400 ms in which the choice has to be made.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -192,7 +192,7 @@
 	reader := newEventReader(&p.gateway.answers, exchange.Body)
 	defer reader.release()
 	// A stream that can't go on elsewhere needs no whole events.
-	reader.inParts = !p.route.Resumable || !p.canRunAgain()
+	reader.inParts = !p.route.Resumable || !p.canRunAgain() && !p.canReturn()
 	var timing eventTiming
 	watch := silenceWatch{proxiedRequest: p, ctx: ctx, attempt: a, exchange: exchange}
 	defer watch.Close()
@@ -254,6 +254,7 @@
 	silent := errors.Is(err, os.ErrDeadlineExceeded)
 	if silent {
 		p.gateway.metrics.Inc("silences-handed-over")
+		p.silentEndpoint.giveUp(a.Endpoint.ID)
 	}
 	switch {
 	case silent && next.attempt.throughHost():
--- a/gateway/operators_faults_test.go
+++ b/gateway/operators_faults_test.go
@@ -69,7 +69,7 @@
 func TestASlowStreamIsNotCut(t *testing.T) {
 	s := newSite(t)
 	s.publishConfiguration(1, 1000)
-	gap := nextEventTimeout + 100*time.Millisecond
+	gap := maxSilence + 100*time.Millisecond
 	s.endpoint("i-1", "model", func(w http.ResponseWriter, _ *http.Request, _ int) {
 		standin.WriteEvents(w, 1, 1)
 		<-time.After(gap)
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -38,6 +38,7 @@
 	// excludedHelpers are the hosts that didn't take the request, helperRefusal is what the last of them answered.
 	excludedHelpers map[dotterelpulley.HostID]bool
 	helperRefusal   *refusal
+	silentEndpoint  silentEndpoint
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
 	// unresumable means that the last event's id couldn't be kept.
@@ -112,9 +113,12 @@
 			return
 		}
 		var next outcome
-		if p.mustForward() {
+		switch {
+		case p.sends.runs() > 0 && !p.canRunAgain():
+			next = p.sendBack(ctx)
+		case p.mustForward():
 			next = p.forward(ctx)
-		} else {
+		default:
 			next = p.sendToEndpoint(ctx)
 		}
 		switch next {
@@ -370,7 +374,7 @@
 
 // runAgain moves on to another endpoint after one that may have run the request, if the request may run again.
 func (p *proxiedRequest) runAgain() outcome {
-	if !p.route.Repeatable() || !p.canRunAgain() {
+	if !p.route.Repeatable() || !p.canRunAgain() && !p.canReturn() {
 		p.notContinued = "the route allows no further endpoint"
 		return outcomeFailed
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley/connector"
+	"github.com/dotterelpulley/dotterelpulley/router"
 	"github.com/dotterelpulley/dotterelpulley/scheduler"
 )
 
 const (
-	// firstEventTimeout and nextEventTimeout are how long a resumable stream may send no event before another endpoint is
-	// asked to go on with it.
-	firstEventTimeout = 1500 * time.Millisecond
-	nextEventTimeout  = 1200 * time.Millisecond
+	// minFirstSilence and minSilence are how long a resumable stream may send no event, at least, before another endpoint is asked to
+	// go on with it; maxSilence is longer than a sound endpoint falls silent.
+	minFirstSilence = 1500 * time.Millisecond
+	minSilence      = 1200 * time.Millisecond
+	maxSilence      = 2 * time.Second
 	// successorRetryInterval is the time between two searches for another endpoint or host while an answer is awaited.
 	successorRetryInterval = 300 * time.Millisecond
 	// refusalTime is how long an endpoint that was asked to go on with a stream may take to refuse it. After that it counts as at work,
@@ -42,15 +44,22 @@
 
 // expectEvent sets the time limit of the next event.
 func (w *silenceWatch) expectEvent(first bool) {
-	if !w.route.Resumable || !w.canRunAgain() || w.gateway.without.Successors {
+	if !w.route.Resumable || !w.canRunAgain() && !w.canReturn() || w.gateway.without.Successors {
 		return
 	}
 	w.exchange.OnReadTimeout(w.onSilence)
+	w.setLimit(silenceLimit(w.route, first))
+}
+
+// silenceLimit returns how long a stream of the route may be silent before another endpoint is asked. A sound endpoint may be silent for
+// a while, so it is as long as the callers' patience allows with time left for the other endpoint's first event, which may be late.
+func silenceLimit(r *router.Route, first bool) time.Duration {
+	const objectivesLeft = 2
+	shortest := minSilence
 	if first {
-		w.setLimit(firstEventTimeout)
-	} else {
-		w.setLimit(nextEventTimeout)
+		shortest = minFirstSilence
 	}
+	return min(max(r.Patience()-objectivesLeft*r.Objective, shortest), maxSilence)
 }
 
 func (w *silenceWatch) setLimit(limit time.Duration) {
@@ -75,7 +84,7 @@
 			return true
 		}
 	}
-	if !w.canRunAgain() || w.attempts >= maxEndpointAttempts || w.isolated {
+	if !w.canRunAgain() && !w.canReturn() || w.attempts >= maxEndpointAttempts || w.isolated {
 		w.setLimit(0)
 		return true
 	}
@@ -123,7 +132,7 @@
 	return !w.attempt.throughHost() && w.mustForward() && w.gateway.connector.Silence(time.Now()) >= linkSilence
 }
 
-// acquireSuccessor takes a retry from the budget and a slot at another endpoint, or neither.
+// acquireSuccessor takes a retry from the budget and a place at another endpoint, or neither.
 func (w *silenceWatch) acquireSuccessor() (scheduler.Placed, bool) {
 	g := w.gateway
 	if g.paths.lost(w.service) {
@@ -133,8 +142,14 @@
 		g.metrics.Inc("repeats-over-budget")
 		return scheduler.Placed{}, false
 	}
-	w.excluded[w.attempt.Endpoint.ID] = true
-	placed, ok := g.queue.tryAcquire(w.work())
+	var placed scheduler.Placed
+	var ok bool
+	if w.canRunAgain() {
+		w.excluded[w.attempt.Endpoint.ID] = true
+		placed, ok = g.queue.tryAcquire(w.work())
+	} else {
+		placed, ok = w.placeAgain()
+	}
 	if !ok {
 		w.returnRepeat()
 		return scheduler.Placed{}, false
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -61,6 +61,15 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// minPatience is how long callers wait for an event at least.
+const minPatience = 2 * time.Second
+
+// Patience returns how long callers wait for the next event of a stream, also for its first, before they give up.
+func (r *Route) Patience() time.Duration {
+	const objectives, eventIntervals = 4, 8
+	return max(minPatience, objectives*r.Objective, eventIntervals*r.MaxEventInterval)
+}
+
 // Service is the configuration of a service.
 type Service struct {
 	ID dotterelpulley.ServiceID
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -53,3 +54,16 @@
 	_, ok := (&Route{}).SelectService("x")
 	c.Assert(ok, qt.IsFalse)
 }
+
+func TestPatienceIsThatOfTheRoutesCallers(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ objective, interval, patience time.Duration }{
+		{0, 0, 2 * time.Second},
+		{400 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second},
+		{time.Second, 250 * time.Millisecond, 4 * time.Second},
+		{400 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second},
+	} {
+		r := Route{Objective: test.objective, MaxEventInterval: test.interval}
+		c.Check(r.Patience(), qt.Equals, test.patience)
+	}
+}
