Keep what another host works on when the first attempt ends

Since a request without an answer on hanging links is sent through another host as well. When the connection of its first attempt ended then, by a reset or by keep-alive probes 1.8 s into the cut, the other host's work was withdrawn with it, and the caller got 502 as no further run is allowed.

The other host's answer is awaited now; no further host is tried. TestAnotherHostsWorkIsDroppedWithTheFirstConnection failed before (502 for a lookup and for a stream). Found by reading.

--- a/gateway/successor_test.go
+++ b/gateway/successor_test.go
@@ -212,3 +212,52 @@
 	s.Check(requests.Load(), qt.Equals, int64(3))
 	s.Check(g.metrics.counts.Get("repeats"), qt.Equals, int64(2))
 }
+
+// A request that another host worked on failed when the connection of its first attempt ended before that host had answered.
+func TestAnotherHostsWorkIsDroppedWithTheFirstConnection(t *testing.T) {
+	for path, service := range map[string]string{"/advice/": "model", "/lookup/": "plain"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t)
+			s.publishConfiguration(1, 1000)
+			var requests atomic.Int64
+			begun, working, finish := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			s.endpoint("i-1", service, func(w http.ResponseWriter, r *http.Request, n int) {
+				if requests.Add(1) == 1 {
+					close(begun)
+					<-r.Context().Done()
+					return
+				}
+				close(working)
+				select {
+				case <-finish:
+				case <-r.Context().Done():
+					return
+				}
+				if service == "model" {
+					standin.WriteEvents(w, 1, 2)
+					return
+				}
+				answerHello(w, r, n)
+			})
+			s.endpoint("i-0", "idle", answerHello)
+			for _, g := range startHosts(s, 2) {
+				s.waitFor("the host knows the endpoints", func() bool { return len(registrations(g)) == 2 })
+				s.waitForAllowance(g, 20)
+			}
+			got := make(chan answer, 1)
+			r := s.request(context.Background(), s.gateways[0], http.MethodGet, path, "")
+			go func() { got <- s.send(r) }()
+			<-begun
+			s.links[0].cut(linksHang, false)
+			<-working
+			s.links[0].cut(linksHang, true)
+			s.waitFor("the first connection has ended", func() bool { return s.gateways[0].connector.Silence(time.Now()) == 0 || len(got) > 0 })
+			close(finish)
+			a := <-got
+			s.Assert(a.err, qt.IsNil)
+			s.Assert(a.status, qt.Equals, http.StatusOK)
+			s.waitForNoRequests()
+			s.Assert(slotsHeld(s.gateways[0])+slotsHeld(s.gateways[1]), qt.Equals, 0)
+		})
+	}
+}
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -29,37 +29,44 @@
 	ctx, end := context.WithCancel(w.ctx)
 	w.end = end
 	seeking, stopSeeking := context.WithCancel(w.ctx)
+	awaiting, stopAwaiting := context.WithCancel(w.ctx)
+	defer stopAwaiting()
 	sought := make(chan struct{})
 	withdraw := context.AfterFunc(w.gateway.paths.nextLoss(w.service), func() {
 		defer close(sought)
-		w.seekSuccessor(seeking)
+		w.seekSuccessor(seeking, awaiting)
 	})
 	exchange, err := w.proxiedRequest.dispatch(ctx, w.attempt, func() { w.sent.Store(true) })
 	stopSeeking()
+	if err == nil {
+		// What another host works on is only kept if the attempt has failed.
+		stopAwaiting()
+	}
 	if !withdraw() {
 		<-sought
 	}
 	return exchange, err
 }
 
-// seekSuccessor tries to get an answer through other hosts while the links are lost, until the context is done.
-func (w *answerWatch) seekSuccessor(ctx context.Context) {
-	for ctx.Err() == nil {
+// seekSuccessor tries to get an answer through other hosts while the links are lost. No further host is tried once seeking is done; the
+// answer of the one that has the request is awaited until awaiting is.
+func (w *answerWatch) seekSuccessor(seeking, awaiting context.Context) {
+	for seeking.Err() == nil {
 		if !w.mustForward() {
 			select {
 			case <-w.gateway.paths.nextLoss(w.service).Done():
-			case <-ctx.Done():
+			case <-seeking.Done():
 			}
 			continue
 		}
-		if w.sent.Load() && w.gateway.connector.Silence(time.Now()) >= linkSilence && w.tryHelper(ctx) {
+		if w.sent.Load() && w.gateway.connector.Silence(time.Now()) >= linkSilence && w.tryHelper(awaiting) {
 			return
 		}
-		repeater.Sleep(ctx, successorRetryInterval)
+		repeater.Sleep(seeking, successorRetryInterval)
 	}
 }
 
-// tryHelper sends the request through another host, and reports whether that has answered.
+// tryHelper sends the request through another host, and reports whether that has answered by the time that the context is done.
 func (w *answerWatch) tryHelper(ctx context.Context) bool {
 	if !w.attempt.arrived {
 		// It is on its way, which the budget of retries counts from here on.
