Let keep-alive probes end no stream under way

What callers saw: on links whose packets are dropped, a cut of more than 1.8 s broke off the streams under way, also those that may not be resumed and those without a retry, whose hosts have nothing to go on with. Cuts of hosts from all endpoints last for seconds; the streams would have come through.

Cause: keep-alive probes of all connections to endpoints give up 1.8 s after the endpoint was last heard, which tells a dark endpoint while there is no answer yet. For a stream under way its silence is watched for, the deadline bounds it, and the caller leaves when it has had enough; the probes only end it sooner.

Change: once a stream's answer has begun, the probes of its connection go on until the request's deadline; before the connection is kept, they are set back.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -64,6 +64,21 @@
 	c.Close()
 }
 
+// maxKeepAliveCount is the largest number of probes that systems accept.
+const maxKeepAliveCount = 127
+
+// setKeepAliveCount sets how many keep-alive probes in a row may stay unanswered.
+func (c *connection) setKeepAliveCount(count int) error {
+	const unchanged = -1
+	tcp, ok := c.Conn.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+	})
+	if !ok {
+		return nil
+	}
+	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: unchanged, Interval: unchanged, Count: min(count, maxKeepAliveCount)})
+}
+
 // Read reads from the connection. It handles time limits itself, because the readers above it would keep the error.
 func (c *connection) Read(p []byte) (int, error) {
 	for {
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -81,6 +81,8 @@
 	stopWatching func() bool
 	bodySent     chan error
 	once         sync.Once
+	// outlasting means that keep-alive probes go on for longer than on other connections.
+	outlasting bool
 }
 
 // Do sends the request to the address and returns when the response's headers have been read.
@@ -217,7 +219,7 @@
 	x.once.Do(func() {
 		x.connector.activity.end()
 		x.conn.onReadTimeout = nil
-		if !x.stopWatching() || !x.reusable() || x.SetReadTimeout(0) != nil {
+		if !x.stopWatching() || !x.reusable() || x.SetReadTimeout(0) != nil || !x.endOutlasting() {
 			x.conn.Close()
 			return
 		}
@@ -225,6 +227,11 @@
 	})
 }
 
+// endOutlasting reports whether the connection ends as soon as others when its endpoint is silent.
+func (x *Exchange) endOutlasting() bool {
+	return !x.outlasting || x.conn.setKeepAliveCount(keepAliveCount) == nil
+}
+
 // Abort closes the connection, which cancels the request's run at most endpoints.
 func (x *Exchange) Abort() {
 	x.once.Do(x.closeConnection)
@@ -260,6 +267,13 @@
 	return x.conn.SetReadDeadline(time.Now().Add(limit))
 }
 
+// OutlastSilence keeps keep-alive probes from ending the connection until the endpoint has been silent for about the time; Release
+// ends that.
+func (x *Exchange) OutlastSilence(limit time.Duration) error {
+	x.outlasting = true
+	return x.conn.setKeepAliveCount(int(max(limit-keepAliveIdle, 0)/keepAliveInterval) + 1)
+}
+
 // OnReadTimeout sets the function that is called when a read of the body has reached its time limit. The read goes on if it
 // returns true; it may set another limit.
 func (x *Exchange) OnReadTimeout(proceed func() bool) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -193,6 +193,9 @@
 	defer reader.release()
 	// A stream that can't go on elsewhere needs no whole events.
 	reader.inParts = !p.route.Resumable || !p.canRunAgain() && !p.canReturn()
+	if err := exchange.OutlastSilence(time.Until(p.deadline)); err != nil && ctx.Err() == nil {
+		p.gateway.metrics.Inc("silence-limits-unset")
+	}
 	var timing eventTiming
 	watch := silenceWatch{proxiedRequest: p, ctx: ctx, attempt: a, exchange: exchange}
 	defer watch.Close()
