--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -193,9 +193,7 @@
 	defer reader.release()
 	// A stream that can't go on elsewhere needs no whole events.
 	reader.inParts = !p.route.Resumable || !p.canRunAgain() && !p.canReturn()
-	if err := exchange.OutlastSilence(time.Until(p.deadline)); err != nil && ctx.Err() == nil {
-		p.gateway.metrics.Inc("silence-limits-unset")
-	}
+	p.outlastSilence(ctx, a, exchange)
 	var timing eventTiming
 	watch := silenceWatch{proxiedRequest: p, ctx: ctx, attempt: a, exchange: exchange}
 	defer watch.Close()
@@ -252,6 +250,17 @@
 	return outcomeDone
 }
 
+// outlastSilence keeps keep-alive probes from ending a stream before its deadline. Those to another host stay, as nothing else shows that
+// it is gone.
+func (p *proxiedRequest) outlastSilence(ctx context.Context, a attempt, exchange *connector.Exchange) {
+	if a.throughHost() {
+		return
+	}
+	if err := exchange.OutlastSilence(time.Until(p.deadline)); err != nil && ctx.Err() == nil {
+		p.gateway.metrics.Inc("silence-limits-unset")
+	}
+}
+
 // finishReplaced finishes the attempt of a stream that goes on with a successor, after its read has ended with the error.
 func (p *proxiedRequest) finishReplaced(ctx context.Context, a attempt, next *successor, err error) {
 	silent := errors.Is(err, os.ErrDeadlineExceeded)
