Go back to a silent endpoint where no third one has a place

The rest of the request goes to an endpoint that has a place at once, and back to the silent one otherwise.

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -112,16 +112,7 @@
 			p.refuse(refused)
 			return
 		}
-		var next outcome
-		switch {
-		case p.sends.runs() > 0 && !p.canRunAgain():
-			next = p.sendBack(ctx)
-		case p.mustForward():
-			next = p.forward(ctx)
-		default:
-			next = p.sendToEndpoint(ctx)
-		}
-		switch next {
+		switch p.sendOn(ctx) {
 		case outcomeDone:
 			return
 		case outcomeNextEndpoint:
@@ -133,6 +124,25 @@
 	}
 }
 
+// sendOn sends the request to the next endpoint, or through another host.
+func (p *proxiedRequest) sendOn(ctx context.Context) outcome {
+	switch {
+	case p.sends.runs() > 0 && !p.canRunAgain():
+		return p.sendBack(ctx)
+	case p.mustForward():
+		return p.forward(ctx)
+	case p.canReturn():
+		// The silent endpoint is at hand, so that the stream waits for no other one.
+		if placed, ok := p.gateway.queue.tryAcquire(p.work()); ok {
+			return p.send(ctx, placed)
+		}
+		if placed, ok := p.placeAgain(); ok {
+			return p.send(ctx, placed)
+		}
+	}
+	return p.sendToEndpoint(ctx)
+}
+
 // sendToEndpoint waits for an endpoint and sends the request to it.
 func (p *proxiedRequest) sendToEndpoint(ctx context.Context) outcome {
 	placed, refused := p.acquireEndpoint(ctx)
--- a/gateway/return.go
+++ b/gateway/return.go
@@ -9,7 +9,7 @@
 )
 
 // silentEndpoint is the endpoint of a stream that was given up while it was silent. It is sound as far as this host knows, so the
-// stream may go back to it, once, if what replaced it fails; the zero value is none.
+// stream may go back to it, once, if what replaced it fails and no other endpoint has a place; the zero value is none.
 type silentEndpoint struct {
 	id dotterelpulley.EndpointID
 	// returned means that the stream has gone back.
@@ -40,7 +40,7 @@
 	return placed, ok
 }
 
-// sendBack sends the rest of the stream's request to its silent endpoint, if it may go back there.
+// sendBack sends the rest of a request that no further endpoint may run to its silent endpoint, if it may go back there.
 func (p *proxiedRequest) sendBack(ctx context.Context) outcome {
 	if !p.canReturn() {
 		p.notContinued = "the route allows no further endpoint"
--- a/gateway/return_test.go
+++ b/gateway/return_test.go
@@ -12,15 +12,18 @@
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 )
 
-// returnSite returns a host before three endpoints. The first run of a request sends one event and falls silent, the second one is
+// threeEvents is the stream of events 1 to 3.
+const threeEvents = wholeStream + "id: 3\ndata: piece-3\n\n"
+
+// returnSite returns a host before the endpoints. The first run of a request sends one event and falls silent, the second one is
 // the handler's, and each further one sends the rest of the three events.
-func returnSite(t *testing.T, second standin.Handler) (s *site, work *workSpans, ran func() []string) {
+func returnSite(t *testing.T, ids []string, second standin.Handler) (s *site, work *workSpans, ran func() []string) {
 	s = newSite(t)
 	s.publishConfiguration(1, 1000)
 	work = &workSpans{}
 	var mutex sync.Mutex
 	var endpoints []string
-	for _, id := range []string{"i-1", "i-2", "i-3"} {
+	for _, id := range ids {
 		s.endpoint(id, "model", func(w http.ResponseWriter, r *http.Request, attempt int) {
 			n, end := work.begin()
 			defer end()
@@ -41,7 +44,7 @@
 		})
 	}
 	g := s.startReadyGateway()
-	s.waitFor("all endpoints are known", func() bool { return len(registrations(g)) == 3 })
+	s.waitFor("all endpoints are known", func() bool { return len(registrations(g)) == len(ids) })
 	s.waitForAllowance(g, 20)
 	return s, work, func() []string {
 		mutex.Lock()
@@ -62,7 +65,6 @@
 // LOST: a stream whose sound endpoint was silent for a while was handed over to another one, and lost when that failed: the route allowed
 // no third endpoint, and the silent one was never gone back to.
 func TestAStreamIsLostWithTheEndpointThatItWasHandedTo(t *testing.T) {
-	const threeEvents = wholeStream + "id: 3\ndata: piece-3\n\n"
 	for name, second := range map[string]standin.Handler{
 		"which fails": func(w http.ResponseWriter, r *http.Request, _ int) {
 			waitForRefusalTime(r)
@@ -85,7 +87,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, work, ran := returnSite(t, second)
+			s, work, ran := returnSite(t, []string{"i-1", "i-2", "i-3"}, second)
 			a := s.post(s.gateways[0], "/advice/", "prompt")
 			s.Assert(a.err, qt.IsNil)
 			s.Assert(a.body, qt.Equals, threeEvents)
@@ -100,10 +102,27 @@
 	}
 }
 
+// LOST: the same where the other endpoint refuses late, and no third one has a place.
+func TestAStreamIsLostForWantOfAThirdEndpoint(t *testing.T) {
+	s, work, ran := returnSite(t, []string{"i-1", "i-2"}, func(w http.ResponseWriter, r *http.Request, _ int) {
+		waitForRefusalTime(r)
+		standin.WriteNotExecuted(w)
+	})
+	a := s.post(s.gateways[0], "/advice/", "prompt")
+	s.Assert(a.err, qt.IsNil)
+	s.Assert(a.body, qt.Equals, threeEvents)
+	s.waitForNoRequests()
+	endpoints := ran()
+	s.Assert(endpoints, qt.HasLen, 3)
+	s.Check(endpoints[2], qt.Equals, endpoints[0])
+	s.Check(work.overlap() < maxOverlap, qt.IsTrue, qt.Commentf("%s", work.overlap()))
+	s.Check(slotsHeld(s.gateways[0]), qt.Equals, 0)
+}
+
 // A stream goes back to its silent endpoint only within the retry budget.
 func TestAReturnToASilentEndpointTakesARetry(t *testing.T) {
 	var g *Gateway
-	s, _, ran := returnSite(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
+	s, _, ran := returnSite(t, []string{"i-1", "i-2", "i-3"}, func(_ http.ResponseWriter, r *http.Request, _ int) {
 		waitForRefusalTime(r)
 		limitRetries(g, 0, 0)
 		standin.AbortResponse()
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -147,7 +147,8 @@
 	if w.canRunAgain() {
 		w.excluded[w.attempt.Endpoint.ID] = true
 		placed, ok = g.queue.tryAcquire(w.work())
-	} else {
+	}
+	if !ok && w.canReturn() {
 		placed, ok = w.placeAgain()
 	}
 	if !ok {
