--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
+	"github.com/dotterelpulley/dotterelpulley/router"
 )
 
 // wholeStream is the stream of events 1 and 2.
@@ -233,3 +234,20 @@
 	s.Assert(a.err, qt.IsNil)
 	s.Assert(a.body, qt.Equals, wholeStream)
 }
+
+// Callers of some routes wait for longer than a sound endpoint falls silent; others leave little time for another endpoint.
+func TestAnotherEndpointIsAskedAsLateAsCallersAllow(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ objective, pause, first, next time.Duration }{
+		{300 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond, 1400 * time.Millisecond},
+		{400 * time.Millisecond, 250 * time.Millisecond, 1500 * time.Millisecond, 1200 * time.Millisecond},
+		{600 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond, 1200 * time.Millisecond},
+		{time.Second, 250 * time.Millisecond, 2 * time.Second, 2 * time.Second},
+		{5 * time.Second, 250 * time.Millisecond, 2 * time.Second, 2 * time.Second},
+	} {
+		r := &router.Route{Objective: test.objective, MaxEventInterval: test.pause}
+		c.Check(silenceLimit(r, true), qt.Equals, test.first)
+		c.Check(silenceLimit(r, false), qt.Equals, test.next)
+		c.Check(silenceLimit(r, true)+refusalTime < r.Patience(), qt.IsTrue)
+	}
+}
