Count each caller who leaves

Nothing but the count and the time in a log line depends on it.

TestACallerWhoLeavesIsCountedOnce failed before (waited 30 s in vain).

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -20,13 +20,20 @@
 }
 
 // watch notes when the context ends, at which the caller has left, until the returned function is called.
-func (c *caller) watch(ctx context.Context, m *metrics) (stop func() bool) {
+func (c *caller) watch(ctx context.Context, m *metrics) (stop func()) {
 	c.Context = ctx
-	return context.AfterFunc(ctx, func() {
+	note := func() {
 		now := time.Now()
 		c.leftAt.Store(&now)
 		m.Inc("callers-left")
-	})
+	}
+	withdraw := context.AfterFunc(ctx, note)
+	return func() {
+		// The request may end for the caller's leave before this has been noted.
+		if withdraw() && c.left() {
+			note()
+		}
+	}
 }
 
 // left reports whether nobody waits for the answer any more.
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -8,10 +8,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/prover"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
 )
 
@@ -183,8 +185,11 @@
 			finish := make(chan struct{})
 			s.endpoint("i-1", service, func(w http.ResponseWriter, r *http.Request, n int) {
 				requests.Add(1)
-				<-finish
-				answerHello(w, r, n)
+				select {
+				case <-finish:
+					answerHello(w, r, n)
+				case <-r.Context().Done():
+				}
 			})
 			g := s.startReadyGateway()
 			s.waitForAllowance(g, 20)
@@ -255,3 +260,32 @@
 		})
 	}
 }
+
+// A caller who left wasn't counted if its request ended for that before the count.
+func TestACallerWhoLeavesIsCountedOnce(t *testing.T) {
+	c := qt.New(t)
+	var m metrics
+	const callers, others = 500, 200
+	for range callers {
+		ctx, leave := context.WithCancel(context.Background())
+		for range others {
+			// They make it likely that the request ends first.
+			context.AfterFunc(ctx, func() {})
+		}
+		var left caller
+		stop := left.watch(ctx, &m)
+		ended := make(chan struct{})
+		context.AfterFunc(ctx, func() {
+			stop()
+			close(ended)
+		})
+		leave()
+		<-ended
+	}
+	c.Assert(prover.WaitUntil(context.Background(), prover.WaitOptions{Timeout: conditionTimeout, Interval: time.Millisecond}, "all are counted",
+		func() bool { return m.counts.Get("callers-left") >= callers }), qt.IsNil)
+	c.Assert(m.counts.Get("callers-left"), qt.Equals, int64(callers))
+	var stays caller
+	stays.watch(context.Background(), &m)()
+	c.Assert(m.counts.Get("callers-left"), qt.Equals, int64(callers))
+}
