Limit what clients make a gateway host hold by one budget

What callers saw: clients that hold unfinished requests ended the process of a host for want of memory, and with it the requests of all callers.

Cause: only bodies beyond 32 KB had a budget. A head of short lines takes tens of times its bytes once it is parsed, was read up to 64 KB whatever limit the operators set, and stayed as long as its body didn't come. Connections had no limit, so neither had the sum of what each may hold.

Change: budgeter charges connections, heads (before they are parsed), bodies and held answers of all listeners to one budget, a quarter of the process's memory, and keeps a quarter of its sockets free for endpoints, hosts and the store. When it is used up, the connection that has held most for longest without completing a request is closed. Heads have the operators' limit; the collector runs more often near the process's memory.

Evidence: TestCrowdsEndNoHost and TestAMixedCrowdEndsNoHost, real processes with 64 MB and 300 sockets.

Why it works: memory is charged before it is taken and given back when the connection's server has ended, so the sum can't exceed the budget; an ordinary request holds little for a short time, so it is never the one that is closed.

TestABodyWithoutRoomIsRefusedUnrun fills the new budget by a request under way in place of the removed budget of bodies; what it checks is the same.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -128,7 +128,7 @@
 			return next
 		}
 	}
-	body := buffer{budget: &p.gateway.answers}
+	body := buffer{account: p.account, budget: &p.gateway.answers}
 	defer body.release()
 	whole, err := body.readFrom(exchange.Body, maxBufferedResponse)
 	if err != nil {
@@ -189,7 +189,7 @@
 
 // relayEvents relays complete events as they arrive; a broken stream is resumed on another endpoint if the route allows it.
 func (p *proxiedRequest) relayEvents(ctx context.Context, a attempt, exchange *connector.Exchange) outcome {
-	reader := newEventReader(&p.gateway.answers, exchange.Body)
+	reader := newEventReader(buffer{account: p.account, budget: &p.gateway.answers}, exchange.Body)
 	defer reader.release()
 	// A stream that can't go on elsewhere needs no whole events.
 	reader.inParts = !p.route.Resumable || !p.canRunAgain() && !p.canReturn()
--- a/gateway/body_budget_test.go
+++ b/gateway/body_budget_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 )
 
@@ -31,7 +32,7 @@
 	s.endpoint("i-1", "plain", answerHello)
 	g := s.startReadyGateway()
 	s.waitForAllowance(g, 2*callers)
-	g.bodies.limit = bodyBudget(memory)
+	g.clients.SetLimits(clientLimits(platform.Settings{Memory: memory}))
 	before := heapInUse()
 	part := strings.Repeat("x", 1<<20)
 	for range callers {
@@ -52,12 +53,19 @@
 	g := s.startReadyGateway()
 	s.waitForAllowance(g, 20)
 	large := strings.Repeat("x", 100<<10)
-	g.bodies.used.Store(g.bodies.limit)
+	before := g.clients.Usage().Bytes
+	const limit = 8 << 20
+	g.clients.SetLimits(budgeter.Limits{Bytes: limit})
+	other, err := g.clients.Open(func() {})
+	s.Assert(err, qt.IsNil)
+	other.Serve()
+	// Larger requests get a part of the budget only.
+	s.Assert(other.Reserve(limit*3/4-g.clients.Usage().Bytes), qt.IsNil)
 	s.Assert(s.post(g, "/call/", large).status, qt.Equals, http.StatusServiceUnavailable)
 	s.Assert(e.Received(), qt.HasLen, 0)
 	s.Assert(s.post(g, "/call/", "small").status, qt.Equals, http.StatusOK)
-	g.bodies.used.Store(0)
+	other.Close()
 	s.Assert(s.post(g, "/call/", large).status, qt.Equals, http.StatusOK)
 	s.Assert(e.Received()[1].Body == large, qt.IsTrue)
-	s.waitFor("the room is given back", func() bool { return g.bodies.used.Load() == 0 })
+	s.waitFor("the room is given back", func() bool { return g.clients.Usage().Bytes <= before })
 }
--- a/gateway/buffer_test.go
+++ b/gateway/buffer_test.go
@@ -165,7 +165,7 @@
 func TestALineOfTheBuffersSizeDoesNotEndItsEvent(t *testing.T) {
 	c := qt.New(t)
 	line := "data: " + strings.Repeat("x", lineChunk-len("data: "))
-	r := newEventReader(new(bufferBudget), strings.NewReader(line+"\n"+"data: more"))
+	r := newEventReader(buffer{budget: new(bufferBudget)}, strings.NewReader(line+"\n"+"data: more"))
 	defer r.release()
 	_, err := r.next()
 	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/abbreviator"
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/isolator"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/rationer"
@@ -56,6 +57,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// account is that of the connection on which the request came.
+	account *budgeter.Account
 }
 
 // refusal is a response by which this host itself refuses a request.
@@ -93,7 +96,8 @@
 		refused = newRefusal(dotterelpulley.ErrorNoEndpoint, "no link to the endpoints either")
 	}
 	g.limitAnswerTime(w, arrived, q)
-	body := buffer{budget: &g.bodies}
+	q.account = budgeter.AccountOf(r.Context())
+	body := buffer{account: q.account}
 	defer body.release()
 	if refused == nil {
 		refused = g.readBody(w, r, q, &body)
@@ -108,6 +112,7 @@
 		g.writeRefusal(w, q, refused)
 		return
 	}
+	q.account.Serve()
 	g.proxy(w, r, q)
 }
 
@@ -195,7 +200,12 @@
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	g.limitBodyTime(w, q.deadline)
-	whole, err := into.readFrom(body, math.MaxInt)
+	room := math.MaxInt
+	if limit > 0 && limit < math.MaxInt {
+		// The end of the largest body shows only behind it.
+		room = int(limit) + 1
+	}
+	whole, err := into.readFrom(body, room)
 	if err != nil {
 		var large *http.MaxBytesError
 		switch {
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -41,8 +41,9 @@
 // lineChunk is the most that is read of a line at once.
 const lineChunk = 4 << 10
 
-func newEventReader(budget *bufferBudget, body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, lineChunk), buffer: buffer{budget: budget}}
+// newEventReader returns a reader of the body that holds events in the buffer.
+func newEventReader(within buffer, body io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, lineChunk), buffer: within}
 }
 
 // next returns the next complete event or a part of it, valid until the next call; io.EOF without data is the regular end of
@@ -58,7 +59,7 @@
 			r.continuing = true
 			return e, nil
 		}
-		if !r.grow(lineChunk) {
+		if !r.grow(lineChunk, maxEventBytes) {
 			return e, errBuffersFull
 		}
 		line, err := r.reader.ReadSlice('\n')
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/apportioner"
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/connector"
 	"github.com/dotterelpulley/dotterelpulley/limiter"
 	"github.com/dotterelpulley/dotterelpulley/platform"
@@ -37,7 +37,7 @@
 	idleTimeout   = 60 * time.Second
 	// smallRequestTimeout limits the reading of requests by the platform and other hosts, which have little or no body.
 	smallRequestTimeout = 3 * time.Second
-	// maxHeaderBytes is larger than the limit that operators set for callers.
+	// maxHeaderBytes limits the head of a request that the operators set no limit for, and is larger than the limits that they set.
 	maxHeaderBytes = 64 << 10
 	// housekeepingInterval is the time between two removals of expired state.
 	housekeepingInterval = time.Second
@@ -62,7 +62,8 @@
 	nextWorkID atomic.Uint64
 	inFlight   atomic.Int64
 	answers    bufferBudget
-	bodies     bufferBudget
+	// clients limits what all clients together make the process hold.
+	clients budgeter.Budget
 
 	registry endpointRegistry
 	queue    queue
@@ -123,7 +124,7 @@
 	g.isolations[promptParts] = isolation{kind: promptParts, topic: platform.IsolationsTopic}
 	g.isolations[wholeRequests] = isolation{kind: wholeRequests, topic: platform.IsolatedRequestsTopic}
 	g.apportioner.Self = settings.Host
-	g.bodies.limit = bodyBudget(settings.Memory)
+	g.clients.SetLimits(clientLimits(settings))
 	g.connector.OnOpen = func() { g.metrics.Inc("connections-opened") }
 	g.peers.configure(settings, seed)
 	g.changes.incarnation = seed
@@ -175,7 +176,7 @@
 }
 
 func (g *Gateway) listen(address dotterelpulley.Address, handler http.Handler) error {
-	listener, err := net.Listen("tcp", string(address))
+	listener, err := g.listenForClients(address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -186,6 +187,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          g.logger.Std("", 0),
 	}
+	budgeter.Observe(server)
 	g.servers = append(g.servers, server)
 	if address == g.settings.CallerAddress {
 		g.callerServer = server
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -73,6 +73,9 @@
 		out := bufio.NewWriter(w)
 		g.metrics.counts.Do(func(kv expvar.KeyValue) { fmt.Fprintf(out, "%s %s\n", kv.Key, kv.Value) })
 		fmt.Fprintf(out, "in-flight %d\n", g.inFlight.Load())
+		clients := g.clients.Usage()
+		fmt.Fprintf(out, "client-bytes %d\nclient-connections %d\nclient-evictions %d\nclient-refusals %d\n",
+			clients.Bytes, clients.Connections, clients.Evictions, clients.Refusals)
 		if w, ok := g.logger.Writer.(*spooler.Writer); ok {
 			fmt.Fprintf(out, "log-lines-dropped %d\n", w.Dropped())
 		}
--- a/gateway/operators_faults_test.go
+++ b/gateway/operators_faults_test.go
@@ -24,7 +24,7 @@
 	c := qt.New(t)
 	for _, line := range []string{":\n", "data: x\n", "x"} {
 		endless := strings.NewReader(strings.Repeat(line, 4*maxEventBytes/len(line)))
-		_, err := newEventReader(new(bufferBudget), endless).next()
+		_, err := newEventReader(buffer{budget: new(bufferBudget)}, endless).next()
 		c.Check(err, qt.Equals, errEventTooLarge, qt.Commentf("%q", line))
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley/announcer"
 	"github.com/dotterelpulley/dotterelpulley/assessor"
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/relayer"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
@@ -184,6 +185,7 @@
 	if query.ContactOnly {
 		return &relayer.FollowResponse{Contact: g.toldContact()}
 	}
+	budgeter.AccountOf(ctx).Serve()
 	limit := time.NewTimer(min(query.Wait, relayWait))
 	defer limit.Stop()
 	for {
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -107,6 +107,8 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
+	// HeadBytes bounds the size of a request's head; no limit if zero.
+	HeadBytes int
 	// BodyBytes bounds the size of a request body; no limit if zero.
 	BodyBytes int64
 }
