--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -233,7 +233,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if timing.events == 0 && endsWithConnection(exchange) {
+	if timing.events == 0 && exchange.EndsWithConnection() {
 		exchange.Abort()
 		return p.handleInterruptedRun(ctx, a, errors.New("the connection ended before the stream's first event"))
 	}
@@ -278,11 +278,6 @@
 	}
 }
 
-// endsWithConnection reports whether nothing but the end of its connection shows that the answer is whole.
-func endsWithConnection(exchange *connector.Exchange) bool {
-	return exchange.ContentLength < 0 && len(exchange.TransferEncoding) == 0
-}
-
 // relayComment passes on a comment within a stream that has begun; before the first event it would commit this host to the
 // endpoint's answer.
 func (p *proxiedRequest) relayComment(exchange *connector.Exchange, e sseEvent) {
