Reject answers whose head doesn't follow the protocol

Cause: net/http's parser doesn't check the range of a status, keeps names with a blank before the colon as other names, and statuses below 200 were skipped as interim. fasthttp takes status 000 for 200. A store's answer with status 000 counted as a refusal, after which an append that may have been carried out was made again.

Change: internal/verifier checks heads wherever answers are read: the connector, the clients of the store, of relays, evidence and contact, those between entry hosts, and fasthttp's connections, there byte by byte before its parser. A malformed answer proves nothing; the request may have run.

Evidence: TestAMalformedHeadIsTakenForAnAnswer (gateway), TestAMalformedHeadIsNoResponse (connector), TestAMalformedHeadIsNoAnswer (verifier, both libraries) and TestAMalformedAnswerOfTheStoreLeavesTheOutcomeUnknown failed before and hold now. Tests of unusual heads that the protocol allows hold.

Why it works: the check comes before anything of the answer is used, and allows what RFC 9110 and 9112 allow.

--- a/certifier/client.go
+++ b/certifier/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/dotterelpulley/dotterelpulley/internal/verifier"
 )
 
 // HTTPClient returns an HTTP/2 client for calls to peers, which presents the certificate if files are given.
@@ -15,12 +17,12 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP2(true)
 	dialer := &net.Dialer{Timeout: c.DialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: verifier.Transport{RoundTripper: &http.Transport{
 		Protocols:      &protocols,
 		DialContext:    dialer.DialContext,
 		DialTLSContext: c.Dial,
 		HTTP2:          &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
-	}}
+	}}}
 }
 
 // Scheme returns the URL scheme of the client's calls.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/verifier"
 )
 
 const (
@@ -184,9 +185,12 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
+		if verifier.IsInterim(response.StatusCode) {
 			continue
 		}
+		if err := verifier.CheckFinal(response); err != nil {
+			return err
+		}
 		if r.MatchesResponse == nil || r.MatchesResponse(ResponseHead{StatusCode: response.StatusCode, Header: response.Header, Reused: x.Reused}) {
 			x.Response = response
 			if x.bodySent != nil && x.EndsWithConnection() {
--- a/connector/head.go
+++ b/connector/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/dotterelpulley/dotterelpulley/abbreviator"
+	"github.com/dotterelpulley/dotterelpulley/internal/verifier"
 )
 
 const (
@@ -69,6 +70,9 @@
 		}
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	// The parser quotes what it couldn't read.
-	return response, abbreviator.Error(err)
+	if err != nil {
+		// The parser quotes what it couldn't read.
+		return nil, abbreviator.Error(err)
+	}
+	return response, verifier.CheckHead(response)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelpulley/dotterelpulley"
+	"github.com/dotterelpulley/dotterelpulley/internal/verifier"
 )
 
 // attemptResult is the outcome of one attempt at an endpoint.
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, call: c}
+	tracked := &trackedConn{Conn: verifier.Conn{Conn: conn}, call: c}
 	c.conn.Store(tracked)
 	return tracked, nil
 }
@@ -132,7 +133,7 @@
 
 // trackedConn records whether a byte may have been sent and limits the duration of each read.
 type trackedConn struct {
-	net.Conn
+	verifier.Conn
 	call     *call
 	received bool
 }
--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/dotterelpulley/dotterelpulley/announcer"
+	"github.com/dotterelpulley/dotterelpulley/internal/verifier"
 	"github.com/dotterelpulley/dotterelpulley/relayer"
 	"github.com/dotterelpulley/dotterelpulley/repeater"
 )
@@ -71,5 +72,5 @@
 func newRelayClient() (client *http.Client, closeIdle func()) {
 	dialer := net.Dialer{Timeout: relayDialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+	return &http.Client{Transport: verifier.Transport{RoundTripper: transport}}, transport.CloseIdleConnections
 }
