Limit what clients make an entry host hold by one budget

What callers saw: as in a gateway host, clients that hold unfinished requests or connections without any could end an entry host.

Cause: connections had no limit on any listener; the listener for other hosts took heads of 1 MB, the operators' one bodies of 4 MB; fasthttp reads whole requests before a handler sees them, and makes room for a body of the length that its head states.

Change: all three listeners share one budget. Where the server reads whole requests, budgeter charges a body with its head. Heads between hosts have a limit of 64 KB, operators' bodies one of 16 KB. New settings limits.memory-bytes (unknown by default: 64 MB for clients) and limits.connections (3000).

Why it works: the charge comes before the library makes room, and the connection that has held most for longest is closed for others.

--- a/budgeter/conn.go
+++ b/budgeter/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,8 +13,8 @@
 	// connectionBytes is what an open connection holds, its buffers and stack; requestBytes is that of a request beside its head and body.
 	connectionBytes Bytes = 8 << 10
 	requestBytes    Bytes = 8 << 10
-	// headByteCost and headLineCost are the memory that a byte and a line of a head take once it is parsed and copied.
-	headByteCost Bytes = 2
+	// byteCost is the memory that a byte takes once it is copied, headLineCost that of a line of a head once it is parsed.
+	byteCost     Bytes = 2
 	headLineCost Bytes = 256
 	// readAhead is the most that a server reads beyond a request's end.
 	readAhead = 4 << 10
@@ -24,17 +23,24 @@
 	maxDiscarded  = 64 << 10
 )
 
+// http2Preface begins a connection of HTTP/2.
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
 // conn is a client's connection, which charges the heads of requests to its account as they are read.
 type conn struct {
 	net.Conn
 	*Account
 	listener *Listener
 
-	// inBody means that the reads belong to a body, which its reader charges, or that a request is being answered.
-	inBody atomic.Bool
+	// unmetered means that the reads belong to a body, which its reader charges, or that a request is being answered.
+	unmetered atomic.Bool
+	// scanner finds the head's end where the server reads whole requests.
+	scanner headScanner
 	// headBytes counts the bytes of the current head, charged is what its request holds so far.
 	headBytes int
 	charged   Bytes
+	// preface counts the bytes of the HTTP/2 preface that the connection has begun with.
+	preface int
 	// ahead is the charge for what was read last, as the next head may begin in it.
 	ahead Bytes
 }
@@ -45,8 +51,8 @@
 	if n == 0 {
 		return n, err
 	}
-	cost := Bytes(n)*headByteCost + Bytes(bytes.Count(p[:n], []byte("\n")))*headLineCost
-	if c.inBody.Load() {
+	cost := c.costOf(p[:n])
+	if c.unmetered.Load() {
 		c.ahead = 0
 		if n <= readAhead {
 			c.ahead = cost
@@ -54,6 +60,11 @@
 		return n, err
 	}
 	ahead := cost
+	if c.listener.HTTP2 && c.beginsHTTP2(p[:n]) {
+		// Each of its streams has limits of its own.
+		c.unmetered.Store(true)
+		return n, err
+	}
 	if c.headBytes == 0 {
 		cost += requestBytes + c.ahead
 		c.enter(receiving)
@@ -70,6 +81,35 @@
 	return n, err
 }
 
+// beginsHTTP2 reports whether the connection's bytes up to the given ones begin with the preface of HTTP/2.
+func (c *conn) beginsHTTP2(p []byte) bool {
+	// The bytes before these have matched if they weren't more.
+	if c.headBytes != c.preface || c.preface == len(http2Preface) {
+		return false
+	}
+	rest := http2Preface[c.preface:]
+	if size := min(len(p), len(rest)); string(p[:size]) == rest[:size] {
+		c.preface += size
+	}
+	return c.preface == len(http2Preface)
+}
+
+// costOf returns the memory that the bytes of a request take once they are parsed.
+func (c *conn) costOf(p []byte) Bytes {
+	if !c.listener.WholeRequests {
+		return Bytes(len(p))*byteCost + Bytes(bytes.Count(p, []byte("\n")))*headLineCost
+	}
+	if c.scanner.ended {
+		return 0
+	}
+	cost := Bytes(len(p))*byteCost + Bytes(c.scanner.countLines(p))*headLineCost
+	if c.scanner.ended {
+		// The server may make room for the whole body at once.
+		cost += Bytes(c.scanner.bodyBytes(c.listener.BodyBytes)) * byteCost
+	}
+	return cost
+}
+
 // reject sends the response in place of an answer to the request that is being read, and returns the error that ends its connection.
 // The request stays charged until then, as the server holds what it has read.
 func (c *conn) reject(response []byte) error {
@@ -104,35 +144,13 @@
 func (c *conn) observe(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		c.inBody.Store(true)
+		// Other servers become active with the first byte.
+		c.unmetered.Store(c.unmetered.Load() || !c.listener.WholeRequests)
 	case http.StateIdle:
 		c.Release(c.charged)
-		c.charged, c.headBytes = 0, 0
+		c.charged, c.headBytes, c.scanner = 0, 0, headScanner{}
 		c.enter(idle)
-		c.inBody.Store(false)
+		c.unmetered.Store(c.listener.Unmetered)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
-
-// Observe makes the server tell its connections which part of a request they carry; all its listeners must be a Listener.
-func Observe(server *http.Server) {
-	server.ConnState = func(from net.Conn, state http.ConnState) {
-		if c, ok := from.(*conn); ok {
-			c.observe(state)
-		}
-	}
-	server.ConnContext = func(ctx context.Context, from net.Conn) context.Context {
-		if c, ok := from.(*conn); ok {
-			return context.WithValue(ctx, accountKey{}, c.Account)
-		}
-		return ctx
-	}
-}
-
-type accountKey struct{}
-
-// AccountOf returns the account of the connection that a request came on; nil if it has none.
-func AccountOf(ctx context.Context) *Account {
-	a, _ := ctx.Value(accountKey{}).(*Account)
-	return a
-}
--- a/budgeter/conn_test.go
+++ b/budgeter/conn_test.go
@@ -159,3 +159,33 @@
 	status, _ = s.read(r)
 	s.Assert(status, qt.Equals, http.StatusOK)
 }
+
+// The scanner finds the end of a head and the size of its body however the bytes are cut.
+func TestTheSizeOfABodyIsKnownWithItsHead(t *testing.T) {
+	c := qt.New(t)
+	const limit = 1000
+	for text, want := range map[string]struct{ lines, body int }{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n":                                              {3, 0},
+		"\r\n\nPOST / HTTP/1.1\nHost: h\nContent-Length: 12\n\n":                         {6, 12},
+		"POST / HTTP/1.1\r\ncontent-LENGTH:12\r\nContent-Length: 0034\r\n\r\n":           {4, 34},
+		"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n":             {3, limit},
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n":                          {3, limit},
+		"POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n":                         {3, limit},
+		"POST / HTTP/1.1\r\nX-Content-Length: 5\r\nA: Content-Length: 5\r\n\r\n":         {4, 0},
+		"POST / HTTP/1.1\r\nContent-Length-And-More-Of-It: 5\r\nB: 7\r\n\r\n":            {4, 0},
+		"POST /a:7 HTTP/1.1\r\nA: b\r\n Content-Length: 5\r\nTransfer-Encoded: \r\n\r\n": {5, 0},
+	} {
+		for step := 1; step <= len(text); step++ {
+			var s headScanner
+			lines := 0
+			for rest := text + "body\r\n\r\n"; rest != ""; {
+				size := min(step, len(rest))
+				lines += s.countLines([]byte(rest[:size]))
+				rest = rest[size:]
+			}
+			c.Assert(s.ended, qt.IsTrue, qt.Commentf("%q", text))
+			c.Assert(lines, qt.Equals, want.lines, qt.Commentf("%q", text))
+			c.Assert(s.bodyBytes(limit), qt.Equals, want.body, qt.Commentf("%q", text))
+		}
+	}
+}
--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -1,6 +1,7 @@
 package budgeter
 
 import (
+	"crypto/tls"
 	"net"
 )
 
@@ -10,6 +11,14 @@
 	Budget *Budget
 	// HeadBytes returns the size limit of a request's head; nil if there is none.
 	HeadBytes func() int
+	// WholeRequests means that the server reads whole requests before it handles them, so that bodies are charged with their heads; BodyBytes
+	// is the largest that it reads.
+	WholeRequests bool
+	BodyBytes     int
+	// HTTP2 means that the server accepts HTTP/2 without TLS, whose connections are charged as such only.
+	HTTP2 bool
+	// Unmetered means that only connections are charged, as what they carry is encrypted.
+	Unmetered bool
 	// TooLarge and Busy are the complete responses to a head over the size limit, and to one without room.
 	TooLarge []byte
 	Busy     []byte
@@ -22,12 +31,19 @@
 		if err != nil {
 			return nil, err
 		}
+		socket := accepted
+		if encrypted, ok := accepted.(*tls.Conn); ok {
+			// To close an encrypted connection may take a while.
+			socket = encrypted.NetConn()
+		}
 		// What an evicted connection gives back is counted when its server has closed it too.
-		account, err := l.Budget.Open(func() { _ = accepted.Close() })
+		account, err := l.Budget.Open(func() { _ = socket.Close() })
 		if err != nil {
 			_ = accepted.Close()
 			continue
 		}
-		return &conn{Conn: accepted, Account: account, listener: l}, nil
+		c := &conn{Conn: accepted, Account: account, listener: l}
+		c.unmetered.Store(l.Unmetered)
+		return c, nil
 	}
 }
--- a/cmd/dotterel-entry/main.go
+++ b/cmd/dotterel-entry/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/phuslu/log"
@@ -16,6 +17,9 @@
 	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
+// collectorFraction is the fraction of the process's memory from which on the collector runs more often than the heap doubles.
+const collectorFraction = 0.75
+
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -43,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(collectorFraction * float64(settings.Limits.MemoryBytes)))
+	}
 	writer := &spooler.Writer{Output: os.Stderr}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	e := entry.New(settings, logger)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -23,6 +23,7 @@
 		ReadTimeout:    readTimeout,
 		ErrorHandler:   e.handleHTTPError,
 	})
+	app.Use(markReceived)
 	app.Get("/v1/entries", e.handleEntries)
 	app.Post("/v1/plans", e.handleRequest(dotterelpulley.KindPlan))
 	app.Post("/v1/notices", e.handleRequest(dotterelpulley.KindNotice))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/appender"
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/certifier"
 	"github.com/dotterelpulley/dotterelpulley/claimer"
 	"github.com/dotterelpulley/dotterelpulley/counter"
@@ -53,6 +54,8 @@
 	peerMessageLimit slurper.Bytes
 
 	certificates certificates
+	// clients limits what all clients together make the process hold.
+	clients budgeter.Budget
 
 	callerServer   *fiber.App
 	operatorServer *fiber.App
@@ -78,6 +81,7 @@
 		peerMessageLimit: slurper.DefaultLimit,
 		drainStarted:     make(chan struct{}),
 	}
+	e.clients.SetLimits(clientLimits(settings.Limits))
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerTLS, Protocols: []string{"http/1.1"}}
 	e.certificates.peers = certifier.Certifier{Files: settings.PeerTLS, Protocols: []string{"h2", "http/1.1"}}
 	e.certificates.peers.DialTimeout = settings.Timeouts.Dial
@@ -138,7 +142,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", address, err)
 	}
-	listener := secure(tcp, c)
+	listener := e.limitApp(app, secure(tcp, c))
 	e.tasks.Go(func() {
 		if err := app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			e.log.Error().Str("event", "listener-ended").Err(err).Msg("")
@@ -162,7 +166,10 @@
 		Protocols:         peerListenerProtocols(),
 		ReadHeaderTimeout: readTimeout,
 		HTTP2:             peerPings(),
+		MaxHeaderBytes:    maxPeerHeadBytes,
 	}
+	budgeter.Observe(e.peerServer)
+	listener = e.limitPeers(listener, &e.certificates.peers)
 	e.tasks.Go(func() { _ = e.peerServer.Serve(secure(listener, &e.certificates.peers)) })
 	return nil
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -25,8 +25,12 @@
 	Versions []string `json:"versions"`
 }
 
+// maxOperatorBody limits the body of an operator's request, none of which has one.
+const maxOperatorBody = 16 << 10
+
 func (e *Entry) operatorApp() *fiber.App {
-	app := fiber.New(fiber.Config{ReadTimeout: readTimeout})
+	app := fiber.New(fiber.Config{ReadTimeout: readTimeout, BodyLimit: maxOperatorBody})
+	app.Use(markReceived)
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", e.handleReady)
 	app.Get("/v1/status", e.handleStatus)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,6 +34,10 @@
 type Limits struct {
 	BodyBytes   int
 	HeaderBytes int
+	// MemoryBytes is the process's memory, of which clients may make it hold a quarter; zero if unknown.
+	MemoryBytes int
+	// Connections is the maximum number of connections of clients, on all listeners.
+	Connections int
 	// Waiting is the maximum number of waiting requests.
 	Waiting int
 	// Slots is the number of concurrent requests at an endpoint that reports no slots.
@@ -68,6 +72,7 @@
 		Limits: Limits{
 			BodyBytes:   1 << 20,
 			HeaderBytes: 16 << 10,
+			Connections: 3000,
 			Waiting:     4096,
 			Slots:       8,
 		},
@@ -130,6 +135,9 @@
 			faults = append(faults, fmt.Errorf("%s: %d is not above 0", n.key, n.value))
 		}
 	}
+	if s.Limits.MemoryBytes < 0 {
+		faults = append(faults, fmt.Errorf("limits.memory-bytes: %d is below 0", s.Limits.MemoryBytes))
+	}
 	for _, d := range s.durations() {
 		if d.value <= 0 {
 			faults = append(faults, fmt.Errorf("%s: %s is not above 0", d.key, d.value))
@@ -174,6 +182,7 @@
 	return []keyedCount{
 		{"limits.body-bytes", s.Limits.BodyBytes},
 		{"limits.header-bytes", s.Limits.HeaderBytes},
+		{"limits.connections", s.Limits.Connections},
 		{"limits.waiting", s.Limits.Waiting},
 		{"limits.slots", s.Limits.Slots},
 	}
--- a/entry/settings_wire.go
+++ b/entry/settings_wire.go
@@ -33,6 +33,8 @@
 type wireLimits struct {
 	BodyBytes   int `toml:"body-bytes"`
 	HeaderBytes int `toml:"header-bytes"`
+	MemoryBytes int `toml:"memory-bytes"`
+	Connections int `toml:"connections"`
 	Waiting     int `toml:"waiting"`
 	Slots       int `toml:"slots"`
 }
@@ -62,6 +64,8 @@
 		Limits: wireLimits{
 			BodyBytes:   s.Limits.BodyBytes,
 			HeaderBytes: s.Limits.HeaderBytes,
+			MemoryBytes: s.Limits.MemoryBytes,
+			Connections: s.Limits.Connections,
 			Waiting:     s.Limits.Waiting,
 			Slots:       s.Limits.Slots,
 		},
@@ -98,6 +102,8 @@
 		Limits: Limits{
 			BodyBytes:   w.Limits.BodyBytes,
 			HeaderBytes: w.Limits.HeaderBytes,
+			MemoryBytes: w.Limits.MemoryBytes,
+			Connections: w.Limits.Connections,
 			Waiting:     w.Limits.Waiting,
 			Slots:       w.Limits.Slots,
 		},
