Limit the queries of other hosts after decompression too

What callers saw: 200 clients with queries of 4 KB at the port for hosts made a gateway host hold hundreds of megabytes.

Cause: the limit of 4 KB held for a query as it is sent. It may be compressed, and no limit held for what it becomes.

Change: the handlers' own limit, which counts decompressed bytes.

Why it works: reading stops at the limit, before the memory is taken.

--- a/cmd/dotterel-gateway/crowd_test.go
+++ b/cmd/dotterel-gateway/crowd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -62,6 +64,16 @@
 	return strings.Repeat("1\r\nx\r\n", count)
 }
 
+// compressedZeros returns that many bytes of zero, compressed.
+func compressedZeros(size int) string {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// A buffer takes all that is written.
+	_, _ = w.Write(make([]byte, size))
+	_ = w.Close()
+	return out.String()
+}
+
 const (
 	lookupHead = "POST /lookup/ HTTP/1.1\r\nHost: h.example\r\nDotterelpulley-Attempt-Id: ID\r\n"
 	chunked    = "Transfer-Encoding: chunked\r\n\r\n"
@@ -80,6 +92,7 @@
 func crowds() map[string]crowd {
 	incomplete := lookupHead + shortLines(60<<10)
 	oneByteShort := "Content-Length: 2\r\n\r\nx"
+	query := compressedZeros(4000 << 10)
 	return map[string]crowd{
 		"heads of short lines, bodies one byte short":             {200, callerPort, lookupHead + shortLines(15<<10) + oneByteShort, "", 0},
 		"heads of lines with one name, bodies one byte short":     {200, callerPort, lookupHead + strings.Repeat("a1:\r\n", 3<<10) + oneByteShort, "", 0},
@@ -89,6 +102,7 @@
 		"heads without end at the directory":                      {100, directoryPort, incomplete, "", 0},
 		"heads without end at the readiness check":                {100, readinessPort, incomplete, "", 0},
 		"heads without end at the metrics":                        {100, metricsPort, incomplete, "", 0},
+		"compressed queries at the port for hosts":                {200, peerPort, "POST /dotterel.relayer.v1.Relayer/Follow HTTP/1.1\r\nHost: h\r\nContent-Type: application/dotterel\r\nContent-Encoding: gzip\r\nContent-Length: " + strconv.Itoa(len(query)) + "\r\n\r\n" + query, "", 0},
 		"heads without end at the port for hosts":                 {100, peerPort, incomplete, "", 0},
 		"one header line without end":                             {200, callerPort, lookupHead + "A: ", strings.Repeat("x", 1<<10), 2 << 10},
 		"short lines without end":                                 {200, callerPort, lookupHead, "a1:\r\n", 400 << 10},
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -36,7 +36,7 @@
 	return connect.NewUnaryHandler(evidenceProcedure,
 		func(context.Context, *connect.Request[evidenceQuery]) (*connect.Response[evidenceReport], error) {
 			return connect.NewResponse(&evidenceReport{evidence: g.ownEvidence(time.Now())}), nil
-		}, connect.WithCodec(relayCodec{}))
+		}, connect.WithCodec(relayCodec{}), connect.WithReadMaxBytes(maxRelayQueryBytes))
 }
 
 // countSamples adds what the scheduler has seen of runs since the last time to the evidence.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -168,7 +168,7 @@
 	mux.Handle(relayProcedure, connect.NewUnaryHandler(relayProcedure,
 		func(ctx context.Context, request *connect.Request[relayer.FollowRequest]) (*connect.Response[relayer.FollowResponse], error) {
 			return connect.NewResponse(g.answerFollower(ctx, *request.Msg)), nil
-		}, connect.WithCodec(relayCodec{})))
+		}, connect.WithCodec(relayCodec{}), connect.WithReadMaxBytes(maxRelayQueryBytes)))
 	mux.Handle(evidenceProcedure, g.evidenceHandler())
 	calls := http.MaxBytesHandler(mux, maxRelayQueryBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
