Don't decompress callers' bodies in an entry host

What callers saw: 40 requests of 100 KB, whose bodies were compressed, made an entry host hold more than 2 GB.

Cause: fiber's Body decompresses what a caller sends, without a limit. The limit of bodies holds for what is sent.

Change: the body is taken as it was sent, as the protocol tells of no compression; a compressed one is refused as invalid.

Why it works: nothing is decompressed.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -58,7 +58,8 @@
 func (e *Entry) handleRequest(kind dotterelpulley.RequestKind) fiber.Handler {
 	return func(c fiber.Ctx) error {
 		key := strings.Clone(c.Get(headerKey))
-		req, stream, err := decodeRequest(kind, key, c.Body(), time.Now())
+		// Body would decompress what callers send, without a limit.
+		req, stream, err := decodeRequest(kind, key, c.BodyRaw(), time.Now())
 		if err != nil {
 			return e.refuse(c, dotterelpulley.Refuse(dotterelpulley.ErrorInvalid, 0, err.Error()))
 		}
