Charge bodies on an entry host's port for hosts

What callers saw: clients that sent bodies, also compressed ones, to the port for hosts made an entry host hold hundreds of megabytes to gigabytes.

Cause: messages between hosts may have 64 MB each, before or after decompression, and nothing limited their sum. Connections of HTTP/2 counted as never used, so a crowd elsewhere would have closed them first.

Change: bodies on that port are charged to the connection's account as they are read, until their handler has returned; compressed ones are refused, as no host sends any. A connection of HTTP/2, or one under TLS, is judged by when it was last in use.

Evidence: two crowds of TestCrowdsEndNoEntryHost.

Why it works: the charge limits the sum, as for callers.

--- a/budgeter/account.go
+++ b/budgeter/account.go
@@ -77,3 +77,10 @@
 	a.stage, a.since = s, time.Now()
 	a.completed = a.completed || s == idle
 }
+
+// touch notes that a connection of several requests at once is in use, so that those that aren't are closed before it.
+func (a *Account) touch() {
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	a.completed, a.since = true, time.Now()
+}
--- a/budgeter/conn.go
+++ b/budgeter/conn.go
@@ -39,6 +39,8 @@
 	// headBytes counts the bytes of the current head, charged is what its request holds so far.
 	headBytes int
 	charged   Bytes
+	// multiplexed means that the connection carries several requests at once, whose bodies are charged by their handlers.
+	multiplexed bool
 	// preface counts the bytes of the HTTP/2 preface that the connection has begun with.
 	preface int
 	// ahead is the charge for what was read last, as the next head may begin in it.
@@ -52,6 +54,10 @@
 		return n, err
 	}
 	cost := c.costOf(p[:n])
+	if c.multiplexed {
+		c.touch()
+		return n, err
+	}
 	if c.unmetered.Load() {
 		c.ahead = 0
 		if n <= readAhead {
@@ -61,8 +67,8 @@
 	}
 	ahead := cost
 	if c.listener.HTTP2 && c.beginsHTTP2(p[:n]) {
-		// Each of its streams has limits of its own.
-		c.unmetered.Store(true)
+		c.multiplexed = true
+		c.touch()
 		return n, err
 	}
 	if c.headBytes == 0 {
@@ -150,7 +156,7 @@
 		c.Release(c.charged)
 		c.charged, c.headBytes, c.scanner = 0, 0, headScanner{}
 		c.enter(idle)
-		c.unmetered.Store(c.listener.Unmetered)
+		c.unmetered.Store(false)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
--- a/budgeter/conn_test.go
+++ b/budgeter/conn_test.go
@@ -25,7 +25,7 @@
 	server   http.Server
 }
 
-func startServer(t *testing.T, headBytes int, handler http.HandlerFunc) *server {
+func startServer(t *testing.T, headBytes int, handler http.HandlerFunc, configure ...func(*server)) *server {
 	s := &server{C: qt.New(t)}
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	s.Assert(err, qt.IsNil)
@@ -35,6 +35,9 @@
 		Busy:     []byte("HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
 	}
 	s.server.Handler = handler
+	for _, c := range configure {
+		c(s)
+	}
 	Observe(&s.server)
 	s.served.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -15,10 +15,10 @@
 	// is the largest that it reads.
 	WholeRequests bool
 	BodyBytes     int
-	// HTTP2 means that the server accepts HTTP/2 without TLS, whose connections are charged as such only.
+	// HTTP2 means that the server accepts HTTP/2 without TLS.
 	HTTP2 bool
-	// Unmetered means that only connections are charged, as what they carry is encrypted.
-	Unmetered bool
+	// Encrypted means that what the connections carry can't be told.
+	Encrypted bool
 	// TooLarge and Busy are the complete responses to a head over the size limit, and to one without room.
 	TooLarge []byte
 	Busy     []byte
@@ -42,8 +42,6 @@
 			_ = accepted.Close()
 			continue
 		}
-		c := &conn{Conn: accepted, Account: account, listener: l}
-		c.unmetered.Store(l.Unmetered)
-		return c, nil
+		return &conn{Conn: accepted, Account: account, listener: l, multiplexed: l.Encrypted}, nil
 	}
 }
--- a/budgeter/server.go
+++ b/budgeter/server.go
@@ -11,7 +11,7 @@
 type accountKey struct{}
 
 // Observe makes the server tell its connections which part of a request they carry; all its listeners must be a Listener, which TLS may
-// wrap if they are unmetered.
+// wrap if it is Encrypted.
 func Observe(server *http.Server) {
 	server.ConnState = func(from net.Conn, state http.ConnState) {
 		if c, ok := from.(*conn); ok {
--- a/cmd/dotterel-entry/crowd_test.go
+++ b/cmd/dotterel-entry/crowd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"maps"
@@ -59,14 +61,31 @@
 	return lines.String()[:strings.LastIndex(lines.String()[:size], "\n")+1]
 }
 
+// exchangeHead begins a message of another host.
+const exchangeHead = "POST /dotterelpulley.peer.v1.PeerService/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
+
+// compressedZeros returns that many bytes of zero, compressed.
+func compressedZeros(size int) string {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// A buffer takes all that is written.
+	_, _ = w.Write(make([]byte, size))
+	_ = w.Close()
+	return out.String()
+}
+
 const planHead = "POST /v1/plans HTTP/1.1\r\nHost: h.example\r\n"
 
 func crowds() map[string]crowd {
+	plan, message := compressedZeros(100<<20), compressedZeros(60<<20)
 	return map[string]crowd{
 		"heads of short lines, bodies one byte short": {400, callerPort, planHead + shortLines(15<<10) + "Content-Length: 2\r\n\r\nx"},
 		"heads without end":                           {400, callerPort, planHead + shortLines(60<<10)},
 		"bodies of 1 MB, ten bytes short":             {200, callerPort, planHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 1<<20-10)},
 		"chunks of 32 KB, ten bytes short":            {1000, callerPort, planHead + "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", 32<<10-10)},
+		"compressed bodies":                           {40, callerPort, planHead + "Content-Type: application/json\r\nContent-Encoding: gzip\r\nContent-Length: " + strconv.Itoa(len(plan)) + "\r\n\r\n" + plan},
+		"bodies of 1 MB at the port for hosts":        {200, peerPort, exchangeHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat(" ", 1<<20-10)},
+		"compressed bodies at the port for hosts":     {40, peerPort, exchangeHead + "Content-Encoding: gzip\r\nContent-Length: " + strconv.Itoa(len(message)) + "\r\n\r\n" + message},
 		"connections that send nothing":               {1000, callerPort, ""},
 		"heads without end at the operators' port":    {400, operatorPort, planHead + shortLines(60<<10)},
 		"bodies of 4 MB at the operators' port":       {60, operatorPort, "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\n" + strings.Repeat("x", 4<<20-10)},
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -47,7 +47,7 @@
 // limitPeers makes the listener for other hosts accept connections within the budget of all clients, below its TLS.
 func (e *Entry) limitPeers(listener net.Listener, c *certifier.Certifier) net.Listener {
 	return &budgeter.Listener{
-		Listener: listener, Budget: &e.clients, HTTP2: true, Unmetered: c.Files.Configured(), Busy: busyResponse(),
+		Listener: listener, Budget: &e.clients, HTTP2: true, Encrypted: c.Files.Configured(), Busy: busyResponse(),
 		HeadBytes: func() int { return maxPeerHeadBytes },
 		TooLarge:  encodeResponse(http.StatusRequestHeaderFieldsTooLarge, dotterelpulley.Refuse(dotterelpulley.ErrorTooLarge, 0, "head over the limit")),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,7 +162,7 @@
 	mux.HandleFunc("POST /v1/bad-versions", e.handleBadVersion)
 	mux.Handle(peerpbconnect.NewPeerServiceHandler(peerService{entry: e}, e.limitPeerMessages()))
 	e.peerServer = &http.Server{
-		Handler:           mux,
+		Handler:           budgeter.ChargeBodies(mux),
 		Protocols:         peerListenerProtocols(),
 		ReadHeaderTimeout: readTimeout,
 		HTTP2:             peerPings(),
