Keep room for requests that are being served

What callers saw: nothing yet; found by reading. With a budget that is used up by requests under way, what these still need to end, such as the buffer of an answer's events, had no room either, so that a request that has run ended without its answer.

Change: connections, and requests that haven't been received whole, get nine tenths of the budget.

Evidence: TestRequestsUnderWayHaveRoomToEnd failed before and holds now.

Why it works: what is refused is a new request, which hasn't run.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -14,8 +14,10 @@
 	defaultConnections       = 3000
 	// smallBytes is what an account may hold beyond largeShare of the budget, many times an ordinary request.
 	smallBytes Bytes = 64 << 10
-	// largeShare is the fraction of the budget for accounts that hold more than smallBytes.
-	largeShare = 0.75
+	// largeShare is the fraction of the budget for accounts that hold more than smallBytes, unservedShare that for requests that haven't been
+	// received whole: those that have been need some more until they are answered.
+	largeShare    = 0.75
+	unservedShare = 0.9
 	// evictionTimeout limits the wait for connections that are being closed to give their memory back.
 	evictionTimeout = time.Second
 )
@@ -49,13 +51,16 @@
 	return defaultConnections
 }
 
-// allows reports whether an account that holds the bytes may bring the total to the given one.
-func (l Limits) allows(held, total Bytes) bool {
-	limit := l.bytes()
-	if held > smallBytes {
-		limit = Bytes(largeShare * float64(limit))
+// allows reports whether an account in the stage that holds the bytes may bring the total to the given one.
+func (l Limits) allows(at stage, held, total Bytes) bool {
+	share := 1.0
+	switch {
+	case held > smallBytes:
+		share = largeShare
+	case at != serving:
+		share = unservedShare
 	}
-	return total <= limit
+	return float64(total) <= share*float64(l.bytes())
 }
 
 // Usage is what clients hold, and how often room was made for others.
@@ -101,7 +106,7 @@
 	a := &Account{budget: b, evict: evict, since: now}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for b.usage.Connections >= b.limits.connections() || !b.limits.allows(connectionBytes, b.usage.Bytes-b.leaving+connectionBytes) {
+	for b.usage.Connections >= b.limits.connections() || !b.limits.allows(idle, connectionBytes, b.usage.Bytes-b.leaving+connectionBytes) {
 		if !b.evictFor(a, now) {
 			b.usage.Refusals++
 			return nil, ErrFull
@@ -158,13 +163,13 @@
 	}
 	held := a.held + bytes
 	now := time.Now()
-	for !b.limits.allows(held, b.usage.Bytes-b.leaving+bytes) {
+	for !b.limits.allows(a.stage, held, b.usage.Bytes-b.leaving+bytes) {
 		if !b.evictFor(a, now) {
 			b.usage.Refusals++
 			return nil, ErrFull
 		}
 	}
-	if !b.limits.allows(held, b.usage.Bytes+bytes) {
+	if !b.limits.allows(a.stage, held, b.usage.Bytes+bytes) {
 		return b.awaitRelease(), nil
 	}
 	a.held = held
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -205,3 +205,23 @@
 	wait, err := b.reserve(a, bytes)
 	return wait != nil, err
 }
+
+// A request that is being served gets what it still needs, while there is no room for new ones.
+func TestRequestsUnderWayHaveRoomToEnd(t *testing.T) {
+	c := qt.New(t)
+	b := &Budget{}
+	b.SetLimits(Limits{Bytes: 4 << 20})
+	var served []*Account
+	for {
+		a, err := b.Open(func() {})
+		if err != nil {
+			c.Assert(err, qt.Equals, ErrFull)
+			break
+		}
+		a.Serve()
+		served = append(served, a)
+	}
+	for _, a := range served[:40] {
+		c.Assert(a.Reserve(8<<10), qt.IsNil)
+	}
+}
