Let the buffers of events grow as before

Cause: bounded the growth of buffers, so that a body gets no more room than its limit. For events the bound was the limit of an event, which shows only once it is exceeded: at that size each further 4 KB took a new array of 1 MB.

Change: the buffers of events grow by doubling again.

Why it works: a buffer at its size is copied once, not for each line.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 )
 
 // sseEvent is one server-sent event; data holds its unchanged bytes.
@@ -59,7 +60,7 @@
 			r.continuing = true
 			return e, nil
 		}
-		if !r.grow(lineChunk, maxEventBytes) {
+		if !r.grow(lineChunk, math.MaxInt) {
 			return e, errBuffersFull
 		}
 		line, err := r.reader.ReadSlice('\n')
