Reject answers in chunks with a malformed trailer

What callers saw: an answer in chunks whose trailer had a blank in the name of a field came as a complete one.

Cause: the parser keeps such names, and only heads were checked.

Change: at the end of a body in chunks, its trailer's names are checked like those of the head, by the connector and net/http's clients.

Why it works: the end of the body is an error until the trailer is sound.

--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -193,6 +193,7 @@
 		}
 		if r.MatchesResponse == nil || r.MatchesResponse(ResponseHead{StatusCode: response.StatusCode, Header: response.Header, Reused: x.Reused}) {
 			x.Response = response
+			verifier.CheckTrailer(response)
 			if x.bodySent != nil && x.EndsWithConnection() {
 				response.Body = uploadBody{ReadCloser: response.Body, exchange: x}
 			}
--- a/connector/malformed_test.go
+++ b/connector/malformed_test.go
@@ -68,6 +68,7 @@
 		"bytes over 127":    "HTTP/1.1 200 O\xc3\xa9\r\nId: 1\r\nX-A: \xc3\xa9\r\nContent-Length: 5\r\n\r\nhello",
 		"tokens in a name":  "HTTP/1.1 200 OK\r\nId: 1\r\nX!#$%&'*+-.^_`|~9: c\r\nContent-Length: 5\r\n\r\nhello",
 		"continued value":   "HTTP/1.1 200 OK\r\nId: 1\r\nX-A: b\r\n c\r\nContent-Length: 5\r\n\r\nhello",
+		"trailer":           "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-A: c\r\n\r\n",
 		"no blank":          "HTTP/1.1 200 OK\r\nId:1\r\nContent-Length:5\r\n\r\nhello",
 	} {
 		address := startCuttingServer(c, 0, text, false)
@@ -82,3 +83,18 @@
 		p.Close()
 	}
 }
+
+// The answer before a trailer that doesn't follow the protocol isn't whole.
+func TestAMalformedTrailerIsNoEndOfAResponse(t *testing.T) {
+	c := qt.New(t)
+	for name, field := range map[string]string{"blank": "X-A B: c", "blank behind": "X-A : c", "control byte": "X-A\x01: c", "no colon": "X-A"} {
+		address := startCuttingServer(c, 0, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+field+"\r\n\r\n", false)
+		var p Connector
+		x, err := p.Do(context.Background(), address, newRequest("1"))
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", name))
+		_, err = io.ReadAll(x.Body)
+		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
+		x.Abort()
+		p.Close()
+	}
+}
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -50,7 +51,11 @@
 	if strings.ContainsFunc(r.Status, isControl) {
 		return fmt.Errorf("%w: control byte in the status line", ErrMalformed)
 	}
-	for name := range r.Header {
+	return checkNames(r.Header)
+}
+
+func checkNames(fields http.Header) error {
+	for name := range fields {
 		// The parser keeps a blank in a name, or between a name and the colon.
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("%w: invalid field name", ErrMalformed)
@@ -59,6 +64,30 @@
 	return nil
 }
 
+// trailedBody is the body of a response in chunks, which a trailer ends.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// CheckTrailer makes the end of the response's body an error if the trailer is malformed.
+func CheckTrailer(r *http.Response) {
+	if len(r.TransferEncoding) > 0 {
+		r.Body = trailedBody{ReadCloser: r.Body, response: r}
+	}
+}
+
+// Read reads from the body.
+func (b trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkNames(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
+
 func isControl(r rune) bool {
 	return r < ' ' && r != '\t' || r == '\x7f'
 }
@@ -83,5 +112,6 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	CheckTrailer(response)
 	return response, nil
 }
