Split the budget of clients for its readers; crowds at every listener

No change of what callers see. What a newcomer stumbled over: the charge of bytes was decided within the read; the shares of memory, the encoding of refusals, and the crowds of the tests stood twice; two types were both called headScanner; an entry host didn't count what it closes or refuses.

Change: meter decides the charge from bytes alone; budgeter has the shares, the collector's limit and the encoding; prover has crowds. The counts go through callbacks, and an entry host has them as counters.

Tests: crowds and bounds as before. 24 more crowds each for a gateway and an entry host: the same kinds at each listener, odd lines, tiny and large chunks.

--- a/budgeter/account.go
+++ b/budgeter/account.go
@@ -48,7 +48,7 @@
 		case <-wait:
 			wait, err = a.budget.reserve(a, bytes)
 		case <-timeout.C:
-			return ErrFull
+			return a.budget.refuse()
 		}
 	}
 	return err
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -12,10 +12,12 @@
 const (
 	defaultBytes       Bytes = 64 << 20
 	defaultConnections       = 3000
+	// connectionBytes is what an open connection holds, its buffers and stack.
+	connectionBytes Bytes = 8 << 10
 	// smallBytes is what an account may hold beyond largeShare of the budget, many times an ordinary request.
 	smallBytes Bytes = 64 << 10
 	// largeShare is the fraction of the budget for accounts that hold more than smallBytes, unservedShare that for requests that haven't been
-	// received whole: those that have been need some more until they are answered.
+	// received whole.
 	largeShare    = 0.75
 	unservedShare = 0.9
 	// evictionTimeout limits the wait for connections that are being closed to give their memory back.
@@ -52,6 +54,9 @@
 }
 
 // allows reports whether an account in the stage that holds the bytes may bring the total to the given one.
+//
+// Answers the load patterns of large requests that fill the budget while they are served, beside which ordinary ones get in, and of new
+// requests that come while many are served, which need some more until they end.
 func (l Limits) allows(at stage, held, total Bytes) bool {
 	share := 1.0
 	switch {
@@ -63,17 +68,19 @@
 	return float64(total) <= share*float64(l.bytes())
 }
 
-// Usage is what clients hold, and how often room was made for others.
+// Usage is what clients hold.
 type Usage struct {
 	Bytes       Bytes
 	Connections int
-	// Evictions counts the connections that were closed to make room, Refusals the charges without room.
-	Evictions int64
-	Refusals  int64
 }
 
 // Budget limits what the connections of a process hold; the zero value has the default limits.
 type Budget struct {
+	// OnEvict, if set, is called for each connection that is closed to make room, OnRefuse for each connection or charge without room.
+	// Neither may block or use the budget.
+	OnEvict  func()
+	OnRefuse func()
+
 	mutex    sync.Mutex
 	limits   Limits
 	accounts map[*Account]struct{}
@@ -107,8 +114,7 @@
 	defer b.mutex.Unlock()
 	for b.usage.Connections >= b.limits.connections() || !b.limits.allows(idle, connectionBytes, b.usage.Bytes-b.leaving+connectionBytes) {
 		if !b.evictFor(a, now) {
-			b.usage.Refusals++
-			return nil, ErrFull
+			return nil, b.refuse()
 		}
 	}
 	if b.accounts == nil {
@@ -131,12 +137,22 @@
 	victim.evicted = true
 	b.leaving += victim.held
 	b.usage.Connections--
-	b.usage.Evictions++
+	if b.OnEvict != nil {
+		b.OnEvict()
+	}
 	victim.evict()
 	b.notify()
 	return true
 }
 
+// refuse returns the error of a charge without room.
+func (b *Budget) refuse() error {
+	if b.OnRefuse != nil {
+		b.OnRefuse()
+	}
+	return ErrFull
+}
+
 // notify wakes those that wait for room; the mutex must be held.
 func (b *Budget) notify() {
 	if b.released != nil {
@@ -164,8 +180,7 @@
 	now := time.Now()
 	for !b.limits.allows(a.stage, held, b.usage.Bytes-b.leaving+bytes) {
 		if !b.evictFor(a, now) {
-			b.usage.Refusals++
-			return nil, ErrFull
+			return nil, b.refuse()
 		}
 	}
 	if !b.limits.allows(a.stage, held, b.usage.Bytes+bytes) {
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -34,7 +34,8 @@
 func TestTheConnectionThatCostsMostIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		b := &Budget{}
+		evictions := 0
+		b := &Budget{OnEvict: func() { evictions++ }}
 		b.SetLimits(Limits{Bytes: 4 << 20, Connections: 5})
 		waiting, lingering, large, served := open(c, b), open(c, b), open(c, b), open(c, b)
 		waiting.enter(idle)
@@ -52,7 +53,7 @@
 		}
 		c.Assert(small.evicted, qt.IsFalse)
 		c.Assert(served.evicted, qt.IsFalse)
-		c.Assert(b.Usage().Evictions, qt.Equals, int64(3))
+		c.Assert(evictions, qt.Equals, 3)
 		c.Assert(b.Usage().Connections, qt.Equals, 5)
 	})
 }
@@ -60,14 +61,15 @@
 // A request that is being served isn't closed for another one, which is refused instead.
 func TestRequestsUnderWayAreNotClosed(t *testing.T) {
 	c := qt.New(t)
-	b := &Budget{}
+	refusals := 0
+	b := &Budget{OnRefuse: func() { refusals++ }}
 	b.SetLimits(Limits{Connections: 2})
 	for range 2 {
 		open(c, b).Serve()
 	}
 	_, err := b.Open(func() {})
 	c.Assert(err, qt.Equals, ErrFull)
-	c.Assert(b.Usage().Refusals, qt.Equals, int64(1))
+	c.Assert(refusals, qt.Equals, 1)
 }
 
 // Memory is charged before the evicted connection's is given back only if both fit.
--- a/budgeter/conn_test.go
+++ b/budgeter/conn_test.go
@@ -179,7 +179,7 @@
 		"POST /a:7 HTTP/1.1\r\nA: b\r\n Content-Length: 5\r\nTransfer-Encoded: \r\n\r\n": {5, 0},
 	} {
 		for step := 1; step <= len(text); step++ {
-			var s headScanner
+			var s requestScanner
 			lines := 0
 			for rest := text + "body\r\n\r\n"; rest != ""; {
 				size := min(step, len(rest))
--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -42,6 +42,9 @@
 			_ = accepted.Close()
 			continue
 		}
-		return &conn{Conn: accepted, Account: account, listener: l, multiplexed: l.Encrypted}, nil
+		return &conn{
+			Conn: accepted, Account: account, listener: l, multiplexed: l.Encrypted,
+			meter: meter{wholeRequests: l.WholeRequests, bodyLimit: l.BodyBytes},
+		}, nil
 	}
 }
--- a/budgeter/scanner.go
+++ b/budgeter/request_scanner.go
@@ -13,9 +13,9 @@
 	maxLength = 1 << 40
 )
 
-// headScanner counts the lines of a request's head, and finds out how large its body may be; the zero value is at the beginning of a
+// requestScanner counts the lines of a request's head, and finds out how large its body may be; the zero value is at the beginning of a
 // request.
-type headScanner struct {
+type requestScanner struct {
 	lines int
 	// column counts the bytes of the current line but the carriage returns.
 	column int
@@ -33,7 +33,7 @@
 }
 
 // countLines returns how many lines of the head end within the bytes.
-func (s *headScanner) countLines(p []byte) int {
+func (s *requestScanner) countLines(p []byte) int {
 	counted := 0
 	for _, b := range p {
 		if s.ended {
@@ -52,7 +52,7 @@
 	return counted
 }
 
-func (s *headScanner) endLine() {
+func (s *requestScanner) endLine() {
 	// Empty lines before a request don't end its head.
 	s.ended = s.column == 0 && s.lines > 0
 	if s.column > 0 {
@@ -63,7 +63,7 @@
 }
 
 // readField reads a byte of a field.
-func (s *headScanner) readField(b byte) {
+func (s *requestScanner) readField(b byte) {
 	if s.column == 0 {
 		s.inName = true
 	}
@@ -84,7 +84,7 @@
 }
 
 // bodyBytes returns the largest size that the body may have within the limit.
-func (s *headScanner) bodyBytes(limit int) int {
+func (s *requestScanner) bodyBytes(limit int) int {
 	if s.chunked {
 		return limit
 	}
--- a/cmd/dotterel-entry/crowd_test.go
+++ b/cmd/dotterel-entry/crowd_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
-	"compress/gzip"
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -14,11 +13,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/internal/prover"
@@ -45,72 +44,84 @@
 	operatorPort = "7102"
 )
 
-// crowd is a number of clients that each send a text and leave their connection open.
+// crowd is a crowd at a port of the host.
 type crowd struct {
 	clients int
 	port    string
 	text    string
 }
 
-// shortLines returns header lines of the size in total, each with a name of its own, as short as they can be.
-func shortLines(size int) string {
-	var lines strings.Builder
-	for n := 0; lines.Len() < size; n++ {
-		lines.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
-	}
-	return lines.String()[:strings.LastIndex(lines.String()[:size], "\n")+1]
-}
-
 // exchangeHead begins a message of another host.
 const exchangeHead = "POST /dotterelpulley.peer.v1.PeerService/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
 
-// compressedZeros returns that many bytes of zero, compressed.
-func compressedZeros(size int) string {
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	// A buffer takes all that is written.
-	_, _ = w.Write(make([]byte, size))
-	_ = w.Close()
-	return out.String()
-}
-
 const planHead = "POST /v1/plans HTTP/1.1\r\nHost: h.example\r\n"
 
 func crowds() map[string]crowd {
-	plan, message := compressedZeros(100<<20), compressedZeros(60<<20)
+	plan, message := prover.CompressedZeros(100<<20), prover.CompressedZeros(60<<20)
 	return map[string]crowd{
-		"heads of short lines, bodies one byte short": {400, callerPort, planHead + shortLines(15<<10) + "Content-Length: 2\r\n\r\nx"},
-		"heads without end":                           {400, callerPort, planHead + shortLines(60<<10)},
+		"heads of short lines, bodies one byte short": {400, callerPort, planHead + prover.ShortLines(15<<10) + "Content-Length: 2\r\n\r\nx"},
+		"heads without end":                           {400, callerPort, planHead + prover.ShortLines(60<<10)},
 		"bodies of 1 MB, ten bytes short":             {200, callerPort, planHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 1<<20-10)},
 		"chunks of 32 KB, ten bytes short":            {1000, callerPort, planHead + "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", 32<<10-10)},
 		"compressed bodies":                           {40, callerPort, planHead + "Content-Type: application/json\r\nContent-Encoding: gzip\r\nContent-Length: " + strconv.Itoa(len(plan)) + "\r\n\r\n" + plan},
 		"bodies of 1 MB at the port for hosts":        {200, peerPort, exchangeHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat(" ", 1<<20-10)},
 		"compressed bodies at the port for hosts":     {40, peerPort, exchangeHead + "Content-Encoding: gzip\r\nContent-Length: " + strconv.Itoa(len(message)) + "\r\n\r\n" + message},
 		"connections that send nothing":               {1000, callerPort, ""},
-		"heads without end at the operators' port":    {400, operatorPort, planHead + shortLines(60<<10)},
+		"heads without end at the operators' port":    {400, operatorPort, planHead + prover.ShortLines(60<<10)},
 		"bodies of 4 MB at the operators' port":       {60, operatorPort, "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\n" + strings.Repeat("x", 4<<20-10)},
-		"heads without end at the port for hosts":     {200, peerPort, planHead + shortLines(60<<10)},
-		"heads at the port for hosts":                 {200, peerPort, planHead + shortLines(60<<10) + "Content-Length: 2\r\n\r\nx"},
+		"heads without end at the port for hosts":     {200, peerPort, planHead + prover.ShortLines(60<<10)},
+		"heads at the port for hosts":                 {200, peerPort, planHead + prover.ShortLines(60<<10) + "Content-Length: 2\r\n\r\nx"},
 		"connections that send nothing to hosts":      {1000, peerPort, ""},
 	}
 }
 
-// press opens the crowd's connections and returns when each client has sent all that the host takes.
-func (c crowd) press(t *testing.T, ip string) {
-	var clients conc.WaitGroup
-	for range c.clients {
-		conn, err := net.Dial("tcp", net.JoinHostPort(ip, c.port))
-		if !qt.Check(t, err, qt.IsNil) {
-			break
+// furtherCrowds returns more kinds at each listener; each sends half a megabyte of empty lines at most.
+func furtherCrowds() map[string]crowd {
+	all := map[string]crowd{}
+	for listener, port := range map[string]string{"callers": callerPort, "operators": operatorPort, "hosts": peerPort} {
+		for kind, c := range map[string]crowd{
+			"heads of lines with one name, bodies one byte short": {400, port, planHead + strings.Repeat("a1:\r\n", 3<<10) + "Content-Length: 2\r\n\r\nx"},
+			"heads of 3 KB of short lines, bodies one byte short": {400, port, planHead + prover.ShortLines(3<<10) + "Content-Length: 2\r\n\r\nx"},
+			"continued lines without end":                         {200, port, planHead + "A: b\r\n" + strings.Repeat(" c\r\n", 100<<10)},
+			"lines of a control byte":                             {200, port, planHead + strings.Repeat("\x01:\r\n", 3<<10)},
+			"one header line without end":                         {200, port, planHead + "A: " + strings.Repeat("x", 1<<20)},
+			"empty lines without end before a request":            {200, port, strings.Repeat("\r\n", 256<<10)},
+			"chunks of one byte":                                  {600, port, planHead + "Transfer-Encoding: chunked\r\n\r\n" + prover.Chunks(25600)},
+			"chunks of 1 MB, ten bytes short":                     {100, port, planHead + "Transfer-Encoding: chunked\r\n\r\n100000\r\n" + strings.Repeat("x", 1<<20-10)},
+		} {
+			all[kind+", "+listener] = c
 		}
-		t.Cleanup(func() { conn.Close() })
-		clients.Go(func() {
-			// A host that reads no further must not hold the client.
-			_ = conn.SetWriteDeadline(time.Now().Add(20 * time.Second))
-			_, _ = io.WriteString(conn, c.text)
-		})
 	}
-	clients.Wait()
+	return all
+}
+
+// press opens the crowd's connections, which the test's end closes, and returns when each client has sent all that the host takes.
+func (c crowd) press(t *testing.T, ip string) {
+	clients := &prover.Crowd{Clients: c.clients, Text: c.text}
+	// The host has closed some of them.
+	t.Cleanup(func() { _ = clients.Close() })
+	qt.Check(t, clients.Press(t.Context(), dotterelpulley.Address(net.JoinHostPort(ip, c.port))), qt.IsNil)
+}
+
+// build builds the programs once.
+var build = sync.OnceValues(func() (prover.Binaries, error) {
+	dir, err := os.MkdirTemp("", "crowds")
+	if err != nil {
+		return prover.Binaries{}, err
+	}
+	binaryDir = dir
+	return prover.Build(context.Background(), filepath.Join("..", ".."), dir)
+})
+
+// binaryDir is where the programs are; empty if they haven't been built.
+var binaryDir string
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaryDir != "" {
+		_ = os.RemoveAll(binaryDir)
+	}
+	os.Exit(code)
 }
 
 // host is an entry host under test.
@@ -123,7 +134,7 @@
 func startHost(t *testing.T, n int) *host {
 	c := qt.New(t)
 	dir := t.TempDir()
-	binaries, err := prover.Build(t.Context(), filepath.Join("..", ".."), dir)
+	binaries, err := build()
 	c.Assert(err, qt.IsNil)
 	network := fmt.Sprintf("127.%d.%d", 140+n, os.Getpid()&0xff)
 	site, err := prover.NewSite(prover.SiteSettings{
@@ -158,9 +169,14 @@
 	}), qt.IsNil)
 }
 
-// served reports whether an ordinary request is answered, on a connection of its own.
+// served reports whether an ordinary request is answered.
 func (h *host) served() bool {
-	conn, err := net.Dial("tcp", net.JoinHostPort(h.ip, callerPort))
+	return h.ask(callerPort, "/v1/entries?zone=tartu-a")
+}
+
+// ask reports whether the path is answered at the port, on a connection of its own.
+func (h *host) ask(port, path string) bool {
+	conn, err := net.Dial("tcp", net.JoinHostPort(h.ip, port))
 	if err != nil {
 		return false
 	}
@@ -168,7 +184,7 @@
 	if conn.SetDeadline(time.Now().Add(25*time.Second)) != nil {
 		return false
 	}
-	if _, err := io.WriteString(conn, "GET /v1/entries?zone=tartu-a HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
 		return false
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -186,6 +202,7 @@
 		t.Skip("each crowd takes seconds")
 	}
 	all := crowds()
+	maps.Copy(all, furtherCrowds())
 	for number, name := range slices.Sorted(maps.Keys(all)) {
 		t.Run(name, func(t *testing.T) {
 			h := startHost(t, number)
@@ -219,7 +236,7 @@
 		text   string
 		status int
 	}{
-		"short lines": {"GET /v1/entries?zone=tartu-a HTTP/1.1\r\nHost: h.example\r\n" + shortLines(15<<10) + "\r\n", http.StatusOK},
+		"short lines": {"GET /v1/entries?zone=tartu-a HTTP/1.1\r\nHost: h.example\r\n" + prover.ShortLines(15<<10) + "\r\n", http.StatusOK},
 		// The body is read whole and found to be no request.
 		"a large body":          {planHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 1<<20), http.StatusBadRequest},
 		"a body of blank lines": {planHead + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("\n", 1<<20), http.StatusBadRequest},
--- a/cmd/dotterel-entry/main.go
+++ b/cmd/dotterel-entry/main.go
@@ -7,19 +7,16 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/entry"
 	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
-// collectorFraction is the fraction of the process's memory from which on the collector runs more often than the heap doubles.
-const collectorFraction = 0.75
-
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -47,9 +44,7 @@
 	if err != nil {
 		return err
 	}
-	if settings.Limits.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(collectorFraction * float64(settings.Limits.MemoryBytes)))
-	}
+	budgeter.LimitHeap(budgeter.Bytes(settings.Limits.MemoryBytes))
 	writer := &spooler.Writer{Output: os.Stderr}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	e := entry.New(settings, logger)
--- a/cmd/dotterel-gateway/crowd_test.go
+++ b/cmd/dotterel-gateway/crowd_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sourcegraph/conc"
 
+	"github.com/dotterelpulley/dotterelpulley"
 	"github.com/dotterelpulley/dotterelpulley/internal/prover"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/platform/standin"
@@ -50,37 +49,12 @@
 	metricsPort   = "7601"
 )
 
-// shortLines returns header lines of the size in total, each with a name of its own, as short as they can be.
-func shortLines(size int) string {
-	var lines strings.Builder
-	for n := 0; lines.Len() < size; n++ {
-		lines.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
-	}
-	return lines.String()[:strings.LastIndex(lines.String()[:size], "\n")+1]
-}
-
-// chunks returns a body of the number of chunks of one byte, without its end.
-func chunks(count int) string {
-	return strings.Repeat("1\r\nx\r\n", count)
-}
-
-// compressedZeros returns that many bytes of zero, compressed.
-func compressedZeros(size int) string {
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	// A buffer takes all that is written.
-	_, _ = w.Write(make([]byte, size))
-	_ = w.Close()
-	return out.String()
-}
-
 const (
 	lookupHead = "POST /lookup/ HTTP/1.1\r\nHost: h.example\r\nDotterelpulley-Attempt-Id: ID\r\n"
 	chunked    = "Transfer-Encoding: chunked\r\n\r\n"
 )
 
-// crowd is a number of clients that each send a text, in which ID stands for the client's number, then a unit many times, and leave
-// their connections open.
+// crowd is a crowd at a port of the host.
 type crowd struct {
 	clients int
 	port    string
@@ -90,13 +64,13 @@
 }
 
 func crowds() map[string]crowd {
-	incomplete := lookupHead + shortLines(60<<10)
+	incomplete := lookupHead + prover.ShortLines(60<<10)
 	oneByteShort := "Content-Length: 2\r\n\r\nx"
-	query := compressedZeros(4000 << 10)
+	query := prover.CompressedZeros(4000 << 10)
 	return map[string]crowd{
-		"heads of short lines, bodies one byte short":             {200, callerPort, lookupHead + shortLines(15<<10) + oneByteShort, "", 0},
+		"heads of short lines, bodies one byte short":             {200, callerPort, lookupHead + prover.ShortLines(15<<10) + oneByteShort, "", 0},
 		"heads of lines with one name, bodies one byte short":     {200, callerPort, lookupHead + strings.Repeat("a1:\r\n", 3<<10) + oneByteShort, "", 0},
-		"heads of short lines, chunks of 32 KB":                   {200, callerPort, lookupHead + shortLines(15<<10) + chunked + "8001\r\n" + strings.Repeat("x", 32<<10), "", 0},
+		"heads of short lines, chunks of 32 KB":                   {200, callerPort, lookupHead + prover.ShortLines(15<<10) + chunked + "8001\r\n" + strings.Repeat("x", 32<<10), "", 0},
 		"heads over the limit":                                    {100, callerPort, incomplete + oneByteShort, "", 0},
 		"heads without end":                                       {100, callerPort, incomplete, "", 0},
 		"heads without end at the directory":                      {100, directoryPort, incomplete, "", 0},
@@ -110,42 +84,48 @@
 		"empty lines without end after a request":                 {200, callerPort, lookupHead + "Content-Length: 0\r\n\r\n", "\r\n", 1 << 20},
 		"chunks of 4 MB, ten bytes short":                         {100, callerPort, lookupHead + chunked + "400000\r\n" + strings.Repeat("x", maxBody-10), "", 0},
 		"chunks of 32 KB, ten bytes short":                        {1000, callerPort, lookupHead + chunked + "8000\r\n" + strings.Repeat("x", 32<<10-10), "", 0},
-		"chunks of one byte":                                      {600, callerPort, lookupHead + chunked + chunks(25600), "", 0},
-		"chunks of one byte, large bodies":                        {60, callerPort, lookupHead + chunked + chunks(400<<10), "", 0},
+		"chunks of one byte":                                      {600, callerPort, lookupHead + chunked + prover.Chunks(25600), "", 0},
+		"chunks of one byte, large bodies":                        {60, callerPort, lookupHead + chunked + prover.Chunks(400<<10), "", 0},
 		"chunk extensions without end":                            {100, callerPort, lookupHead + chunked + "1;", strings.Repeat("x", 1<<10), 2 << 10},
-		"trailers of short lines":                                 {200, callerPort, lookupHead + chunked + "0\r\n" + shortLines(60<<10), "", 0},
+		"trailers of short lines":                                 {200, callerPort, lookupHead + chunked + "0\r\n" + prover.ShortLines(60<<10), "", 0},
 		"connections that send nothing":                           {1000, callerPort, "", "", 0},
 		"connections that send nothing after a request":           {600, callerPort, "GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n", "", 0},
 		"connections that send nothing at the port for hosts":     {600, peerPort, "", "", 0},
-		"requests under way with heads of short lines, pipelined": {100, callerPort, strings.Repeat("GET /none/ HTTP/1.1\r\nHost: h.example\r\n"+shortLines(3<<10)+"\r\n", 3) + lookupHead + shortLines(12<<10), "", 0},
+		"requests under way with heads of short lines, pipelined": {100, callerPort, strings.Repeat("GET /none/ HTTP/1.1\r\nHost: h.example\r\n"+prover.ShortLines(3<<10)+"\r\n", 3) + lookupHead + prover.ShortLines(12<<10), "", 0},
 	}
 }
 
-// press opens the crowd's connections and returns when each client has sent all that the host takes.
-func (c crowd) press(t *testing.T, ip string) {
-	var clients conc.WaitGroup
-	for n := range c.clients {
-		conn, err := net.Dial("tcp", net.JoinHostPort(ip, c.port))
-		if !qt.Check(t, err, qt.IsNil) {
-			break
+// furtherCrowds returns the same kinds at the other listeners, and odd lines.
+func furtherCrowds() map[string]crowd {
+	oneByteShort := "Content-Length: 2\r\n\r\nx"
+	all := map[string]crowd{
+		"continued lines without end":               {200, callerPort, lookupHead + "A: b\r\n", " c\r\n", 400 << 10},
+		"lines of a control byte":                   {200, callerPort, lookupHead + strings.Repeat("\x01:\r\n", 3<<10), "", 0},
+		"lines without a colon":                     {200, callerPort, lookupHead + strings.Repeat("a\r\n", 3<<10), "", 0},
+		"forwarded bodies of 4 MB, ten bytes short": {100, peerPort, lookupHead + "Dotterel-Forwarded: 1\r\nContent-Length: 4194304\r\n\r\n" + strings.Repeat("x", maxBody-10), "", 0},
+	}
+	for listener, port := range map[string]string{
+		"the directory": directoryPort, "the readiness check": readinessPort, "the metrics": metricsPort, "the port for hosts": peerPort,
+	} {
+		for kind, c := range map[string]crowd{
+			"heads of short lines, bodies one byte short": {200, port, lookupHead + prover.ShortLines(15<<10) + oneByteShort, "", 0},
+			"heads over the limit":                        {100, port, lookupHead + prover.ShortLines(60<<10) + oneByteShort, "", 0},
+			"empty lines without end before a request":    {200, port, "", "\r\n", 1 << 20},
+			"chunks of 4 MB, ten bytes short":             {100, port, lookupHead + chunked + "400000\r\n" + strings.Repeat("x", maxBody-10), "", 0},
+			"chunks of one byte":                          {200, port, lookupHead + chunked + prover.Chunks(25600), "", 0},
+		} {
+			all[kind+" at "+listener] = c
 		}
-		t.Cleanup(func() { conn.Close() })
-		clients.Go(func() {
-			// A host that reads no further must not hold the client.
-			_ = conn.SetWriteDeadline(time.Now().Add(20 * time.Second))
-			if _, err := io.WriteString(conn, strings.ReplaceAll(c.text, "ID", "crowd-"+strconv.Itoa(n))); err != nil {
-				return
-			}
-			const batch = 1 << 10
-			many := strings.Repeat(c.unit, batch)
-			for range c.units / batch {
-				if _, err := io.WriteString(conn, many); err != nil {
-					return
-				}
-			}
-		})
 	}
-	clients.Wait()
+	return all
+}
+
+// press opens the crowd's connections, which the test's end closes, and returns when each client has sent all that the host takes.
+func (c crowd) press(t *testing.T, ip string) {
+	clients := &prover.Crowd{Clients: c.clients, Text: c.text, Unit: c.unit, Units: c.units}
+	// The host has closed some of them.
+	t.Cleanup(func() { _ = clients.Close() })
+	qt.Check(t, clients.Press(t.Context(), dotterelpulley.Address(net.JoinHostPort(ip, c.port))), qt.IsNil)
 }
 
 // startCrowdedHost starts a host with little memory and few descriptors, and an endpoint that answers it.
@@ -196,7 +176,7 @@
 // waitUntilServed sends ordinary requests until one is served.
 func (h *host) waitUntilServed(ip, id string) {
 	text := strings.ReplaceAll(lookupHead, "ID", id) + "Content-Length: 5\r\n\r\nhello"
-	status, body := 0, ""
+	status, body, tries := 0, "", 0
 	options := prover.WaitOptions{Timeout: 60 * time.Second, Interval: 50 * time.Millisecond}
 	h.Assert(prover.WaitUntil(h.TB.(*testing.T).Context(), options, "an ordinary request is served", func() bool {
 		select {
@@ -204,10 +184,12 @@
 			h.Fatalf("the process has ended: %s", h.LogTail())
 		default:
 		}
+		tries++
 		status, body, _ = request(ip, text)
 		return status == http.StatusOK
 	}), qt.IsNil, qt.Commentf("status %d", status))
 	h.Assert(body, qt.Equals, "5 bytes")
+	h.Logf("%s served at try %d", id, tries)
 }
 
 // waitUntilRead waits until the host has read what it received.
@@ -226,6 +208,7 @@
 		t.Skip("each crowd takes seconds")
 	}
 	all := crowds()
+	maps.Copy(all, furtherCrowds())
 	for number, name := range slices.Sorted(maps.Keys(all)) {
 		t.Run(name, func(t *testing.T) {
 			checkCrowds(t, address(20+number), all[name])
@@ -245,7 +228,7 @@
 		c.clients /= 10
 		mixed = append(mixed, c)
 	}
-	checkCrowds(t, address(60), mixed...)
+	checkCrowds(t, address(100), mixed...)
 }
 
 // checkCrowds checks that a host serves an ordinary request beside the crowds, within its memory and descriptors.
@@ -274,13 +257,13 @@
 	if testing.Short() {
 		t.Skip("the host is a process")
 	}
-	const ip = 90
+	const ip = 101
 	h := startCrowdedHost(t, address(ip))
 	h.waitUntilServed(address(ip), "ordinary")
 	head := func(id, framing string) string { return strings.ReplaceAll(lookupHead, "ID", id) + framing + "\r\n" }
 	filled := func(id, framing string) string {
 		rest := maxHead - len(head(id, framing))
-		return strings.TrimSuffix(head(id, framing), "\r\n") + shortLines(rest) + "\r\n"
+		return strings.TrimSuffix(head(id, framing), "\r\n") + prover.ShortLines(rest) + "\r\n"
 	}
 	const length = "Content-Length: 4194304\r\n"
 	for name, test := range map[string]struct {
@@ -291,8 +274,8 @@
 		"one long line":                 {strings.TrimSuffix(head("a-2", "Content-Length: 5\r\n"), "\r\n") + "A: " + strings.Repeat("x", 15<<10) + "\r\n\r\nhello", 5},
 		"a large body":                  {head("a-3", length) + strings.Repeat("x", maxBody), maxBody},
 		"short lines and a large body":  {filled("a-4", length) + strings.Repeat("x", maxBody), maxBody},
-		"a large body in small chunks":  {head("a-5", "Transfer-Encoding: chunked\r\n") + chunks(1<<20) + "0\r\n\r\n", 1 << 20},
-		"short lines and small chunks":  {filled("a-6", "Transfer-Encoding: chunked\r\n") + chunks(25600) + "0\r\n\r\n", 25600},
+		"a large body in small chunks":  {head("a-5", "Transfer-Encoding: chunked\r\n") + prover.Chunks(1<<20) + "0\r\n\r\n", 1 << 20},
+		"short lines and small chunks":  {filled("a-6", "Transfer-Encoding: chunked\r\n") + prover.Chunks(25600) + "0\r\n\r\n", 25600},
 		"a large body in a large chunk": {head("a-7", "Transfer-Encoding: chunked\r\n") + "400000\r\n" + strings.Repeat("x", maxBody) + "\r\n0\r\n\r\n", maxBody},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/dotterel-gateway/main.go
+++ b/cmd/dotterel-gateway/main.go
@@ -7,20 +7,17 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/gateway"
 	"github.com/dotterelpulley/dotterelpulley/platform"
 	"github.com/dotterelpulley/dotterelpulley/spooler"
 )
 
-// collectorFraction is the fraction of the process's memory from which on the collector runs more often than the heap doubles.
-const collectorFraction = 0.75
-
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -57,9 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(collectorFraction * float64(settings.Memory)))
-	}
+	budgeter.LimitHeap(budgeter.Bytes(settings.Memory))
 	writer := &spooler.Writer{Output: os.Stdout}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	g := gateway.New(settings, logger)
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -18,18 +16,12 @@
 )
 
 const (
-	// clientMemoryFraction is the fraction of a host's memory that clients may make it hold, as the collector lets the heap double.
-	clientMemoryFraction = 0.25
 	// busyRetryAfter is the delay for callers whose request finds no room.
 	busyRetryAfter = time.Second
-	// maxPeerHeadBytes limits the head of a request of another host.
+	// maxPeerHeadBytes limits the head of a request of another host, in bytes.
 	maxPeerHeadBytes = 64 << 10
 )
 
-func clientLimits(l Limits) budgeter.Limits {
-	return budgeter.Limits{Bytes: budgeter.Bytes(clientMemoryFraction * float64(l.MemoryBytes)), Connections: l.Connections}
-}
-
 // limitApp makes the app's listener, which TLS may already wrap, accept connections within the budget of all clients.
 func (e *Entry) limitApp(app *fiber.App, listener net.Listener) net.Listener {
 	budgeter.ObserveFast(app.Server())
@@ -61,17 +53,11 @@
 
 // encodeResponse returns a complete response that refuses a request which hasn't been read.
 func encodeResponse(status int, r *dotterelpulley.Refusal) []byte {
-	// The wire type holds strings only.
-	body, _ := json.Marshal(refusalToWire(r))
-	response := http.Response{
-		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{"Content-Type": {"application/json"}},
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
+	header := http.Header{"Content-Type": {"application/json"}}
 	if r.RetryAfter > 0 {
-		response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
-	var out bytes.Buffer
-	// A buffer takes all that is written.
-	_ = response.Write(&out)
-	return out.Bytes()
+	// The wire type holds strings only.
+	body, _ := json.Marshal(refusalToWire(r))
+	return budgeter.EncodeResponse(status, header, body)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,7 +81,9 @@
 		peerMessageLimit: slurper.DefaultLimit,
 		drainStarted:     make(chan struct{}),
 	}
-	e.clients.SetLimits(clientLimits(settings.Limits))
+	e.clients.SetLimits(budgeter.LimitsOf(budgeter.Bytes(settings.Limits.MemoryBytes), settings.Limits.Connections))
+	e.clients.OnEvict = func() { e.counters.Inc("client-evictions") }
+	e.clients.OnRefuse = func() { e.counters.Inc("client-refusals") }
 	e.certificates.callers = certifier.Certifier{Files: settings.CallerTLS, Protocols: []string{"http/1.1"}}
 	e.certificates.peers = certifier.Certifier{Files: settings.PeerTLS, Protocols: []string{"h2", "http/1.1"}}
 	e.certificates.peers.DialTimeout = settings.Timeouts.Dial
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -25,7 +25,7 @@
 	Versions []string `json:"versions"`
 }
 
-// maxOperatorBody limits the body of an operator's request, none of which has one.
+// maxOperatorBody limits the body of an operator's request, none of which has one, in bytes.
 const maxOperatorBody = 16 << 10
 
 func (e *Entry) operatorApp() *fiber.App {
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"bytes"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/dotterelpulley/dotterelpulley"
@@ -14,23 +11,18 @@
 )
 
 const (
-	// clientMemoryFraction is the fraction of a host's memory that clients may make it hold, as the collector lets the heap double.
-	clientMemoryFraction = 0.25
 	// clientSocketFraction is the fraction of a host's sockets for clients; the others are for endpoints, hosts and the store.
 	clientSocketFraction = 0.75
-	// headSlack is for the request line and what is read ahead, which don't count towards the operators' limit of a head.
+	// headSlack, in bytes, is for the request line and what is read ahead, which don't count towards the operators' limit of a head.
 	headSlack = 8 << 10
-	// hostHeadSlack is for what hosts add to the head of a request that they forward.
+	// hostHeadSlack, in bytes, is for what hosts add to the head of a request that they forward.
 	hostHeadSlack = 16 << 10
 )
 
 // clientLimits returns the limits of what clients may make a host with the settings hold.
 func clientLimits(s platform.Settings) budgeter.Limits {
 	sockets := max(s.Descriptors-platform.ReservedDescriptors, 0)
-	return budgeter.Limits{
-		Bytes:       budgeter.Bytes(clientMemoryFraction * float64(s.Memory)),
-		Connections: int(clientSocketFraction * float64(sockets)),
-	}
+	return budgeter.LimitsOf(budgeter.Bytes(s.Memory), int(clientSocketFraction*float64(sockets)))
 }
 
 // listenForClients listens on the address within the budget of all clients.
@@ -60,14 +52,7 @@
 
 // encodeRefusal returns a response that refuses a request whose head hasn't been read.
 func encodeRefusal(status int, kind dotterelpulley.ErrorKind, retryAfter time.Duration) []byte {
-	text := kind.String() + "\n"
-	response := http.Response{
-		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
-		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
-	}
-	platform.SetRefusalHeaders(response.Header, "", retryAfter)
-	var out bytes.Buffer
-	// A buffer takes all that is written.
-	_ = response.Write(&out)
-	return out.Bytes()
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	platform.SetRefusalHeaders(header, "", retryAfter)
+	return budgeter.EncodeResponse(status, header, []byte(kind.String()+"\n"))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,8 @@
 	g.isolations[wholeRequests] = isolation{kind: wholeRequests, topic: platform.IsolatedRequestsTopic}
 	g.apportioner.Self = settings.Host
 	g.clients.SetLimits(clientLimits(settings))
+	g.clients.OnEvict = func() { g.metrics.Inc("client-evictions") }
+	g.clients.OnRefuse = func() { g.metrics.Inc("client-refusals") }
 	g.connector.OnOpen = func() { g.metrics.Inc("connections-opened") }
 	g.peers.configure(settings, seed)
 	g.changes.incarnation = seed
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -74,8 +74,7 @@
 		g.metrics.counts.Do(func(kv expvar.KeyValue) { fmt.Fprintf(out, "%s %s\n", kv.Key, kv.Value) })
 		fmt.Fprintf(out, "in-flight %d\n", g.inFlight.Load())
 		clients := g.clients.Usage()
-		fmt.Fprintf(out, "client-bytes %d\nclient-connections %d\nclient-evictions %d\nclient-refusals %d\n",
-			clients.Bytes, clients.Connections, clients.Evictions, clients.Refusals)
+		fmt.Fprintf(out, "client-bytes %d\nclient-connections %d\n", clients.Bytes, clients.Connections)
 		if w, ok := g.logger.Writer.(*spooler.Writer); ok {
 			fmt.Fprintf(out, "log-lines-dropped %d\n", w.Dropped())
 		}
--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -9,12 +9,12 @@
 // turn, as fasthttp does, whose parser takes some of these heads for others.
 type Conn struct {
 	net.Conn
-	head headScanner
+	head headChecker
 }
 
 // Write writes a request, after which the head of its response is expected.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.head = headScanner{inHead: true}
+	c.head = headChecker{inHead: true}
 	return c.Conn.Write(p)
 }
 
@@ -32,8 +32,8 @@
 	return n, err
 }
 
-// headScanner checks heads byte by byte, up to the end of the first one that isn't that of an interim response.
-type headScanner struct {
+// headChecker checks heads byte by byte, up to the end of the first one that isn't that of an interim response.
+type headChecker struct {
 	inHead bool
 	// line counts the lines of the head, column the bytes of the line.
 	line, column int
@@ -46,7 +46,7 @@
 // statusLine begins each head, with any digits in place of zeros.
 const statusLine = "HTTP/1.0 000"
 
-func (s *headScanner) next(b byte) error {
+func (s *headChecker) next(b byte) error {
 	column := s.column
 	s.column++
 	switch {
@@ -78,7 +78,7 @@
 	return nil
 }
 
-func (s *headScanner) checkStatusLine(column int, b byte) error {
+func (s *headChecker) checkStatusLine(column int, b byte) error {
 	isDigit := b >= '0' && b <= '9'
 	if statusLine[column] == '0' && !isDigit || statusLine[column] != '0' && b != statusLine[column] {
 		return fmt.Errorf("%w: no status line", ErrMalformed)
@@ -93,10 +93,10 @@
 }
 
 // endLine ends a line of the length.
-func (s *headScanner) endLine(length int) error {
+func (s *headChecker) endLine(length int) error {
 	switch {
 	case s.line > 0 && (s.blank || length == 0):
-		*s = headScanner{inHead: IsInterim(s.status)}
+		*s = headChecker{inHead: IsInterim(s.status)}
 	case s.line > 0 && !s.inValue:
 		return fmt.Errorf("%w: a field without a colon", ErrMalformed)
 	default:
