Limit what clients make a mover hold

What callers saw: clients that sent bodies to the operators' port of a mover made it hold hundreds of megabytes on a host that it shares.

Cause: that port took bodies of 4 MB from any number of connections.

Change: the port has a budget and a limit of 16 KB for bodies, which no operator's request has.

Evidence: TestCrowdsEndNoMover, three crowds: 254 MB at most on, 24 MB now; the bound is 96 MB.

Why it works: a body over the limit is refused before it is read.

--- a/controller/operator_server.go
+++ b/controller/operator_server.go
@@ -4,19 +4,27 @@
 	"expvar"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 
+	"github.com/dotterelpulley/dotterelpulley/budgeter"
 	"github.com/dotterelpulley/dotterelpulley/recorder"
 )
 
-const operatorReadTimeout = 5 * time.Second
+const (
+	operatorReadTimeout = 5 * time.Second
+	// maxOperatorBody limits the body of an operator's request, none of which has one, in bytes.
+	maxOperatorBody = 16 << 10
+)
 
 // operatorServer serves health, counters and status.
 type operatorServer struct {
 	app *fiber.App
+	// clients limits what all clients together make the process hold.
+	clients budgeter.Budget
 }
 
 type wireStatus struct {
@@ -40,7 +48,7 @@
 }
 
 func (o *operatorServer) start(c *Controller) error {
-	o.app = fiber.New(fiber.Config{ReadTimeout: operatorReadTimeout})
+	o.app = fiber.New(fiber.Config{ReadTimeout: operatorReadTimeout, BodyLimit: maxOperatorBody})
 	o.app.Get("/healthz", func(r fiber.Ctx) error { return r.SendString("ok\n") })
 	o.app.Get("/readyz", func(r fiber.Ctx) error {
 		c.mu.Lock()
@@ -56,8 +64,13 @@
 	if err != nil {
 		return fmt.Errorf("listen on %q: %w", c.settings.Operators, err)
 	}
+	budgeter.ObserveFast(o.app.Server())
+	limited := &budgeter.Listener{
+		Listener: listener, Budget: &o.clients, WholeRequests: true, BodyBytes: maxOperatorBody,
+		Busy: budgeter.EncodeResponse(http.StatusServiceUnavailable, http.Header{}, nil),
+	}
 	c.background.Go(func() {
-		if err := o.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		if err := o.app.Listener(limited, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			c.log.Error().Str("event", "listener-ended").Err(err).Msg("")
 		}
 	})
