--- a/review/rig-3/case-memory/main.go
+++ b/review/rig-3/case-memory/main.go
@@ -180,7 +180,7 @@
 }
 
 func (c *crowd) call(address, name string) {
-	call := rig.Call{ID: rig.NextID(), Method: http.MethodGet, Host: hostName, Path: "/" + name + "/x", Key: key, Limit: 1500 * time.Millisecond}
+	call := rig.Call{ID: rig.NextID(), Method: http.MethodPost, Host: hostName, Path: "/" + name + "/x", Key: key, Body: "read", Limit: 1500 * time.Millisecond}
 	a := c.clients.Do(context.Background(), address, call)
 	c.Note("%s to %s: %s -> %d signed=%t kept=%t err=%v", call.ID, address, call.Path, a.Status, a.Signed, a.Kept, a.Err)
 	c.mutex.Lock()
--- a/review/rig-3/rig/client.go
+++ b/review/rig-3/rig/client.go
@@ -66,7 +66,7 @@
 		return Answer{Err: err}
 	}
 	request.Host = call.Host
-	// The transport must not send an attempt twice by itself.
+	// The transport must not send an attempt twice by itself, which it does with what it can read again, and with a GET.
 	request.GetBody = nil
 	request.Header.Set("User-Agent", "")
 	request.Header.Set("Dotterelpulley-Attempt-Id", call.ID)
